--- /dev/null
+++ b/internal/commands/commands.go
@@ -0,0 +1,50 @@
+// Package commands holds the command line of cardamomline.
+//
+// Each command is a small type that declares its flags and calls a package that
+// knows nothing of the command line.
+//
+// # Usage
+//
+//	os.Exit(commands.Execute(os.Args[1:]))
+package commands
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of every command.
+const (
+	ExitOK       = 0 // the command did what was asked
+	ExitFailure  = 1 // the command failed
+	ExitUsage    = 2 // bad flags, arguments, settings or manifest
+	ExitConflict = 3 // a compare-and-set lost against another change
+	ExitNotFound = 4 // the named item doesn't exist
+	ExitPartial  = 5 // accepted, but not yet in force everywhere
+)
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string) int {
+	root := newRoot()
+	root.SetArgs(args)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "cardamomline:", err)
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+func newRoot() *cobra.Command {
+	return &cobra.Command{
+		Use:           "cardamomline",
+		Short:         "Serve multi-stage model pipelines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+}
+
+func exitCode(error) int {
+	return ExitFailure
+}
--- /dev/null
+++ b/internal/timer/service.go
@@ -0,0 +1,81 @@
+// Package timer provides the one source of time for all parts of a process.
+//
+// Parts never call the time package for waiting. They subscribe to the Service
+// and receive ticks or single events on channels, so that a test can run the
+// same code on virtual time with testing/synctest.
+//
+// # Usage
+//
+//	ts := timer.NewService()
+//	ticker := ts.Subscribe(time.Second)
+//	defer ticker.Stop()
+//	for {
+//		select {
+//		case <-ticker.C():
+//			// periodic work
+//		case <-done:
+//			return
+//		}
+//	}
+package timer
+
+import (
+	"context"
+	"time"
+)
+
+// Service hands out the current time, tickers and single events.
+// The zero value is ready for use and is safe for concurrent use.
+type Service struct{}
+
+// NewService returns a Service on the process clock, or on the virtual clock
+// when it runs in a testing/synctest bubble.
+func NewService() *Service {
+	return &Service{}
+}
+
+// Now returns the current time with its monotonic reading.
+func (s *Service) Now() time.Time {
+	return time.Now()
+}
+
+// Since returns the time that has passed since t.
+func (s *Service) Since(t time.Time) time.Duration {
+	return time.Since(t)
+}
+
+// Subscribe returns a Ticker that delivers the time every period.
+// Ticks are dropped for a subscriber that lags behind. The period must be positive.
+func (s *Service) Subscribe(period time.Duration) *Ticker {
+	return &Ticker{t: time.NewTicker(period)}
+}
+
+// After returns a channel that receives the time once, after d.
+func (s *Service) After(d time.Duration) <-chan time.Time {
+	return time.After(d)
+}
+
+// Sleep waits for d or until ctx is done and returns the error of ctx in that case.
+func (s *Service) Sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Ticker delivers ticks to one subscriber.
+type Ticker struct {
+	t *time.Ticker
+}
+
+// C returns the channel on which ticks are delivered.
+func (t *Ticker) C() <-chan time.Time {
+	return t.t.C
+}
+
+// Stop ends the subscription. The channel isn't closed.
+func (t *Ticker) Stop() {
+	t.t.Stop()
+}
