manifest: Add manifest, settings and strict YAML reading

Every process needs the manifest and its own settings, and operators need all faults of a file at once with their positions.

strictyaml decodes the goccy/go-yaml AST and collects faults with line, column, what was found and what was expected. manifest checks names, references, needs, deadlines and non-idempotent operations in stages; settings checks the keys that belong to each role.

Cost at 24,000 customers is not measured yet.

--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,233 @@
+// Package settings holds the settings of one process, as opposed to the manifest
+// that all processes share.
+//
+// # Usage
+//
+//	s, err := settings.Load("settings/entry-1.yaml")
+//	if err != nil {
+//		return err // one line for each fault, with file, line and column
+//	}
+//	if s.Role() == settings.RoleEntry {
+//		serve(s.Listen())
+//	}
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cardamomline/cardamomline/internal/strictyaml"
+	"github.com/cardamomline/cardamomline/pkg/manifest"
+)
+
+// Role is what a process does.
+type Role string
+
+// Roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleAgent   Role = "agent"
+	RoleControl Role = "control"
+)
+
+// Limits on sizes.
+const (
+	MaxBytes   = 64 << 10 // of the file
+	MaxControl = 7        // control VMs, as many as may be dedicated to control
+	MaxText    = 1024     // bytes of a path or URL
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	role          Role
+	name          string
+	region        string
+	failureDomain string
+	listen        string
+	admin         string
+	control       []string
+	dataFolder    string
+	peers         []string
+	target        Target
+}
+
+// Role returns what the process does.
+func (s *Settings) Role() Role { return s.role }
+
+// Name returns the name of the process, which is unique in the system.
+func (s *Settings) Name() string { return s.name }
+
+// Region returns the region that the process runs in.
+func (s *Settings) Region() string { return s.region }
+
+// FailureDomain returns the failure domain that the process runs in.
+func (s *Settings) FailureDomain() string { return s.failureDomain }
+
+// Listen returns the address for callers (entry) or for other processes (agent,
+// control).
+func (s *Settings) Listen() string { return s.listen }
+
+// Admin returns the address for metrics, health and readiness.
+func (s *Settings) Admin() string { return s.admin }
+
+// Control returns the addresses of the control VMs.
+func (s *Settings) Control() []string { return s.control }
+
+// DataFolder returns the folder for durable state of a control process. A
+// relative path is relative to the working directory of the process.
+func (s *Settings) DataFolder() string { return s.dataFolder }
+
+// Peers returns the addresses of the control processes that form the cluster;
+// the first one forms it. It is empty for other roles.
+func (s *Settings) Peers() []string { return s.peers }
+
+// Target returns the target of an agent; it is zero for other roles.
+func (s *Settings) Target() Target { return s.target }
+
+// Target is the process that an agent stands in front of.
+type Target struct {
+	name    string
+	service string
+	url     string
+}
+
+// Name returns the name of the target, which is unique in the system.
+func (t Target) Name() string { return t.name }
+
+// Service returns the service of the manifest that the target belongs to.
+func (t Target) Service() string { return t.service }
+
+// URL returns the base URL of the target, without a slash at the end.
+func (t Target) URL() string { return t.url }
+
+// Load reads and checks the settings in the file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings. Name is the file name for faults. The error is a
+// *strictyaml.Errors that holds every fault with its position.
+func Parse(name string, data []byte) (*Settings, error) {
+	r := strictyaml.NewReader(name)
+	if len(data) > MaxBytes {
+		r.Fail(strictyaml.Mark{}, fmt.Sprintf("a file of %d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBytes))
+		return nil, r.Err()
+	}
+	s := decode(r.Read(data))
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func decode(v strictyaml.Value) *Settings {
+	f := v.Mapping("role", "name", "region", "failure_domain", "listen", "admin", "control", "data_folder", "peers", "target")
+	if !f.Present() {
+		return nil
+	}
+	s := &Settings{
+		role:          Role(f.Required("role").OneOf(string(RoleEntry), string(RoleAgent), string(RoleControl))),
+		name:          itemName(f.Required("name")),
+		region:        itemName(f.Required("region")),
+		failureDomain: itemName(f.Required("failure_domain")),
+		listen:        address(f.Required("listen")),
+		admin:         address(f.Required("admin")),
+		control:       addresses(f.Required("control")),
+	}
+	if s.admin != "" && s.admin == s.listen {
+		f.Optional("admin").Fail("the address of listen", "an address of its own")
+	}
+	switch s.role {
+	case RoleControl:
+		s.dataFolder = f.Required("data_folder").Text(isPath, fmt.Sprintf("a path of 1 to %d bytes", MaxText))
+		s.peers = addresses(f.Required("peers"))
+		if peers := f.Optional("peers"); len(s.peers) > 0 && s.listen != "" && !slices.Contains(s.peers, s.listen) {
+			peers.Fail("no address "+s.listen, "the process's own listen address among the peers")
+		}
+		refuse(f, "target", "only agents have a target")
+	case RoleAgent:
+		s.target = target(f.Required("target"))
+		refuse(f, "data_folder", "only control processes keep data")
+		refuse(f, "peers", "only control processes have peers")
+	case RoleEntry:
+		refuse(f, "data_folder", "only control processes keep data")
+		refuse(f, "peers", "only control processes have peers")
+		refuse(f, "target", "only agents have a target")
+	}
+	return s
+}
+
+func refuse(f strictyaml.Mapping, key, why string) {
+	if v := f.Optional(key); v.Present() {
+		v.Fail("the key "+key, "no such key for this role: "+why)
+	}
+}
+
+func target(v strictyaml.Value) Target {
+	f := v.Mapping("name", "service", "url")
+	if !f.Present() {
+		return Target{}
+	}
+	return Target{
+		name:    itemName(f.Required("name")),
+		service: itemName(f.Required("service")),
+		url:     f.Required("url").Text(isBaseURL, `an http URL of a host and a port, such as "http://127.0.0.1:9001"`),
+	}
+}
+
+func addresses(v strictyaml.Value) []string {
+	items := v.Sequence(MaxControl)
+	if v.IsEmptySequence() {
+		v.Fail("an empty sequence", "the address of at least one control VM")
+	}
+	list := make([]string, 0, len(items))
+	for _, item := range items {
+		a := address(item)
+		if a != "" && slices.Contains(list, a) {
+			item.Fail("the address "+a+" a second time", "each address once")
+		}
+		list = append(list, a)
+	}
+	return list
+}
+
+func address(v strictyaml.Value) string {
+	return v.Text(isAddress, "an IP address and a port from 1 to 65535, such as 127.0.0.1:8080")
+}
+
+func itemName(v strictyaml.Value) string {
+	return v.Text(isName, fmt.Sprintf("a name of up to %d lower-case letters, digits and single hyphens that starts with a letter", manifest.MaxName))
+}
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+
+func isName(s string) bool {
+	return len(s) <= manifest.MaxName && namePattern.MatchString(s)
+}
+
+func isAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0 && a.String() == s
+}
+
+func isPath(s string) bool {
+	return s != "" && len(s) <= MaxText
+}
+
+func isBaseURL(s string) bool {
+	u, err := url.Parse(s)
+	if err != nil || len(s) > MaxText {
+		return false
+	}
+	return s == "http://"+u.Host && u.Hostname() != "" && u.Port() != ""
+}
--- /dev/null
+++ b/pkg/manifest/parse.go
@@ -0,0 +1,228 @@
+package manifest
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/cardamomline/cardamomline/internal/strictyaml"
+)
+
+var (
+	namePattern      = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+	operationPattern = regexp.MustCompile(`^[a-z][a-z0-9]*(_[a-z0-9]+)*$`)
+)
+
+// Parse reads and checks a manifest. Name is the file name for faults. The error
+// is a *strictyaml.Errors that holds every fault with its position.
+func Parse(name string, data []byte) (*Manifest, error) {
+	p := &parser{r: strictyaml.NewReader(name), m: &Manifest{}}
+	if len(data) > MaxBytes {
+		p.r.Fail(strictyaml.Mark{}, fmt.Sprintf("a file of %d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBytes))
+		return nil, p.r.Err()
+	}
+	p.document(p.r.Read(data))
+	if err := p.r.Err(); err != nil {
+		return nil, err
+	}
+	return p.m, nil
+}
+
+// parser decodes a manifest. Positions that the cross checks report are kept
+// beside the decoded items, in the same order.
+type parser struct {
+	r *strictyaml.Reader
+	m *Manifest
+
+	classAt    []strictyaml.Mark
+	customerAt []customerMarks
+	modelAt    []strictyaml.Mark
+	serviceAt  []strictyaml.Mark
+	pipelineAt []pipelineMarks
+}
+
+type customerMarks struct {
+	name, key, class strictyaml.Mark
+}
+
+type pipelineMarks struct {
+	name, class, deadline strictyaml.Mark
+	stages                []stageMarks
+}
+
+type stageMarks struct {
+	stage, name, service, operation, model strictyaml.Mark
+	needs                                  []strictyaml.Mark
+}
+
+func (p *parser) document(v strictyaml.Value) {
+	root := v.Mapping("version", "policy", "unconfirmed", "classes", "customers", "models", "services", "pipelines")
+	if !root.Present() {
+		return
+	}
+	root.Required("version").Int(supportedVersion, supportedVersion)
+	p.m.policy = Policy(root.Optional("policy").OneOfOr(string(DefaultPolicy), string(PolicyAdaptive), string(PolicyBaseline)))
+	p.m.unconfirmed = Unconfirmed(root.Optional("unconfirmed").OneOfOr(string(DefaultUnconfirmed), string(UnconfirmedServe), string(UnconfirmedRefuse)))
+	for _, item := range atLeastOne(root.Required("classes"), MaxClasses) {
+		p.class(item)
+	}
+	for _, item := range atLeastOne(root.Required("customers"), MaxCustomers) {
+		p.customer(item)
+	}
+	for _, item := range root.Optional("models").Sequence(MaxModels) {
+		p.model(item)
+	}
+	for _, item := range atLeastOne(root.Required("services"), MaxServices) {
+		p.service(item)
+	}
+	for _, item := range root.Optional("pipelines").Sequence(MaxPipelines) {
+		p.pipeline(item)
+	}
+	p.check()
+}
+
+func (p *parser) class(v strictyaml.Value) {
+	f := v.Mapping("name", "priority", "deadline", "may_wait")
+	name := f.Required("name")
+	p.classAt = append(p.classAt, name.Mark())
+	p.m.classes = append(p.m.classes, &Class{
+		name:     itemName(name),
+		priority: f.Optional("priority").IntOr(DefaultPriority, 0, MaxPriority),
+		deadline: f.Required("deadline").Duration(MinDeadline, MaxDeadline),
+		mayWait:  f.Optional("may_wait").Bool(),
+	})
+}
+
+func (p *parser) customer(v strictyaml.Value) {
+	f := v.Mapping("name", "key", "weight", "max_concurrent", "rate", "default_class")
+	name, key, class := f.Required("name"), f.Required("key"), f.Optional("default_class")
+	p.customerAt = append(p.customerAt, customerMarks{name: name.Mark(), key: key.Mark(), class: class.Mark()})
+	p.m.customers = append(p.m.customers, &Customer{
+		name:          itemName(name),
+		key:           key.Secret(isKey, fmt.Sprintf("1 to %d printable ASCII characters without spaces", MaxKey)),
+		weight:        f.Optional("weight").IntOr(DefaultWeight, 1, MaxWeight),
+		maxConcurrent: f.Optional("max_concurrent").IntOr(DefaultMaxConcurrent, 1, MaxConcurrent),
+		rate:          float64(f.Optional("rate").RateOr(DefaultRate, MinRate, MaxRate)),
+		defaultClass:  optionalName(class),
+	})
+}
+
+func (p *parser) model(v strictyaml.Value) {
+	f := v.Mapping("name", "size")
+	name := f.Required("name")
+	p.modelAt = append(p.modelAt, name.Mark())
+	p.m.models = append(p.m.models, &Model{
+		name: itemName(name),
+		size: int64(f.Required("size").Size(minSize, maxSize)),
+	})
+}
+
+func (p *parser) service(v strictyaml.Value) {
+	f := v.Mapping("name", "kind", "checks_fencing", "reports_load", "operations")
+	name := f.Required("name")
+	s := &Service{
+		name: itemName(name),
+		kind: Kind(f.Required("kind").OneOf(string(KindEngine), string(KindEncoder), string(KindRetriever),
+			string(KindReranker), string(KindService))),
+		checksFencing: f.Optional("checks_fencing").Bool(),
+		reportsLoad:   f.Optional("reports_load").Bool(),
+	}
+	for _, item := range atLeastOne(f.Required("operations"), MaxOperations) {
+		p.operation(s, item)
+	}
+	p.serviceAt = append(p.serviceAt, name.Mark())
+	p.m.services = append(p.m.services, s)
+}
+
+func (p *parser) operation(s *Service, v strictyaml.Value) {
+	f := v.Mapping("name", "idempotent", "timeout")
+	name := f.Required("name")
+	o := &Operation{
+		name:       operationName(name),
+		idempotent: f.Required("idempotent").Bool(),
+		timeout:    f.Optional("timeout").DurationOr(DefaultTimeout, MinStageTime, MaxStageTime),
+	}
+	if _, doubled := s.Operation(o.name); doubled && o.name != "" {
+		p.doubled(name.Mark(), "operation", o.name)
+	}
+	s.operations = append(s.operations, o)
+}
+
+func (p *parser) pipeline(v strictyaml.Value) {
+	f := v.Mapping("name", "deadline", "default_class", "stages")
+	name, deadline, class := f.Required("name"), f.Required("deadline"), f.Required("default_class")
+	at := pipelineMarks{name: name.Mark(), deadline: deadline.Mark(), class: class.Mark()}
+	pipe := &Pipeline{
+		name:         itemName(name),
+		deadline:     deadline.Duration(MinDeadline, MaxDeadline),
+		defaultClass: itemName(class),
+	}
+	for _, item := range atLeastOne(f.Required("stages"), MaxStages) {
+		s, marks := p.stage(item)
+		pipe.stages = append(pipe.stages, s)
+		at.stages = append(at.stages, marks)
+	}
+	p.pipelineAt = append(p.pipelineAt, at)
+	p.m.pipelines = append(p.m.pipelines, pipe)
+}
+
+func (p *parser) stage(v strictyaml.Value) (*Stage, stageMarks) {
+	f := v.Mapping("name", "service", "operation", "needs", "model", "expected")
+	name, service, operation, model := f.Required("name"), f.Required("service"), f.Required("operation"), f.Optional("model")
+	at := stageMarks{stage: v.Mark(), name: name.Mark(), service: service.Mark(), operation: operation.Mark(), model: model.Mark()}
+	s := &Stage{
+		name:      itemName(name),
+		service:   itemName(service),
+		operation: operationName(operation),
+		model:     optionalName(model),
+		expected:  f.Required("expected").Duration(MinStageTime, MaxStageTime),
+	}
+	for _, need := range f.Optional("needs").Sequence(MaxStages) {
+		s.needs = append(s.needs, itemName(need))
+		at.needs = append(at.needs, need.Mark())
+	}
+	return s, at
+}
+
+// atLeastOne decodes a sequence that must not be empty.
+func atLeastOne(v strictyaml.Value, most int) []strictyaml.Value {
+	items := v.Sequence(most)
+	if v.IsEmptySequence() {
+		v.Fail("an empty sequence", "at least one item")
+	}
+	return items
+}
+
+func itemName(v strictyaml.Value) string {
+	return v.Text(isName, fmt.Sprintf("a name of up to %d lower-case letters, digits and single hyphens that starts with a letter", MaxName))
+}
+
+func optionalName(v strictyaml.Value) string {
+	if !v.Present() {
+		return ""
+	}
+	return itemName(v)
+}
+
+func operationName(v strictyaml.Value) string {
+	return v.Text(isOperation, fmt.Sprintf("an operation of up to %d lower-case letters, digits and single underscores that starts with a letter", MaxName))
+}
+
+func isName(s string) bool {
+	return len(s) <= MaxName && namePattern.MatchString(s)
+}
+
+func isOperation(s string) bool {
+	return len(s) <= MaxName && operationPattern.MatchString(s)
+}
+
+func isKey(s string) bool {
+	if s == "" || len(s) > MaxKey {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
