--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// service is the twirp service of the agent.
+type service struct {
+	a *Agent
+}
+
+// Settle implements wire.Agent. An attempt that never started here is barred, so
+// that the answer stays true when a delayed message arrives later.
+func (s *service) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleResponse, error) {
+	resp := &wire.SettleResponse{Incarnation: s.a.incarnation, Revision: s.a.o.Config.Revision()}
+	if r.GetIncarnation() != s.a.incarnation {
+		resp.State = wire.SettleState_SETTLE_STATE_OTHER_INCARNATION
+		return resp, nil
+	}
+	state, result := s.a.table.bar(r.GetAttempt())
+	switch {
+	case state == stateBarred:
+		resp.State = wire.SettleState_SETTLE_STATE_BARRED
+	case state == stateRunning:
+		resp.State = wire.SettleState_SETTLE_STATE_RUNNING
+	case state == stateFinished && result != nil:
+		resp.State = wire.SettleState_SETTLE_STATE_FINISHED
+		resp.Result = result
+	default:
+		resp.State = wire.SettleState_SETTLE_STATE_UNKNOWN
+	}
+	return resp, nil
+}
+
+// Cancel implements wire.Agent.
+func (s *service) Cancel(_ context.Context, r *wire.CancelRequest) (*wire.CancelResponse, error) {
+	if r.GetIncarnation() != s.a.incarnation {
+		return &wire.CancelResponse{}, nil
+	}
+	return &wire.CancelResponse{Found: s.a.table.stop(r.GetAttempt())}, nil
+}
+
+// EngineOrder implements wire.Agent.
+func (s *service) EngineOrder(ctx context.Context, r *wire.EngineOrderRequest) (*wire.EngineOrderResponse, error) {
+	ok, why := s.a.fence.admit(r.GetFence())
+	if !ok {
+		s.a.o.Metrics.CountReason("agent_engine_order_refusals", why)
+		return &wire.EngineOrderResponse{Refusal: why, Fence: s.a.fence.current()}, nil
+	}
+	body := struct {
+		Fence   uint64 `json:"fence"`
+		Action  string `json:"action"`
+		Model   string `json:"model,omitempty"`
+		Adapter string `json:"adapter,omitempty"`
+		Version string `json:"version,omitempty"`
+		Role    string `json:"role,omitempty"`
+	}{r.GetFence(), r.GetAction(), r.GetModel(), r.GetAdapter(), r.GetVersion(), r.GetRole()}
+	if err := s.a.target.post(ctx, "/v1/engine-orders", body, nil); err != nil {
+		return &wire.EngineOrderResponse{Refusal: "target_refused: " + err.Error(), Fence: r.GetFence()}, nil
+	}
+	return &wire.EngineOrderResponse{Accepted: true, Fence: r.GetFence()}, nil
+}
--- /dev/null
+++ b/internal/agent/target.go
@@ -0,0 +1,278 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+const (
+	maxTargetAnswer  = 4 << 20
+	targetIdleConns  = 256
+	targetDialBound  = 300 * time.Millisecond
+	targetQueryBound = time.Second
+	maxEventLine     = 1 << 20
+)
+
+// Errors of a result that did not come from the target itself.
+const (
+	errorTargetUnreachable = "target_unreachable"
+	errorTargetBroke       = "target_connection_broke"
+	errorTargetRefused     = "target_refused"
+	errorTargetFailed      = "target_failed"
+	errorCanceled          = "canceled"
+	errorDeadline          = "deadline_exceeded"
+)
+
+// stageCall is the body of a stage call in the target's protocol.
+type stageCall struct {
+	Attempt      string `json:"attempt"`
+	Request      string `json:"request"`
+	Customer     string `json:"customer"`
+	Order        string `json:"order,omitempty"`
+	Fence        uint64 `json:"fence,omitempty"`
+	Input        string `json:"input"`
+	PromptTokens int32  `json:"prompt_tokens,omitempty"`
+	MaxTokens    int32  `json:"max_tokens,omitempty"`
+	Priority     int32  `json:"priority"`
+	Prefix       string `json:"prefix,omitempty"`
+	FromOffset   int32  `json:"from_offset,omitempty"`
+	DeadlineMs   int64  `json:"deadline_ms"`
+	Model        string `json:"model,omitempty"`
+}
+
+// stageAnswer is the answer of a stage call in the target's protocol.
+type stageAnswer struct {
+	Attempt string  `json:"attempt"`
+	Request string  `json:"request"`
+	Output  string  `json:"output"`
+	BusyMs  float64 `json:"busy_ms"`
+	Tokens  int32   `json:"tokens"`
+	Error   string  `json:"error,omitempty"`
+}
+
+type tokenEvent struct {
+	Offset int32  `json:"offset"`
+	Text   string `json:"text"`
+}
+
+// targetInfo is what a target says of itself.
+type targetInfo struct {
+	Kind          string   `json:"kind"`
+	Service       string   `json:"service"`
+	Models        []string `json:"models"`
+	ChecksFencing bool     `json:"checks_fencing"`
+	Slots         int32    `json:"slots"`
+}
+
+// targetLoad is a target's load report. AgeMs is how old it was when the target sent it.
+type targetLoad struct {
+	Queued       int32    `json:"queued"`
+	Running      int32    `json:"running"`
+	Slots        int32    `json:"slots"`
+	AgeMs        int64    `json:"age_ms"`
+	Models       []string `json:"models"`
+	CachedTokens int64    `json:"cached_tokens"`
+}
+
+// target speaks the HTTP protocol of the target beside this agent.
+type target struct {
+	url  string
+	http *http.Client
+}
+
+func newTarget(url string) *target {
+	return &target{url: strings.TrimSuffix(url, "/"), http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: targetDialBound}).DialContext,
+		MaxIdleConnsPerHost: targetIdleConns,
+		DisableCompression:  true,
+	}}}
+}
+
+func (t *target) get(ctx context.Context, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, targetQueryBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.url+path, nil)
+	if err != nil {
+		return errors.Wrapf(err, "target %s", t.url)
+	}
+	return t.exchange(req, into)
+}
+
+func (t *target) post(ctx context.Context, path string, body, into any) error {
+	req, err := t.newPost(ctx, path, body)
+	if err != nil {
+		return err
+	}
+	return t.exchange(req, into)
+}
+
+func (t *target) newPost(ctx context.Context, path string, body any) (*http.Request, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode call of %s", path)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.url+path, bytes.NewReader(b))
+	if err != nil {
+		return nil, errors.Wrapf(err, "target %s", t.url)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+func (t *target) exchange(req *http.Request, into any) error {
+	resp, err := t.http.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "target %s", t.url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxTargetAnswer))
+	if err != nil {
+		return errors.Wrapf(err, "target %s", t.url)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("target %s answered %s to %s", t.url, resp.Status, req.URL.Path)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(b, into), "target %s: decode answer of %s", t.url, req.URL.Path)
+}
+
+// run makes one stage call. The result tells by its ran field whether the call
+// may have taken effect: only a failed dial and a refusal (a 4xx status) have not.
+func (t *target) run(ctx context.Context, req *wire.AttemptRequest, onToken func(*wire.Token)) *wire.AttemptResult {
+	result := &wire.AttemptResult{Attempt: req.GetAttempt(), Request: req.GetRequest()}
+	hr, err := t.newPost(ctx, "/v1/stage/"+req.GetOperation(), newStageCall(req))
+	if err != nil {
+		result.Error = errorTargetUnreachable
+		return result
+	}
+	resp, err := t.http.Do(hr)
+	if err != nil {
+		failCall(ctx, result, err)
+		return result
+	}
+	defer func() { _ = resp.Body.Close() }()
+	result.Ran = true
+	switch {
+	case resp.StatusCode >= http.StatusInternalServerError:
+		result.Error = errorTargetFailed + ": " + resp.Status
+	case resp.StatusCode >= http.StatusBadRequest:
+		result.Ran = false
+		result.Error = errorTargetRefused + ": " + resp.Status
+	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
+		readEvents(ctx, resp.Body, req, result, onToken)
+	default:
+		readAnswer(ctx, resp.Body, req, result)
+	}
+	return result
+}
+
+func newStageCall(req *wire.AttemptRequest) *stageCall {
+	return &stageCall{
+		Attempt:      req.GetAttempt(),
+		Request:      req.GetRequest(),
+		Customer:     req.GetCustomer(),
+		Order:        req.GetOrderId(),
+		Fence:        req.GetFence(),
+		Input:        string(req.GetInput()),
+		PromptTokens: req.GetPromptTokens(),
+		MaxTokens:    req.GetMaxTokens(),
+		Priority:     req.GetPriority(),
+		Prefix:       req.GetPrefix(),
+		FromOffset:   req.GetFromOffset(),
+		DeadlineMs:   req.GetTimeLeftMs(),
+		Model:        req.GetModel(),
+	}
+}
+
+func failCall(ctx context.Context, result *wire.AttemptResult, err error) {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		result.Error = errorTargetUnreachable
+		return
+	}
+	result.Ran = true
+	result.Error = breakReason(ctx)
+	result.Canceled = errors.Is(ctx.Err(), context.Canceled)
+}
+
+func breakReason(ctx context.Context) string {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errorDeadline
+	case ctx.Err() != nil:
+		return errorCanceled
+	}
+	return errorTargetBroke
+}
+
+func readAnswer(ctx context.Context, body io.Reader, req *wire.AttemptRequest, result *wire.AttemptResult) {
+	b, err := io.ReadAll(io.LimitReader(body, maxTargetAnswer))
+	if err != nil {
+		result.Error = breakReason(ctx)
+		return
+	}
+	acceptAnswer(b, req, result)
+}
+
+// acceptAnswer takes over the target's answer only when it names this attempt
+// and request, so that a mixed-up answer never reaches another caller.
+func acceptAnswer(b []byte, req *wire.AttemptRequest, result *wire.AttemptResult) {
+	var a stageAnswer
+	if err := json.Unmarshal(b, &a); err != nil {
+		result.Error = errorTargetFailed + ": answer isn't JSON"
+		return
+	}
+	if a.Attempt != req.GetAttempt() || a.Request != req.GetRequest() {
+		result.Error = errorTargetFailed + ": answer of another attempt"
+		return
+	}
+	result.Output = []byte(a.Output)
+	result.BusyUs = int64(a.BusyMs * float64(time.Millisecond/time.Microsecond))
+	result.Tokens = a.Tokens
+	result.Error = a.Error
+}
+
+// readEvents reads server-sent events until the event done. Tokens must arrive
+// without a gap and without a repeat; anything else ends the attempt.
+func readEvents(ctx context.Context, body io.Reader, req *wire.AttemptRequest, result *wire.AttemptResult, onToken func(*wire.Token)) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxEventLine)
+	event := ""
+	next := req.GetFromOffset()
+	for scanner.Scan() {
+		line := scanner.Text()
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimPrefix(value, " ")
+		switch {
+		case name == "event":
+			event = value
+		case name == "data" && event == "token":
+			var token tokenEvent
+			if err := json.Unmarshal([]byte(value), &token); err != nil || token.Offset != next {
+				result.Error = errorTargetFailed + ": token out of order at offset " + strconv.Itoa(int(next))
+				return
+			}
+			next++
+			onToken(&wire.Token{Offset: token.Offset, Text: token.Text})
+		case name == "data" && event == "done":
+			acceptAnswer([]byte(value), req, result)
+			return
+		}
+	}
+	result.Error = breakReason(ctx)
+	result.Canceled = errors.Is(ctx.Err(), context.Canceled)
+}
--- /dev/null
+++ b/internal/attempt/client.go
@@ -0,0 +1,279 @@
+package attempt
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+const (
+	dialTimeout      = 500 * time.Millisecond
+	idleConnTimeout  = 30 * time.Second
+	maxIdlePerTarget = 64
+)
+
+// End is how an attempt ended as its client saw it: *Finished, *Refused,
+// *NotSent or *Lost.
+type End interface {
+	isEnd()
+}
+
+// Finished is an attempt with a result from the target.
+type Finished struct {
+	result *wire.AttemptResult
+}
+
+// Result returns the target's result; it echoes the attempt and request ids.
+func (f *Finished) Result() *wire.AttemptResult { return f.result }
+
+// Refused is an attempt that the agent refused before it started.
+type Refused struct {
+	refusal *wire.Refused
+}
+
+// Refusal returns the agent's refusal.
+func (r *Refused) Refusal() *wire.Refused { return r.refusal }
+
+// NotSent is an attempt of which no byte left this process.
+type NotSent struct {
+	err error
+}
+
+// Err returns why nothing was sent.
+func (n *NotSent) Err() error { return n.err }
+
+// Lost is an attempt that may have run: the answer broke off.
+type Lost struct {
+	err     error
+	silent  bool
+	started bool
+}
+
+// Err returns how the answer broke off.
+func (l *Lost) Err() error { return l.err }
+
+// Silent reports whether the connection went silent, which says nothing about the target.
+func (l *Lost) Silent() bool { return l.silent }
+
+// Started reports whether the agent had accepted the attempt.
+func (l *Lost) Started() bool { return l.started }
+
+func (*Finished) isEnd() {}
+func (*Refused) isEnd()  {}
+func (*NotSent) isEnd()  {}
+func (*Lost) isEnd()     {}
+
+// SilentError reports a connection without a frame for the silence bound.
+type SilentError struct {
+	address string
+	bound   time.Duration
+}
+
+// Error implements error.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("no frame from the agent at %s for %v", e.address, e.bound)
+}
+
+// ForeignError reports a result that belongs to another attempt or request.
+type ForeignError struct {
+	want string
+	got  string
+}
+
+// Error implements error.
+func (e *ForeignError) Error() string {
+	return fmt.Sprintf("result of attempt %s arrived for attempt %s", e.got, e.want)
+}
+
+// ClientOptions holds what a Client needs.
+type ClientOptions struct {
+	// Timers is the timer service; required.
+	Timers *timer.Service
+	// Silence is the time without a frame that retires a connection; SilenceBound when zero.
+	Silence time.Duration
+	// Dial replaces the network dialer in tests.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func (o *ClientOptions) setDefaults() {
+	if o.Silence == 0 {
+		o.Silence = SilenceBound
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+}
+
+// Client sends attempts to agents. It keeps one connection pool for each agent,
+// so that the pool of one silent path can be dropped without touching others.
+type Client struct {
+	o     ClientOptions
+	mu    sync.Mutex
+	pools map[string]*http.Client
+}
+
+// NewClient returns a Client.
+func NewClient(o ClientOptions) *Client {
+	o.setDefaults()
+	return &Client{o: o, pools: make(map[string]*http.Client)}
+}
+
+// Close drops all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.CloseIdleConnections()
+	}
+}
+
+// Forget drops the connection pool of an agent that is gone.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.CloseIdleConnections()
+	}
+}
+
+// HTTP returns the HTTP client that holds the connection pool of an agent.
+func (c *Client) HTTP(address string) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = &http.Client{Transport: &http.Transport{
+			DialContext:         c.o.Dial,
+			MaxIdleConnsPerHost: maxIdlePerTarget,
+			IdleConnTimeout:     idleConnTimeout,
+			DisableCompression:  true,
+		}}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Do sends one attempt and reads its frames until the end. The context bounds
+// the whole attempt; canceling it closes the connection. Tokens are handed to
+// onToken in order of arrival; an error from onToken ends the attempt.
+func (c *Client) Do(ctx context.Context, address string, req *wire.AttemptRequest, onToken func(*wire.Token) error) End {
+	body, err := proto.Marshal(req)
+	if err != nil {
+		return &NotSent{err: errors.Wrapf(err, "encode attempt %s", req.GetAttempt())}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(body))
+	if err != nil {
+		return &NotSent{err: errors.Wrapf(err, "address of attempt %s", req.GetAttempt())}
+	}
+	hr.Header.Set("Content-Type", "application/protobuf")
+	s := &stream{frames: make(chan *wire.Frame), failed: make(chan error, 1), quit: ctx.Done()}
+	go s.read(c.HTTP(address), hr)
+	return c.follow(ctx, cancel, address, req, s, onToken)
+}
+
+// stream reads the frames of one answer in its own goroutine, because a blocked
+// read on a silent connection must not block the watch for silence.
+type stream struct {
+	frames chan *wire.Frame
+	failed chan error
+	quit   <-chan struct{}
+}
+
+func (s *stream) read(client *http.Client, hr *http.Request) {
+	resp, err := client.Do(hr)
+	if err != nil {
+		s.failed <- err
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		s.failed <- errors.Errorf("agent answered %s", resp.Status)
+		return
+	}
+	br := bufio.NewReader(resp.Body)
+	for {
+		f, err := readFrame(br)
+		if err != nil {
+			s.failed <- err
+			return
+		}
+		select {
+		case s.frames <- f:
+		case <-s.quit:
+			return
+		}
+	}
+}
+
+func (c *Client) follow(ctx context.Context, cancel func(), address string, req *wire.AttemptRequest, s *stream, onToken func(*wire.Token) error) End {
+	started := false
+	for {
+		select {
+		case f := <-s.frames:
+			end, err := c.frame(f, req, &started, onToken)
+			if err != nil {
+				return &Lost{err: err, started: started}
+			}
+			if end != nil {
+				return end
+			}
+		case err := <-s.failed:
+			if isDialError(err) {
+				return &NotSent{err: err}
+			}
+			return &Lost{err: err, started: started}
+		case <-c.o.Timers.After(c.o.Silence):
+			cancel()
+			// Idle connections share the path that went silent, so none is used again.
+			c.HTTP(address).CloseIdleConnections()
+			return &Lost{err: &SilentError{address: address, bound: c.o.Silence}, silent: true, started: started}
+		case <-ctx.Done():
+			return &Lost{err: ctx.Err(), started: started}
+		}
+	}
+}
+
+func (c *Client) frame(f *wire.Frame, req *wire.AttemptRequest, started *bool, onToken func(*wire.Token) error) (End, error) {
+	switch k := f.GetKind().(type) {
+	case *wire.Frame_Started:
+		if k.Started.GetAttempt() != req.GetAttempt() {
+			return nil, &ForeignError{want: req.GetAttempt(), got: k.Started.GetAttempt()}
+		}
+		*started = true
+	case *wire.Frame_Token:
+		if onToken == nil {
+			return nil, nil
+		}
+		return nil, onToken(k.Token)
+	case *wire.Frame_KeepAlive:
+	case *wire.Frame_Refused:
+		return &Refused{refusal: k.Refused}, nil
+	case *wire.Frame_Result:
+		r := k.Result
+		if r.GetAttempt() != req.GetAttempt() || r.GetRequest() != req.GetRequest() {
+			return nil, &ForeignError{want: req.GetAttempt(), got: r.GetAttempt()}
+		}
+		return &Finished{result: r}, nil
+	}
+	return nil, nil
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/configwatch/watcher.go
@@ -0,0 +1,188 @@
+// Package configwatch keeps the configuration that is in force in a process.
+//
+// A Watcher long-polls the control VMs and also takes newer configurations from
+// any process that offers one. The revision in force never decreases. A process
+// isn't ready until a quorum-confirmed revision is known.
+//
+// # Usage
+//
+//	w := configwatch.New(configwatch.Options{Timers: ts, Source: client, Process: "entry-1"})
+//	cur := w.Current()
+//	if cur == nil {
+//		// not ready
+//	}
+package configwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
+	"github.com/cardamomline/cardamomline/pkg/manifest"
+)
+
+const (
+	// pollWait is how long a control VM holds a poll without news.
+	pollWait = 10 * time.Second
+	// retryPause and its jitter keep processes from polling in step after a control VM's restart.
+	retryPause  = 150 * time.Millisecond
+	retryJitter = 150 * time.Millisecond
+
+	// ConfirmBound is the age of the last confirmation above which a process counts as cut off.
+	ConfirmBound = 3 * time.Second
+)
+
+// Source answers configuration polls; controlclient.Client is one.
+type Source interface {
+	Config(ctx context.Context, r *wire.ConfigRequest) (*wire.ConfigResponse, error)
+}
+
+// Config is one accepted configuration.
+type Config struct {
+	record   *wire.ManifestRecord
+	manifest *manifest.Manifest
+}
+
+// Revision returns the revision of the configuration; 0 means none.
+func (c *Config) Revision() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.record.GetRevision()
+}
+
+// Manifest returns the checked manifest.
+func (c *Config) Manifest() *manifest.Manifest { return c.manifest }
+
+// Record returns the manifest as the control VMs hold it.
+func (c *Config) Record() *wire.ManifestRecord { return c.record }
+
+// Options holds what a Watcher needs.
+type Options struct {
+	// Timers is the timer service; required.
+	Timers *timer.Service
+	// Source answers polls; required.
+	Source Source
+	// Process is the name of this process.
+	Process string
+	// OnChange is called after a newer configuration came into force.
+	OnChange func(*Config)
+}
+
+// Watcher holds the configuration in force.
+type Watcher struct {
+	o       Options
+	current atomic.Pointer[Config]
+	// confirmed is when a control VM last vouched for the revision.
+	confirmed atomic.Pointer[time.Time]
+	mu        sync.Mutex
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+// New returns a Watcher; Start begins to poll.
+func New(o Options) *Watcher {
+	return &Watcher{o: o, done: make(chan struct{})}
+}
+
+// Start implements kernel.Starter.
+func (w *Watcher) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	go w.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (w *Watcher) Stop(context.Context) error {
+	w.cancel()
+	<-w.done
+	return nil
+}
+
+// Done implements kernel.Stopper.
+func (w *Watcher) Done() <-chan struct{} { return w.done }
+
+// Current returns the configuration in force, or nil before the first one.
+func (w *Watcher) Current() *Config { return w.current.Load() }
+
+// Revision returns the revision in force, or 0.
+func (w *Watcher) Revision() uint64 { return w.Current().Revision() }
+
+// Confirmed reports whether a control VM that is in touch with a quorum vouched
+// for the revision within ConfirmBound.
+func (w *Watcher) Confirmed() bool {
+	t := w.confirmed.Load()
+	return t != nil && w.o.Timers.Since(*t) < ConfirmBound
+}
+
+// Confirm notes that a control VM in touch with a quorum named the revision. It
+// counts only when this process has that revision or a newer one.
+func (w *Watcher) Confirm(revision uint64, confirmed bool) {
+	if !confirmed || revision == 0 || w.Revision() < revision {
+		return
+	}
+	now := w.o.Timers.Now()
+	w.confirmed.Store(&now)
+}
+
+// Offer puts a configuration into force when it is newer. It reports an error
+// when the manifest doesn't parse; the configuration in force then stays.
+func (w *Watcher) Offer(record *wire.ManifestRecord) error {
+	if record == nil || record.GetRevision() <= w.Revision() {
+		return nil
+	}
+	m, err := manifest.Parse("manifest", record.GetManifest())
+	if err != nil {
+		return errors.Wrapf(err, "manifest revision %d", record.GetRevision())
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if record.GetRevision() <= w.Revision() {
+		return nil
+	}
+	cfg := &Config{record: record, manifest: m}
+	w.current.Store(cfg)
+	klog.InfoS("Configuration in force", "process", w.o.Process, "revision", record.GetRevision())
+	if w.o.OnChange != nil {
+		w.o.OnChange(cfg)
+	}
+	return nil
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	defer close(w.done)
+	for ctx.Err() == nil {
+		if err := w.poll(ctx); err != nil {
+			pause := retryPause + rand.N(retryJitter)
+			_ = w.o.Timers.Sleep(ctx, pause)
+		}
+	}
+}
+
+func (w *Watcher) poll(ctx context.Context) error {
+	resp, err := w.o.Source.Config(ctx, &wire.ConfigRequest{
+		KnownRevision: w.Revision(),
+		Process:       w.o.Process,
+		WaitMs:        pollWait.Milliseconds(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := w.Offer(resp.GetManifest()); err != nil {
+		klog.ErrorS(err, "Configuration refused", "process", w.o.Process)
+		return err
+	}
+	w.Confirm(resp.GetRevision(), resp.GetConfirmed())
+	if resp.GetManifest() == nil && !resp.GetConfirmed() {
+		return errors.New("no confirmed configuration yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/listener/listener.go
@@ -0,0 +1,128 @@
+// Package listener runs the HTTP servers of a process as parts of its kernel.
+//
+// # Usage
+//
+//	s := listener.New(listener.Options{Address: "127.0.0.1:0", Handler: h})
+//	k.Register("server", s)
+//	k.Register("admin", listener.New(listener.Options{Address: admin, Handler: listener.Admin(m, ready)}))
+package listener
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
+
+	"github.com/cardamomline/cardamomline/internal/metrics"
+)
+
+const (
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+
+	// defaultMaxConns bounds the open connections of one server.
+	defaultMaxConns = 8192
+)
+
+// Options holds what a Server needs.
+type Options struct {
+	// Address is the IP:port to listen on; port 0 takes a free one.
+	Address string
+	// Handler serves the requests; required.
+	Handler http.Handler
+	// Listener replaces listening on Address.
+	Listener net.Listener
+	// MaxConns bounds the open connections; 8192 when zero.
+	MaxConns int
+}
+
+// Server is an HTTP server that starts and stops with its kernel.
+type Server struct {
+	o    Options
+	http *http.Server
+	mu   sync.Mutex
+	l    net.Listener
+	done chan struct{}
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	if o.MaxConns == 0 {
+		o.MaxConns = defaultMaxConns
+	}
+	return &Server{o: o, l: o.Listener, done: make(chan struct{}), http: &http.Server{
+		Handler:           o.Handler,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}}
+}
+
+// Start implements kernel.Starter.
+func (s *Server) Start(ctx context.Context) error {
+	if s.l == nil {
+		var lc net.ListenConfig
+		l, err := lc.Listen(ctx, "tcp", s.o.Address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", s.o.Address)
+		}
+		s.mu.Lock()
+		s.l = l
+		s.mu.Unlock()
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(netutil.LimitListener(s.l, s.o.MaxConns))
+	}()
+	return nil
+}
+
+// Address returns the address that the server listens on, once started.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.l == nil {
+		return s.o.Address
+	}
+	return s.l.Addr().String()
+}
+
+// Stop implements kernel.Stopper. Running requests end whole unless ctx ends first.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		_ = s.http.Close()
+	}
+	<-s.done
+	return errors.Wrapf(err, "shut down server on %s", s.Address())
+}
+
+// Done implements kernel.Stopper.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// ReadyFunc reports whether a process takes new work, and why not.
+type ReadyFunc func() (ok bool, why string)
+
+// Admin returns the handler of the scrape page, /healthz and /readyz.
+func Admin(m *metrics.Metrics, ready ReadyFunc) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		ok, why := ready()
+		if !ok {
+			http.Error(w, "not ready: "+why, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = fmt.Fprintln(w, "ready")
+	})
+	return mux
+}
