standin: Serve stages, load and account over HTTP

The other packages need targets to run against. Stand-ins for engines, pools and plain services now serve info, stage, cancel, load, account and faults; the standin command serves the list in a settings file.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -37,12 +37,14 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:           "cardamomline",
 		Short:         "Serve multi-stage model pipelines",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newStandin())
+	return root
 }
 
 func exitCode(error) int {
--- /dev/null
+++ b/internal/commands/standin.go
@@ -0,0 +1,64 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cardamomline/cardamomline/internal/kernel"
+	"github.com/cardamomline/cardamomline/internal/standin"
+)
+
+// standinStopTime bounds the time that calls in flight have at the end.
+const standinStopTime = 10 * time.Second
+
+// standinCommand serves the stand-ins of a settings file.
+type standinCommand struct {
+	settings string
+}
+
+func newStandin() *cobra.Command {
+	c := &standinCommand{}
+	cmd := &cobra.Command{
+		Use:   "standin",
+		Short: "Serve stand-ins for engines, pools, services and the weight store",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return c.run(cmd) },
+	}
+	cmd.Flags().StringVar(&c.settings, "settings", "", "YAML file with a list of stand-ins")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func (c *standinCommand) run(cmd *cobra.Command) error {
+	settings, err := standin.LoadSettings(c.settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	k := kernel.New()
+	var all []*standin.Standin
+	for _, o := range settings.Standins {
+		s, err := standin.New(o)
+		if err != nil {
+			return err
+		}
+		k.Register(o.Name, s)
+		all = append(all, s)
+	}
+	if err := k.Start(ctx); err != nil {
+		return err
+	}
+	for _, s := range all {
+		fmt.Fprintf(cmd.OutOrStdout(), "%s http://%s\n", s.Name(), s.Address())
+	}
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), standinStopTime)
+	defer cancel()
+	return k.Stop(stopCtx)
+}
