--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,306 @@
+// Package journal keeps the log, the state and the newest snapshot of a replica
+// in one folder.
+//
+// A generation is one append-only file. It starts with a record that holds the
+// whole state at its creation and is followed by one record for each Save. A
+// snapshot starts a new generation: the file is written under a temporary name,
+// synced and renamed, the folder is synced, and only then the old file is removed.
+//
+// Save writes a record only after the sync of the one before. A damaged record
+// that is followed by an intact one was therefore synced once, and opening fails
+// with a *CorruptError; a damaged record at the end is the torn tail of a write
+// that was never acknowledged, and is cut off.
+//
+// # Usage
+//
+//	j, err := journal.Open(journal.Options{Folder: "data/control-1"})
+//	if err != nil {
+//		return err
+//	}
+//	defer j.Close()
+//	contents := j.Contents()
+//	err = j.Save(batches) // durable once nil is returned
+package journal
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/afero"
+)
+
+const (
+	filePrefix      = "generation-"
+	temporarySuffix = ".tmp"
+	folderMode      = 0o750
+	fileMode        = 0o640
+)
+
+// Options configures a Journal.
+type Options struct {
+	// Folder holds the files and is created when missing.
+	Folder string
+	// Files is the file system; the default is the operating system's.
+	Files afero.Fs
+}
+
+// Journal is a durable store for one replica. It isn't safe for concurrent use.
+type Journal struct {
+	folder     string
+	files      afero.Fs
+	file       afero.File
+	generation uint64
+	sequence   uint64
+	contents   Contents
+	failed     error
+	buffer     []byte
+	truncated  int64
+}
+
+// Open reads the journal in a folder and makes it ready for Save. It fails with
+// a *CorruptError when acknowledged records may be missing, and with a
+// *FailedError when the torn tail can't be removed.
+func Open(o Options) (*Journal, error) {
+	if o.Files == nil {
+		o.Files = afero.NewOsFs()
+	}
+	j := &Journal{folder: o.Folder, files: o.Files}
+	if err := o.Files.MkdirAll(o.Folder, folderMode); err != nil {
+		return nil, errors.Wrap(err, "create journal folder")
+	}
+	// The folder's own name must be durable too, or the whole journal is lost with it.
+	if err := j.syncFolder(filepath.Dir(filepath.Clean(o.Folder))); err != nil {
+		return nil, err
+	}
+	generations, err := j.list()
+	if err != nil {
+		return nil, err
+	}
+	if len(generations) == 0 {
+		return j, nil
+	}
+	if err := j.load(generations[len(generations)-1]); err != nil {
+		return nil, err
+	}
+	for _, g := range generations[:len(generations)-1] {
+		if err := o.Files.Remove(j.path(g)); err != nil {
+			return nil, errors.Wrap(err, "remove old generation")
+		}
+	}
+	return j, nil
+}
+
+// Contents returns what was read at Open.
+func (j *Journal) Contents() Contents { return j.contents }
+
+// Truncated returns the size in bytes of the torn tail that Open removed.
+func (j *Journal) Truncated() int64 { return j.truncated }
+
+// Save makes the batches durable in order, with one sync for all of them. After
+// a *FailedError every further call returns the same error.
+func (j *Journal) Save(batches []Batch) error {
+	if j.failed != nil {
+		return j.failed
+	}
+	// A batch with a snapshot holds the whole state, so those before it are obsolete.
+	for i := len(batches) - 1; i > 0; i-- {
+		if batches[i].Snapshot != nil {
+			batches = batches[i:]
+			break
+		}
+	}
+	if err := j.encode(batches); err != nil {
+		return err
+	}
+	if j.file == nil || batches[0].Snapshot != nil {
+		return j.startGeneration()
+	}
+	return j.write(j.file)
+}
+
+// Close closes the file. Everything that Save acknowledged is durable already.
+func (j *Journal) Close() error {
+	if j.file == nil {
+		return nil
+	}
+	err := j.file.Close()
+	j.file = nil
+	if j.failed == nil {
+		j.failed = &FailedError{operation: "write", cause: os.ErrClosed}
+	}
+	return annotate(err, "close journal")
+}
+
+func (j *Journal) encode(batches []Batch) error {
+	j.buffer = append(j.buffer[:0], make([]byte, headerSize)...)
+	for _, b := range batches {
+		var err error
+		if j.buffer, err = appendBatch(j.buffer, b); err != nil {
+			return err
+		}
+	}
+	sealRecord(j.buffer, j.sequence+1)
+	return nil
+}
+
+func (j *Journal) write(f afero.File) error {
+	if _, err := f.Write(j.buffer); err != nil {
+		return j.fail("write", err)
+	}
+	if err := f.Sync(); err != nil {
+		return j.fail("sync", err)
+	}
+	j.sequence++
+	return nil
+}
+
+func (j *Journal) startGeneration() error {
+	path := j.path(j.generation + 1)
+	f, err := j.files.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+	if err != nil {
+		return j.fail("create", err)
+	}
+	if err := j.write(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := j.files.Rename(path+temporarySuffix, path); err != nil {
+		_ = f.Close()
+		return j.fail("rename", err)
+	}
+	if err := j.syncFolder(j.folder); err != nil {
+		_ = f.Close()
+		return err
+	}
+	old := j.file
+	j.file = f
+	j.generation++
+	if old == nil {
+		return nil
+	}
+	_ = old.Close()
+	// An old generation that stays is removed at the next Open.
+	_ = j.files.Remove(j.path(j.generation - 1))
+	return nil
+}
+
+func (j *Journal) syncFolder(path string) error {
+	d, err := j.files.Open(path)
+	if err != nil {
+		return j.fail("sync", err)
+	}
+	defer func() { _ = d.Close() }()
+	if err := d.Sync(); err != nil {
+		return j.fail("sync", err)
+	}
+	return nil
+}
+
+func (j *Journal) fail(operation string, cause error) error {
+	j.failed = &FailedError{operation: operation, cause: cause}
+	return j.failed
+}
+
+func (j *Journal) path(generation uint64) string {
+	return filepath.Join(j.folder, fmt.Sprintf("%s%016d", filePrefix, generation))
+}
+
+// list returns the generations in ascending order and removes temporary files.
+func (j *Journal) list() ([]uint64, error) {
+	infos, err := afero.ReadDir(j.files, j.folder)
+	if err != nil {
+		return nil, errors.Wrap(err, "read journal folder")
+	}
+	var generations []uint64
+	for _, info := range infos {
+		g, err := j.generationOf(info)
+		if err != nil {
+			return nil, err
+		}
+		if g > 0 {
+			generations = append(generations, g)
+		}
+	}
+	slices.Sort(generations)
+	return generations, nil
+}
+
+func (j *Journal) generationOf(info fs.FileInfo) (uint64, error) {
+	if !strings.HasPrefix(info.Name(), filePrefix) {
+		return 0, nil
+	}
+	if strings.HasSuffix(info.Name(), temporarySuffix) {
+		err := j.files.Remove(filepath.Join(j.folder, info.Name()))
+		return 0, annotate(err, "remove unfinished generation")
+	}
+	var g uint64
+	if _, err := fmt.Sscanf(info.Name(), filePrefix+"%d", &g); err != nil {
+		return 0, errors.Wrapf(err, "file name %s", info.Name())
+	}
+	return g, nil
+}
+
+func (j *Journal) load(generation uint64) error {
+	path := j.path(generation)
+	data, err := afero.ReadFile(j.files, path)
+	if err != nil {
+		return errors.Wrap(err, "read journal")
+	}
+	end, err := j.replay(path, data)
+	if err != nil {
+		return err
+	}
+	f, err := j.files.OpenFile(path, os.O_RDWR, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "open journal")
+	}
+	j.file = f
+	j.generation = generation
+	j.truncated = int64(len(data) - end)
+	if j.truncated > 0 {
+		if err := f.Truncate(int64(end)); err != nil {
+			return j.fail("truncate", err)
+		}
+		if err := f.Sync(); err != nil {
+			return j.fail("sync", err)
+		}
+	}
+	_, err = f.Seek(int64(end), 0)
+	return annotate(err, "seek journal")
+}
+
+// replay applies the records in data and returns the end of the last intact one.
+func (j *Journal) replay(path string, data []byte) (int, error) {
+	at := 0
+	for at < len(data) {
+		sequence, payload, ok := readRecord(data[at:])
+		if !ok {
+			break
+		}
+		if at > 0 && sequence != j.sequence+1 {
+			return 0, &CorruptError{file: path, offset: int64(at), detail: fmt.Sprintf("record %d follows record %d", sequence, j.sequence)}
+		}
+		b, err := decodeBatch(payload)
+		if err == nil {
+			err = j.contents.apply(b)
+		}
+		if err != nil {
+			return 0, &CorruptError{file: path, offset: int64(at), detail: err.Error()}
+		}
+		j.sequence = sequence
+		at += headerSize + len(payload)
+	}
+	// The first record was synced before the file got its name, so it can't be torn.
+	if at == 0 {
+		return 0, &CorruptError{file: path, offset: 0, detail: "the first record is damaged"}
+	}
+	if next := findRecord(data[at:]); next >= 0 {
+		return 0, &CorruptError{file: path, offset: int64(at), detail: fmt.Sprintf("a damaged record is followed by an intact one at byte %d", at+next)}
+	}
+	return at, nil
+}
--- /dev/null
+++ b/internal/replica/applier.go
@@ -0,0 +1,80 @@
+package replica
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// applyJob is work for the state machine, done in the order of its fields.
+type applyJob struct {
+	snapshot *wire.SnapshotRequest
+	entries  []*wire.LogEntry
+	reads    []ReadState
+}
+
+func (n *Node) applyLoop() {
+	defer n.running.Done()
+	snapshotAt := n.applied.Load()
+	for {
+		select {
+		case <-n.quit:
+			return
+		case <-n.applier.ready():
+		}
+		for _, job := range n.applier.take() {
+			if err := n.apply(job); err != nil {
+				n.fail(err)
+				return
+			}
+			if job.snapshot != nil {
+				snapshotAt = job.snapshot.Index
+			}
+		}
+		if at := n.applied.Load(); at >= snapshotAt+n.o.SnapshotEntries {
+			data, err := n.o.StateMachine.Snapshot()
+			if err != nil {
+				n.fail(errors.Wrapf(err, "take snapshot at %d", at))
+				return
+			}
+			snapshotAt = at
+			n.inbox.put(SnapshotTaken{Index: at, Data: data})
+		}
+	}
+}
+
+func (n *Node) apply(job applyJob) error {
+	if s := job.snapshot; s != nil {
+		if s.Index <= n.applied.Load() {
+			return appliedError(s.Index, n.applied.Load())
+		}
+		if err := n.o.StateMachine.Restore(s.Index, s.Data); err != nil {
+			return errors.Wrapf(err, "restore snapshot at %d", s.Index)
+		}
+		n.applied.Store(s.Index)
+	}
+	for _, e := range job.entries {
+		if e.Index != n.applied.Load()+1 {
+			return appliedError(e.Index, n.applied.Load())
+		}
+		var value any
+		if e.Kind == wire.EntryKind_ENTRY_KIND_COMMAND {
+			value = n.o.StateMachine.Apply(e.Index, e.Data)
+		}
+		n.applied.Store(e.Index)
+		n.calls.applied(e.Index, e.Term, value)
+	}
+	for _, r := range job.reads {
+		if r.Index > n.applied.Load() {
+			return appliedError(r.Index, n.applied.Load())
+		}
+		n.calls.finish(r.ID, callResult{})
+	}
+	return nil
+}
+
+func appliedError(index, applied uint64) error {
+	return &InvariantError{rule: "applied index grows by one", detail: fmt.Sprintf("index %d after %d", index, applied)}
+}
--- /dev/null
+++ b/internal/replica/replication.go
@@ -0,0 +1,252 @@
+package replica
+
+import "github.com/cardamomline/cardamomline/internal/wire"
+
+// snapshotRetryTicks is how long a leader waits for the answer to a snapshot
+// before it sends it again; a snapshot may be many megabytes.
+const snapshotRetryTicks = 60
+
+// syncPeers keeps one peer for each other member.
+func (c *Core) syncPeers() {
+	m := c.config()
+	for _, member := range m.members {
+		if member.Id != c.id && c.peers[member.Id] == nil {
+			c.peers[member.Id] = &peer{next: c.log.last() + 1}
+		}
+	}
+	for id := range c.peers {
+		if m.find(id) == nil {
+			delete(c.peers, id)
+		}
+	}
+}
+
+// advanceCommit commits what a majority holds durably. Entries of earlier terms
+// commit only together with one of this term, since a later leader could still
+// replace them.
+func (c *Core) advanceCommit() {
+	index := c.quorumIndex(c.matchOf)
+	if index <= c.commit || index < c.termStart {
+		return
+	}
+	c.commit = index
+}
+
+func (c *Core) replicateAll() {
+	// The order of the member list keeps the output the same in every run.
+	for _, member := range c.config().members {
+		if p := c.peers[member.Id]; p != nil {
+			c.replicate(member.Id, p)
+		}
+	}
+	c.heartbeatDue = false
+}
+
+func (c *Core) replicate(id string, p *peer) {
+	if p.snapshot != 0 && p.waited > snapshotRetryTicks {
+		p.snapshot = 0
+	}
+	if p.snapshot != 0 {
+		if c.heartbeatDue {
+			c.sendAppend(id, 0, 0, nil)
+		}
+		return
+	}
+	heartbeat := c.heartbeatDue
+	for {
+		prevTerm, ok := c.log.term(p.next - 1)
+		if !ok {
+			c.sendSnapshot(id, p)
+			return
+		}
+		var entries []*wire.LogEntry
+		if p.silent < c.o.ElectionTicks && p.next-p.match <= c.o.MaxInFlight {
+			entries = c.log.from(p.next, c.o.MaxMessageBytes)
+		}
+		if len(entries) == 0 && !heartbeat {
+			return
+		}
+		c.sendAppend(id, p.next-1, prevTerm, entries)
+		p.next += uint64(len(entries))
+		heartbeat = false
+	}
+}
+
+func (c *Core) sendAppend(id string, prev, prevTerm uint64, entries []*wire.LogEntry) {
+	r := &wire.AppendRequest{PrevIndex: prev, PrevTerm: prevTerm, Commit: c.commit, Entries: entries, Round: c.round}
+	c.send(id, false, &wire.ReplicaMessage{Term: c.term, Kind: &wire.ReplicaMessage_AppendRequest{AppendRequest: r}})
+}
+
+func (c *Core) sendSnapshot(id string, p *peer) {
+	if p.silent >= c.o.ElectionTicks {
+		if c.heartbeatDue {
+			c.sendAppend(id, 0, 0, nil)
+		}
+		return
+	}
+	s := c.snapshot
+	r := &wire.SnapshotRequest{Index: s.Index, SnapshotTerm: s.SnapshotTerm, Members: s.Members, Data: s.Data, Round: c.round}
+	p.snapshot = s.Index
+	p.waited = 0
+	c.send(id, false, &wire.ReplicaMessage{Term: c.term, Kind: &wire.ReplicaMessage_SnapshotRequest{SnapshotRequest: r}})
+}
+
+// follow accepts the sender of an append or a snapshot as leader of the term.
+func (c *Core) follow(leader string) bool {
+	if c.termLeader != "" && c.termLeader != leader {
+		c.violated("one leader per term", "term %d is led by %s and by %s", c.term, c.termLeader, leader)
+		return false
+	}
+	if c.role != Follower {
+		c.becomeFollower(c.term)
+	}
+	c.termLeader = leader
+	c.leader = leader
+	c.elapsed = 0
+	return true
+}
+
+func (c *Core) onAppendRequest(from string, r *wire.AppendRequest) {
+	if !c.follow(from) {
+		return
+	}
+	prev, prevTerm, entries := r.PrevIndex, r.PrevTerm, r.Entries
+	if prev < c.log.offset {
+		// What is compacted is committed, so it is the same in the leader's log.
+		skip := min(c.log.offset-prev, uint64(len(entries)))
+		entries = entries[skip:]
+		prev += skip
+		if prev < c.log.offset {
+			c.acknowledge(from, c.commit, r.Round)
+			return
+		}
+		prevTerm = c.log.offsetTerm
+	}
+	term, ok := c.log.term(prev)
+	if !ok || term != prevTerm {
+		c.rejectAppend(from, prev, ok, r.Round)
+		return
+	}
+	if !c.storeAll(entries) {
+		return
+	}
+	match := prev + uint64(len(entries))
+	c.commit = max(c.commit, min(r.Commit, match))
+	// Committed entries are in the leader's log as well.
+	c.acknowledge(from, max(match, c.commit), r.Round)
+}
+
+func (c *Core) acknowledge(to string, match, round uint64) {
+	c.send(to, true, appendResponse(c.term, &wire.AppendResponse{Ok: true, Match: match, Round: round}))
+}
+
+// rejectAppend names an index at which the logs may agree: the entry before the
+// first one of the conflicting term, so that a whole term is skipped at once.
+func (c *Core) rejectAppend(to string, prev uint64, conflict bool, round uint64) {
+	if prev <= c.commit {
+		c.violated("committed prefixes agree", "entry %d of leader %s differs from the committed one", prev, to)
+		return
+	}
+	hint := min(prev-1, c.log.last())
+	if conflict {
+		term, _ := c.log.term(prev)
+		for hint > c.commit {
+			t, ok := c.log.term(hint)
+			if !ok || t != term {
+				break
+			}
+			hint--
+		}
+	}
+	c.send(to, false, appendResponse(c.term, &wire.AppendResponse{Hint: hint, Round: round}))
+}
+
+// storeAll adds the entries that the log lacks and replaces those that differ.
+func (c *Core) storeAll(entries []*wire.LogEntry) bool {
+	for _, e := range entries {
+		term, ok := c.log.term(e.Index)
+		if ok && term == e.Term {
+			continue
+		}
+		if ok {
+			if e.Index <= c.commit {
+				c.violated("committed prefixes agree", "entry %d of term %d replaces a committed one of term %d", e.Index, e.Term, term)
+				return false
+			}
+			c.log.truncate(e.Index)
+			c.dropConfigs(e.Index)
+			if c.unsavedFrom > e.Index {
+				c.unsavedFrom = e.Index
+			}
+		}
+		c.store(e)
+	}
+	return true
+}
+
+// answered notes that a member accepts this leader, and returns the member.
+func (c *Core) answered(from string, round uint64) *peer {
+	if c.role != Leader {
+		return nil
+	}
+	p := c.peers[from]
+	if p == nil {
+		return nil
+	}
+	p.silent = 0
+	p.round = max(p.round, round)
+	return p
+}
+
+func (p *peer) matched(index uint64) {
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	if p.snapshot != 0 && p.match >= p.snapshot {
+		p.snapshot = 0
+	}
+}
+
+func (c *Core) onAppendResponse(from string, r *wire.AppendResponse) {
+	p := c.answered(from, r.Round)
+	if p == nil {
+		return
+	}
+	if r.Ok {
+		if r.Match > c.log.last() {
+			c.violated("members hold what the leader sent", "%s holds entry %d, the last is %d", from, r.Match, c.log.last())
+			return
+		}
+		p.matched(r.Match)
+		return
+	}
+	p.next = max(p.match+1, min(p.next, r.Hint+1))
+}
+
+func (c *Core) onSnapshotRequest(from string, r *wire.SnapshotRequest) {
+	if !c.follow(from) {
+		return
+	}
+	if r.Index > c.commit {
+		c.installSnapshot(r)
+	}
+	response := &wire.SnapshotResponse{Match: max(r.Index, c.commit), Round: r.Round}
+	c.send(from, true, &wire.ReplicaMessage{Term: c.term, Kind: &wire.ReplicaMessage_SnapshotResponse{SnapshotResponse: response}})
+}
+
+func (c *Core) installSnapshot(r *wire.SnapshotRequest) {
+	if term, ok := c.log.term(r.Index); ok && term == r.SnapshotTerm {
+		c.commit = r.Index
+		return
+	}
+	c.startFrom(r)
+	c.reset = true
+	c.unsavedFrom = 0
+	c.out.Snapshot = r
+	c.out.Committed = nil
+}
+
+func (c *Core) onSnapshotResponse(from string, r *wire.SnapshotResponse) {
+	if p := c.answered(from, r.Round); p != nil {
+		p.matched(r.Match)
+	}
+}
