--- /dev/null
+++ b/internal/ledger/orders.go
@@ -0,0 +1,374 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// Field numbers of wire.OrderRecord that are read without decoding the record.
+const (
+	orderCustomerField = 1
+	orderIDField       = 2
+	orderStateField    = 4
+	orderSettledField  = 14
+	orderDeadlineField = 20
+)
+
+// orders holds the order records. A record begins with the customer and the
+// order id, so that its beginning is the key.
+type orders struct {
+	options Options
+	table   *table
+	open    map[uint64]int64 // slots of claimed orders with their deadline; unknown ones have openUnknown
+	final   schedule         // by settled_ms
+}
+
+// openUnknown marks an order of unknown outcome in orders.open.
+const openUnknown = -1
+
+func newOrders(o Options) *orders {
+	return &orders{options: o, table: newTable(), open: map[uint64]int64{}}
+}
+
+func appendOrderKey(b []byte, customer, orderID string) []byte {
+	b = protowire.AppendTag(b, orderCustomerField, protowire.BytesType)
+	b = protowire.AppendString(b, customer)
+	b = protowire.AppendTag(b, orderIDField, protowire.BytesType)
+	return protowire.AppendString(b, orderID)
+}
+
+// encodeOrder returns the encoded record and the part of it that is its key.
+func encodeOrder(r *wire.OrderRecord) (key, record string) {
+	customer, orderID := r.Customer, r.OrderId
+	b := appendOrderKey(make([]byte, 0, proto.Size(r)), customer, orderID)
+	n := len(b)
+	r.Customer, r.OrderId = "", ""
+	record = string(appendMessage(b, r))
+	r.Customer, r.OrderId = customer, orderID
+	return record[:n], record
+}
+
+func decodeOrder(record string) *wire.OrderRecord {
+	r := &wire.OrderRecord{}
+	mustUnmarshal(record, r)
+	return r
+}
+
+func (o *orders) slot(customer, orderID string) (uint64, bool) {
+	var buf [128]byte
+	return o.table.find(appendOrderKey(buf[:0], customer, orderID))
+}
+
+// find returns the encoded record of an order, or "".
+func (o *orders) find(customer, orderID string) string {
+	slot, ok := o.slot(customer, orderID)
+	if !ok {
+		return ""
+	}
+	return o.table.at(slot)
+}
+
+func (o *orders) claim(at step, c *wire.ClaimOrder) *wire.Result {
+	if field := missing("customer", c.GetCustomer(), "order id", c.GetOrderId(), "attempt", c.GetAttempt(), "agent", c.GetAgent(), "incarnation", c.GetIncarnation()); field != "" {
+		return invalid(field)
+	}
+	slot, ok := o.slot(c.GetCustomer(), c.GetOrderId())
+	if !ok {
+		r := newClaim(at, c, nil)
+		o.event(at, r, claimSentence(c))
+		key, record := encodeOrder(r)
+		o.track(o.table.insert(key, record), r)
+		return &wire.Result{Order: r}
+	}
+	r := decodeOrder(o.table.at(slot))
+	if refusal := refuseClaim(r, c); refusal != nil {
+		refusal.Order = r
+		return refusal
+	}
+	if r.GetState() == wire.OrderState_ORDER_STATE_CLAIMED {
+		return &wire.Result{Order: r, Repeated: true}
+	}
+	r = newClaim(at, c, r.GetEvents())
+	o.event(at, r, claimSentence(c))
+	o.store(slot, r)
+	return &wire.Result{Order: r}
+}
+
+func newClaim(at step, c *wire.ClaimOrder, events []*wire.OrderEvent) *wire.OrderRecord {
+	return &wire.OrderRecord{
+		Customer:     c.GetCustomer(),
+		OrderId:      c.GetOrderId(),
+		BodyHash:     c.GetBodyHash(),
+		State:        wire.OrderState_ORDER_STATE_CLAIMED,
+		Attempt:      c.GetAttempt(),
+		Agent:        c.GetAgent(),
+		Incarnation:  c.GetIncarnation(),
+		AgentAddress: c.GetAgentAddress(),
+		Service:      c.GetService(),
+		Operation:    c.GetOperation(),
+		ClaimedMs:    at.nowMS,
+		Entry:        c.GetEntry(),
+		Request:      c.GetRequest(),
+		ClaimIndex:   at.index,
+		DeadlineMs:   c.GetDeadlineMs(),
+		Events:       events,
+	}
+}
+
+func claimSentence(c *wire.ClaimOrder) string {
+	return fmt.Sprintf("Claimed by %s for attempt %s at %s.", orNobody(c.GetEntry()), c.GetAttempt(), c.GetAgent())
+}
+
+// refuseClaim returns nil when the claim of an existing order is granted: the
+// order didn't run and the attempt is new, or the claim is a resend.
+func refuseClaim(r *wire.OrderRecord, c *wire.ClaimOrder) *wire.Result {
+	if !bytes.Equal(r.GetBodyHash(), c.GetBodyHash()) {
+		return refuse(RefusedBodyMismatch, "Order %s of %s was already placed with another content; a new order needs a new id.", r.GetOrderId(), r.GetCustomer())
+	}
+	sameAttempt := r.GetAttempt() == c.GetAttempt()
+	if r.GetState() == wire.OrderState_ORDER_STATE_NOT_RUN {
+		if sameAttempt {
+			return refuse(RefusedAttemptUsed, "Attempt %s of order %s was recorded as not run and can't be used again.", r.GetAttempt(), r.GetOrderId())
+		}
+		return nil
+	}
+	resend := sameAttempt && r.GetAgent() == c.GetAgent() && r.GetIncarnation() == c.GetIncarnation()
+	if resend && r.GetState() == wire.OrderState_ORDER_STATE_CLAIMED {
+		return nil
+	}
+	return refuse(RefusedOrderExists, "Order %s of %s is already recorded: %s (attempt %s at %s).", r.GetOrderId(), r.GetCustomer(), stateText(r.GetState()), r.GetAttempt(), r.GetAgent())
+}
+
+// record stores what became of the recorded attempt.
+func (o *orders) record(at step, c *wire.RecordOutcome) *wire.Result {
+	if !isOutcome(c.GetState()) {
+		return invalid("outcome (done, failed, not run or unknown)")
+	}
+	slot, ok := o.slot(c.GetCustomer(), c.GetOrderId())
+	if !ok {
+		return refuseUnknownOrder(c.GetCustomer(), c.GetOrderId())
+	}
+	r := decodeOrder(o.table.at(slot))
+	if r.GetAttempt() != c.GetAttempt() {
+		result := refuse(RefusedAttemptMismatch, "Order %s of %s is recorded for attempt %s, so an outcome of attempt %s doesn't count.", r.GetOrderId(), r.GetCustomer(), r.GetAttempt(), c.GetAttempt())
+		result.Order = r
+		return result
+	}
+	if r.GetState() == c.GetState() && (isOpen(r.GetState()) || bytes.Equal(r.GetResult(), c.GetResult())) {
+		return &wire.Result{Order: r, Repeated: true}
+	}
+	if !isOpen(r.GetState()) {
+		return refuseSettled(r)
+	}
+	r.State, r.Result, r.Reason = c.GetState(), c.GetResult(), c.GetReason()
+	o.event(at, r, outcomeSentence("Attempt "+c.GetAttempt()+" was recorded as", c.GetState(), c.GetReason()))
+	o.finish(at, r)
+	o.store(slot, r)
+	return &wire.Result{Order: r}
+}
+
+// settle stores an operator's decision on an order of unknown outcome, or on
+// one that's still claimed after its deadline.
+func (o *orders) settle(at step, c *wire.SettleOrder) *wire.Result {
+	if !isOutcome(c.GetState()) || c.GetState() == wire.OrderState_ORDER_STATE_UNKNOWN {
+		return invalid("outcome (done, failed or not run)")
+	}
+	if field := missing("operator", c.GetOperator()); field != "" {
+		return invalid(field)
+	}
+	slot, ok := o.slot(c.GetCustomer(), c.GetOrderId())
+	if !ok {
+		return refuseUnknownOrder(c.GetCustomer(), c.GetOrderId())
+	}
+	r := decodeOrder(o.table.at(slot))
+	if !isOpen(r.GetState()) {
+		if r.GetState() == c.GetState() && r.GetSettledBy() == c.GetOperator() && bytes.Equal(r.GetResult(), c.GetResult()) {
+			return &wire.Result{Order: r, Repeated: true}
+		}
+		return refuseSettled(r)
+	}
+	if r.GetState() == wire.OrderState_ORDER_STATE_CLAIMED && !overdue(r.GetDeadlineMs(), at.nowMS) {
+		result := refuse(RefusedOrderInProgress, "Order %s of %s is still in progress at %s and can be settled by hand only after its deadline.", r.GetOrderId(), r.GetCustomer(), r.GetAgent())
+		result.Order = r
+		return result
+	}
+	r.State, r.Result, r.Reason, r.SettledBy = c.GetState(), c.GetResult(), c.GetReason(), c.GetOperator()
+	o.event(at, r, outcomeSentence(c.GetOperator()+" settled the order as", c.GetState(), c.GetReason()))
+	o.finish(at, r)
+	o.store(slot, r)
+	return &wire.Result{Order: r}
+}
+
+func refuseUnknownOrder(customer, orderID string) *wire.Result {
+	return refuse(RefusedOrderUnknown, "There is no record of order %s of %s.", orderID, customer)
+}
+
+func refuseSettled(r *wire.OrderRecord) *wire.Result {
+	by := ""
+	if r.GetSettledBy() != "" {
+		by = " by " + r.GetSettledBy()
+	}
+	result := refuse(RefusedOrderSettled, "Order %s of %s was already recorded as %s%s, which is final.", r.GetOrderId(), r.GetCustomer(), stateText(r.GetState()), by)
+	result.Order = r
+	return result
+}
+
+// finish stamps the time of a final outcome.
+func (o *orders) finish(at step, r *wire.OrderRecord) {
+	if !isOpen(r.GetState()) {
+		r.SettledMs = at.nowMS
+	}
+}
+
+// store replaces a record and updates the indexes of open and final orders.
+func (o *orders) store(slot uint64, r *wire.OrderRecord) {
+	key, record := encodeOrder(r)
+	o.table.replace(slot, key, record)
+	o.track(slot, r)
+}
+
+func (o *orders) track(slot uint64, r *wire.OrderRecord) {
+	o.trackState(slot, r.GetState(), r.GetSettledMs(), r.GetDeadlineMs())
+}
+
+func (o *orders) trackState(slot uint64, s wire.OrderState, settledMS, deadlineMS int64) {
+	switch {
+	case s == wire.OrderState_ORDER_STATE_UNKNOWN:
+		o.open[slot] = openUnknown
+	case isOpen(s):
+		o.open[slot] = deadlineMS
+	default:
+		delete(o.open, slot)
+		o.final.push(entry{atMS: settledMS, slot: slot})
+	}
+}
+
+func (o *orders) event(at step, r *wire.OrderRecord, text string) {
+	r.Events = appendEvent(r.Events, o.options.Events, at, text)
+}
+
+// expire removes at most limit final orders settled before beforeMS.
+func (o *orders) expire(beforeMS int64, limit int) int {
+	n := 0
+	for n < limit {
+		e, ok := o.final.peek()
+		if !ok || e.atMS >= beforeMS {
+			break
+		}
+		o.final.pop()
+		record := o.table.at(e.slot)
+		h := orderHead(record)
+		// An order that was claimed again after this entry was pushed has another state or time.
+		if record == "" || isOpen(h.state) || h.settledMS != e.atMS {
+			continue
+		}
+		o.table.remove(e.slot, record[:h.keyLength])
+		n++
+	}
+	return n
+}
+
+// unsettled returns the encoded records that need an operator, oldest first.
+func (o *orders) unsettled(nowMS int64, limit int) []string {
+	slots := make([]uint64, 0, len(o.open))
+	for slot, deadline := range o.open {
+		if deadline == openUnknown || overdue(deadline, nowMS) {
+			slots = append(slots, slot)
+		}
+	}
+	slices.Sort(slots)
+	slots = slots[:min(max(limit, 0), len(slots))]
+	out := make([]string, 0, len(slots))
+	for _, slot := range slots {
+		out = append(out, o.table.at(slot))
+	}
+	return out
+}
+
+// overdue reports whether a deadline has passed; 0 is no deadline.
+func overdue(deadlineMS, nowMS int64) bool {
+	return deadlineMS > 0 && deadlineMS < nowMS
+}
+
+// isOpen reports whether an order has no final outcome yet.
+func isOpen(s wire.OrderState) bool {
+	return s == wire.OrderState_ORDER_STATE_CLAIMED || s == wire.OrderState_ORDER_STATE_UNKNOWN
+}
+
+func isOutcome(s wire.OrderState) bool {
+	switch s {
+	case wire.OrderState_ORDER_STATE_DONE, wire.OrderState_ORDER_STATE_FAILED, wire.OrderState_ORDER_STATE_NOT_RUN, wire.OrderState_ORDER_STATE_UNKNOWN:
+		return true
+	default:
+		return false
+	}
+}
+
+// stateText returns a state in words, for example "not run".
+func stateText(s wire.OrderState) string {
+	name := strings.TrimPrefix(s.String(), "ORDER_STATE_")
+	return strings.ToLower(strings.ReplaceAll(name, "_", " "))
+}
+
+func outcomeSentence(lead string, s wire.OrderState, reason string) string {
+	if reason == "" {
+		return lead + " " + stateText(s) + "."
+	}
+	return lead + " " + stateText(s) + " (" + reason + ")."
+}
+
+func orNobody(name string) string {
+	if name == "" {
+		return "an unnamed entry"
+	}
+	return name
+}
+
+// head is the part of an order record that expiry and restore need.
+type head struct {
+	keyLength  int
+	state      wire.OrderState
+	settledMS  int64
+	deadlineMS int64
+}
+
+// orderHead reads the head of a record that this package encoded.
+func orderHead(record string) head {
+	var h head
+	b := []byte(record)
+	for pos := 0; pos < len(b); {
+		number, kind, tag := protowire.ConsumeTag(b[pos:])
+		if tag < 0 {
+			return h
+		}
+		value := b[pos+tag:]
+		n := protowire.ConsumeFieldValue(number, kind, value)
+		if n < 0 {
+			return h
+		}
+		pos += tag + n
+		switch number {
+		case orderIDField:
+			h.keyLength = pos
+		case orderStateField:
+			h.state = wire.OrderState(varint(value))
+		case orderSettledField:
+			h.settledMS = int64(varint(value))
+		case orderDeadlineField:
+			h.deadlineMS = int64(varint(value))
+		}
+	}
+	return h
+}
+
+func varint(b []byte) uint64 {
+	v, _ := protowire.ConsumeVarint(b)
+	return v
+}
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,215 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// Field numbers of wire.LedgerSnapshot whose messages are copied without decoding.
+const (
+	snapshotChangesField = 4
+	snapshotOrdersField  = 5
+	snapshotWaitingField = 6
+)
+
+// maxFieldOverhead bounds the tag and length in front of a message.
+const maxFieldOverhead = 6
+
+// View is the state after one index. Taking it costs one pointer for each 256
+// records; encoding it doesn't block Apply.
+type View struct {
+	head        *wire.LedgerSnapshot
+	orders      tableView
+	waiting     tableView
+	submissions tableView
+}
+
+// View returns the present state.
+func (l *Ledger) View() *View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.s
+	head := &wire.LedgerSnapshot{
+		Index:     s.index,
+		AtMs:      s.nowMS,
+		Manifests: slices.Clone(s.manifests.records),
+		Drains:    s.drainNames(),
+		NextEpoch: s.waiting.nextEpoch,
+	}
+	for _, id := range s.manifests.answerIDs {
+		head.Changes = append(head.Changes, s.manifests.answers[id])
+	}
+	for _, scope := range slices.Sorted(maps.Keys(s.fences)) {
+		head.Fences = append(head.Fences, s.fences[scope])
+	}
+	return &View{
+		head:        head,
+		orders:      s.orders.table.view(),
+		waiting:     s.waiting.table.view(),
+		submissions: s.waiting.submissions.view(),
+	}
+}
+
+// Index returns the index of the log up to which the view has applied it.
+func (v *View) Index() uint64 { return v.head.GetIndex() }
+
+// Marshal returns the view as an encoded wire.LedgerSnapshot. Equal states give
+// equal bytes.
+func (v *View) Marshal() ([]byte, error) {
+	options := proto.MarshalOptions{Deterministic: true}
+	size := proto.Size(v.head) + v.orders.size() + v.waiting.size() + v.submissions.size()
+	b, err := options.MarshalAppend(make([]byte, 0, size), v.head)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode ledger snapshot")
+	}
+	b = v.submissions.appendTo(b, snapshotChangesField)
+	b = v.orders.appendTo(b, snapshotOrdersField)
+	return v.waiting.appendTo(b, snapshotWaitingField), nil
+}
+
+func (v tableView) size() int {
+	return v.bytes + maxFieldOverhead*v.records
+}
+
+func (v tableView) appendTo(b []byte, field protowire.Number) []byte {
+	v.each(func(record string) {
+		b = protowire.AppendTag(b, field, protowire.BytesType)
+		b = protowire.AppendString(b, record)
+	})
+	return b
+}
+
+// Snapshot returns the state after the last Apply as an encoded wire.LedgerSnapshot.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	return l.View().Marshal()
+}
+
+// Restore replaces the state by a snapshot that was taken at the index. On an
+// error the state stays as it was.
+func (l *Ledger) Restore(index uint64, data []byte) error {
+	l.mu.RLock()
+	s := newState(l.s.options)
+	l.mu.RUnlock()
+	if err := s.restore(data); err != nil {
+		return errors.Wrapf(err, "restore ledger at index %d", index)
+	}
+	if s.index > index {
+		return errors.Errorf("restore ledger at index %d: the snapshot is from index %d", index, s.index)
+	}
+	s.index = index
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.s = s
+	return nil
+}
+
+// restore reads records one by one, because decoding the whole message would
+// hold every record twice in a much larger form.
+func (s *state) restore(data []byte) error {
+	var rest []byte
+	for len(data) > 0 {
+		number, kind, tag := protowire.ConsumeTag(data)
+		if tag < 0 {
+			return errors.Wrap(protowire.ParseError(tag), "read field")
+		}
+		n := protowire.ConsumeFieldValue(number, kind, data[tag:])
+		if n < 0 {
+			return errors.Wrapf(protowire.ParseError(n), "read field %d", number)
+		}
+		field := data[:tag+n]
+		data = data[tag+n:]
+		if number != snapshotOrdersField && number != snapshotWaitingField {
+			rest = append(rest, field...)
+			continue
+		}
+		record, m := protowire.ConsumeBytes(field[tag:])
+		if m < 0 {
+			return errors.Wrapf(protowire.ParseError(m), "read field %d", number)
+		}
+		if err := s.restoreRecord(number, record); err != nil {
+			return err
+		}
+	}
+	head := &wire.LedgerSnapshot{}
+	if err := proto.Unmarshal(rest, head); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	s.restoreHead(head)
+	return nil
+}
+
+func (s *state) restoreRecord(number protowire.Number, record []byte) error {
+	if number == snapshotOrdersField {
+		return s.orders.restore(record)
+	}
+	return s.waiting.restore(record)
+}
+
+func (s *state) restoreHead(head *wire.LedgerSnapshot) {
+	s.index = head.GetIndex()
+	s.nowMS = head.GetAtMs()
+	for _, r := range head.GetManifests() {
+		s.manifests.keep(r)
+	}
+	for _, a := range head.GetChanges() {
+		if len(a.GetResult().GetWaiting()) == 0 {
+			s.manifests.keepAnswer(a)
+			continue
+		}
+		s.waiting.restoreSubmission(a)
+	}
+	for _, target := range head.GetDrains() {
+		s.drains[target] = struct{}{}
+	}
+	for _, f := range head.GetFences() {
+		s.fences[f.GetScope()] = f
+	}
+	s.waiting.nextEpoch = head.GetNextEpoch()
+}
+
+func (o *orders) restore(record []byte) error {
+	r := &wire.OrderRecord{}
+	if err := proto.Unmarshal(record, r); err != nil {
+		return errors.Wrap(err, "decode order")
+	}
+	key, text := encodeOrder(r)
+	o.track(o.table.insert(key, text), r)
+	return nil
+}
+
+func (w *waiting) restore(record []byte) error {
+	r := &wire.WaitingRecord{}
+	if err := proto.Unmarshal(record, r); err != nil {
+		return errors.Wrap(err, "decode waiting request")
+	}
+	key, text := encodeWaiting(r)
+	slot := w.table.insert(key, text)
+	switch {
+	case isFinished(r):
+		w.finished.push(entry{atMS: r.GetFinishedMs(), slot: slot})
+		return nil
+	case r.GetState() == wire.WaitingState_WAITING_STATE_LEASED:
+		w.leases.push(entry{atMS: r.GetLeaseUntilMs(), slot: slot})
+	default:
+		w.ready.push(entry{atMS: deadlineOrder(r.GetDeadlineMs()), slot: slot})
+	}
+	w.unfinished++
+	return nil
+}
+
+func (w *waiting) restoreSubmission(a *wire.ChangeAnswer) {
+	id := a.GetChangeId()
+	a.ChangeId = ""
+	b := protowire.AppendTag(nil, changeIDField, protowire.BytesType)
+	b = protowire.AppendString(b, id)
+	n := len(b)
+	record := string(appendMessage(b, a))
+	w.insertSubmission(strings.Clone(record[:n]), record)
+}
--- /dev/null
+++ b/internal/roster/record.go
@@ -0,0 +1,109 @@
+package roster
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// past is an incarnation that was replaced.
+type past struct {
+	incarnation string
+	generation  uint64 // of the incarnation that replaced it
+	at          time.Time
+}
+
+// rival is a replaced incarnation that still announces itself.
+type rival struct {
+	incarnation string
+	since       time.Time
+	last        time.Time
+}
+
+// record is what is known of one process. The messages are never changed once
+// they're stored, because readers hold them without a lock.
+type record struct {
+	process  *wire.ProcessInfo
+	target   *wire.TargetInfo
+	load     *wire.LoadReport
+	loadAt   time.Time
+	sequence sequence
+	heard    time.Time // last heartbeat, as far as it is known here
+	silent   bool
+	// reported is set when the origin itself reported the silence.
+	reported bool
+	// listed is the epoch of the control VM that last reported the record; used when following.
+	listed  string
+	version uint64
+	past    []past
+	rival   rival
+}
+
+func (r *record) incarnation() string { return r.process.GetIncarnation() }
+
+// replaced returns the generation that replaced an incarnation, or 0.
+func (r *record) replaced(incarnation string) uint64 {
+	for _, p := range r.past {
+		if p.incarnation == incarnation {
+			return p.generation
+		}
+	}
+	return 0
+}
+
+// replace remembers that an incarnation was replaced by a generation.
+func (r *record) replace(incarnation string, generation uint64, at time.Time) {
+	if incarnation == "" || incarnation == r.incarnation() && generation <= r.sequence.generation() {
+		return
+	}
+	for i, p := range r.past {
+		if p.incarnation == incarnation {
+			r.past[i].generation = max(p.generation, generation)
+			r.past[i].at = at
+			return
+		}
+	}
+	r.past = append(r.past, past{incarnation: incarnation, generation: generation, at: at})
+	if len(r.past) > maxPast {
+		r.past = append([]past(nil), r.past[1:]...)
+	}
+}
+
+// forget drops the replaced incarnations that are older than a time.
+func (r *record) forget(before time.Time) {
+	for len(r.past) > 0 && r.past[0].at.Before(before) {
+		r.past = r.past[1:]
+	}
+}
+
+// describe returns the target's description with what the process itself
+// announces. The description is shared when nothing differs.
+func describe(t *wire.TargetInfo, p *wire.ProcessInfo, silent bool) *wire.TargetInfo {
+	if t == nil {
+		return nil
+	}
+	if t.GetIncarnation() == p.GetIncarnation() && t.GetAgentAddress() == p.GetAddress() && t.GetLeaving() == p.GetLeaving() &&
+		t.GetReady() == p.GetReady() && t.GetSilent() == silent && t.GetFailureDomain() == p.GetFailureDomain() && t.GetRegion() == p.GetRegion() {
+		return t
+	}
+	c := proto.CloneOf(t)
+	c.Incarnation = p.GetIncarnation()
+	c.AgentAddress = p.GetAddress()
+	c.FailureDomain = p.GetFailureDomain()
+	c.Region = p.GetRegion()
+	c.Leaving = p.GetLeaving()
+	c.Ready = p.GetReady()
+	c.Silent = silent
+	return c
+}
+
+// sameProcess reports whether two announcements differ at most in the revision,
+// which isn't part of roster versions: each configuration change would
+// otherwise send every process to every reader.
+func sameProcess(a, b *wire.ProcessInfo) bool {
+	return a.GetIncarnation() == b.GetIncarnation() && a.GetRole() == b.GetRole() && a.GetAddress() == b.GetAddress() &&
+		a.GetFailureDomain() == b.GetFailureDomain() && a.GetRegion() == b.GetRegion() &&
+		a.GetLeaving() == b.GetLeaving() && a.GetReady() == b.GetReady()
+}
