--- /dev/null
+++ b/internal/budget/plan.go
@@ -0,0 +1,247 @@
+package budget
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Reason says in snake case why something was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonNotEnoughTime Reason = "not_enough_time"
+	ReasonNotIdempotent Reason = "not_idempotent"
+	ReasonNotRetryable  Reason = "not_retryable"
+	ReasonAttemptsSpent Reason = "attempts_spent"
+	ReasonServiceBudget Reason = "service_retry_budget_spent"
+	ReasonEntryBudget   Reason = "entry_retry_budget_spent"
+	ReasonPolicy        Reason = "policy_has_no_hedges"
+)
+
+// Stage is one stage of a pipeline.
+type Stage struct {
+	Name     string
+	Needs    []string // names of stages that run before
+	Expected time.Duration
+}
+
+// PlanError reports a pipeline that can't be planned.
+type PlanError struct {
+	pipeline string
+	stage    string
+	problem  string
+}
+
+// Stage returns the stage that the problem is about.
+func (e *PlanError) Stage() string { return e.stage }
+
+// Error implements error.
+func (e *PlanError) Error() string {
+	return fmt.Sprintf("plan pipeline %s: stage %s: %s", e.pipeline, e.stage, e.problem)
+}
+
+// Plan is the order of the stages of a pipeline.
+type Plan struct {
+	pipeline string
+	stages   []Stage // each after those it needs
+	keys     []string
+	index    map[string]int
+	after    [][]int // direct successors
+}
+
+// NewPlan returns the Plan of a pipeline, or a *PlanError for unknown names,
+// repeated names and cycles.
+func NewPlan(pipeline string, stages []Stage) (*Plan, error) {
+	p := &Plan{pipeline: pipeline, index: map[string]int{}}
+	names := map[string]bool{}
+	for _, s := range stages {
+		if names[s.Name] {
+			return nil, &PlanError{pipeline, s.Name, "name is used twice"}
+		}
+		names[s.Name] = true
+	}
+	for _, s := range stages {
+		for _, n := range s.Needs {
+			if !names[n] {
+				return nil, &PlanError{pipeline, s.Name, "needs unknown stage " + n}
+			}
+		}
+	}
+	left := slices.Clone(stages)
+	for len(left) > 0 {
+		i := slices.IndexFunc(left, p.ready)
+		if i < 0 {
+			return nil, &PlanError{pipeline, left[0].Name, "is part of a cycle"}
+		}
+		p.add(left[i])
+		left = slices.Delete(left, i, i+1)
+	}
+	return p, nil
+}
+
+// ready reports whether all stages that s needs are in the plan.
+func (p *Plan) ready(s Stage) bool {
+	for _, n := range s.Needs {
+		if _, ok := p.index[n]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Plan) add(s Stage) {
+	i := len(p.stages)
+	p.index[s.Name] = i
+	p.stages = append(p.stages, s)
+	p.keys = append(p.keys, p.Key(s.Name))
+	p.after = append(p.after, nil)
+	for _, n := range s.Needs {
+		j := p.index[n]
+		p.after[j] = append(p.after[j], i)
+	}
+}
+
+// Key returns the Estimator's key of a stage.
+func (p *Plan) Key(stage string) string {
+	return p.pipeline + "/" + stage
+}
+
+// Need is what one stage is expected to take.
+type Need struct {
+	Mean  time.Duration
+	Guard time.Duration // at least Mean; 90th percentile
+}
+
+// Allotment is the part of the time left that one stage may use.
+type Allotment struct {
+	Limit      time.Duration // time to send along with the call
+	Later      time.Duration // kept for the stages after it
+	Expected   time.Duration // mean of this stage
+	Needs      time.Duration // mean of this stage and the longest path after it
+	HedgeAfter time.Duration
+}
+
+// Allot divides the time left between a stage and the longest path of stages
+// after it. The stage gets all that the others aren't expected to need. A stage
+// that isn't part of the plan gets all the time left.
+func (p *Plan) Allot(e *Estimator, stage string, left time.Duration, now time.Time) Allotment {
+	i, ok := p.index[stage]
+	if !ok {
+		return Allotment{Limit: max(left, 0)}
+	}
+	estimates := p.estimates(e, now)
+	path := p.longest(estimates, i)
+	parts := Split(left, path)
+	a := Allotment{
+		Limit:      parts[0],
+		Expected:   estimates[i].Mean,
+		HedgeAfter: estimates[i].Hedge,
+	}
+	for _, part := range parts[1:] {
+		a.Later += part
+	}
+	for _, n := range path {
+		a.Needs += n.Mean
+	}
+	return a
+}
+
+func (p *Plan) estimates(e *Estimator, now time.Time) []Estimate {
+	all := make([]Estimate, len(p.stages))
+	for i, s := range p.stages {
+		all[i] = e.Estimate(p.keys[i], s.Expected, now)
+	}
+	return all
+}
+
+// longest returns the needs along the path from stage i to the end that is
+// expected to take longest.
+func (p *Plan) longest(estimates []Estimate, i int) []Need {
+	total := make([]time.Duration, len(p.stages))
+	next := make([]int, len(p.stages))
+	for j := len(p.stages) - 1; j >= i; j-- {
+		next[j] = -1
+		for _, k := range p.after[j] {
+			if next[j] < 0 || total[k] > total[next[j]] {
+				next[j] = k
+			}
+		}
+		total[j] = estimates[j].Guard
+		if next[j] >= 0 {
+			total[j] += total[next[j]]
+		}
+	}
+	var path []Need
+	for j := i; j >= 0; j = next[j] {
+		path = append(path, Need{Mean: estimates[j].Mean, Guard: estimates[j].Guard})
+	}
+	return path
+}
+
+// Split divides the time left between a stage and the ones that follow it. The
+// first gets what the guards of the others leave over. When the time doesn't
+// cover all guards, each stage gets its part by guard. No part is negative and
+// their sum never exceeds the time left.
+func Split(left time.Duration, needs []Need) []time.Duration {
+	parts := make([]time.Duration, len(needs))
+	if left <= 0 || len(needs) == 0 {
+		return parts
+	}
+	var guards, later time.Duration
+	for i, n := range needs {
+		guards += guard(n)
+		if i > 0 {
+			later += guard(n)
+		}
+	}
+	if guards <= left {
+		parts[0] = left - later
+		for i, n := range needs[1:] {
+			parts[i+1] = guard(n)
+		}
+		return parts
+	}
+	for i, n := range needs {
+		parts[i] = time.Duration(float64(left) * (float64(guard(n)) / float64(guards)))
+	}
+	return parts
+}
+
+func guard(n Need) time.Duration {
+	return max(n.Guard, n.Mean, 0)
+}
+
+// Verdict tells whether a request can finish in time.
+type Verdict struct {
+	Fits   bool
+	Reason Reason // empty when it fits
+	Left   time.Duration
+	Needed time.Duration // for the stages and the waits
+}
+
+// CanFinish decides whether the stages that aren't done fit into the time left.
+// The mean durations along the longest path and the expected waits must fit;
+// with the 90th percentile of each stage, the sum would be far above the 90th
+// percentile of the whole, and requests would be refused that finish in time.
+func (p *Plan) CanFinish(e *Estimator, done []string, left, wait time.Duration, now time.Time) Verdict {
+	estimates := p.estimates(e, now)
+	total := make([]time.Duration, len(p.stages))
+	var longest time.Duration
+	for i := len(p.stages) - 1; i >= 0; i-- {
+		for _, k := range p.after[i] {
+			total[i] = max(total[i], total[k])
+		}
+		if !slices.Contains(done, p.stages[i].Name) {
+			total[i] += estimates[i].Mean
+		}
+		longest = max(longest, total[i])
+	}
+	v := Verdict{Left: left, Needed: longest + max(wait, 0), Fits: true}
+	if v.Needed > left {
+		v.Fits = false
+		v.Reason = ReasonNotEnoughTime
+	}
+	return v
+}
--- /dev/null
+++ b/internal/routing/errors.go
@@ -0,0 +1,65 @@
+package routing
+
+import "fmt"
+
+// Shortage says in snake case why no target could be chosen.
+type Shortage string
+
+// Shortages of a NoTargetError.
+const (
+	ShortageNoTargets    Shortage = "no_targets"
+	ShortageNoModel      Shortage = "model_not_served"
+	ShortageAllExcluded  Shortage = "all_targets_tried"
+	ShortageAllLeaving   Shortage = "all_targets_leaving"
+	ShortageAllSilent    Shortage = "all_targets_silent"
+	ShortageAllEjected   Shortage = "all_targets_ejected"
+	ShortageNoneSuitable Shortage = "no_suitable_target"
+)
+
+// NoTargetError reports that no target of a service may get a call. The counts
+// cover the known targets; each target is counted once, under its first reason.
+type NoTargetError struct {
+	service  string
+	model    string
+	shortage Shortage
+	known    int
+	noModel  int
+	leaving  int
+	silent   int
+	notReady int
+	ejected  int
+	excluded int
+}
+
+// Service returns the name of the service.
+func (e *NoTargetError) Service() string { return e.service }
+
+// Shortage returns the reason in snake case.
+func (e *NoTargetError) Shortage() Shortage { return e.shortage }
+
+// Error implements error.
+func (e *NoTargetError) Error() string {
+	return fmt.Sprintf("no target of service %s for model %q: %s (known %d, without the model %d, leaving %d, silent %d, not ready %d, ejected %d, already tried %d)",
+		e.service, e.model, e.shortage, e.known, e.noModel, e.leaving, e.silent, e.notReady, e.ejected, e.excluded)
+}
+
+// classify sets the shortage from the counts.
+func (e *NoTargetError) classify() {
+	serving := e.known - e.noModel
+	switch {
+	case e.known == 0:
+		e.shortage = ShortageNoTargets
+	case serving == 0:
+		e.shortage = ShortageNoModel
+	case e.leaving == serving:
+		e.shortage = ShortageAllLeaving
+	case e.silent == serving:
+		e.shortage = ShortageAllSilent
+	case e.ejected == serving:
+		e.shortage = ShortageAllEjected
+	case e.excluded == serving:
+		e.shortage = ShortageAllExcluded
+	default:
+		e.shortage = ShortageNoneSuitable
+	}
+}
--- /dev/null
+++ b/internal/routing/health.go
@@ -0,0 +1,195 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// HealthOptions bounds passive ejection. Zero fields take the defaults.
+type HealthOptions struct {
+	// Failures in a row that eject a target; 5.
+	Failures int
+	// Outlier is the multiple of the pool's median latency above which a target
+	// is ejected as slow; 3.
+	Outlier float64
+	// MinSamples are needed before a target is judged by latency; 5.
+	MinSamples int
+	// MaxShare bounds the ejected share of the available targets; 0.5. The
+	// number is rounded down, so that a pool never loses its only target.
+	MaxShare float64
+	// Ejection is the first ejection time; it doubles with each further one; 2 s.
+	Ejection time.Duration
+	// MaxEjection bounds the ejection time; 60 s.
+	MaxEjection time.Duration
+	// Probes that must succeed before an ejected target returns; 2.
+	Probes int
+}
+
+func (o HealthOptions) withDefaults() HealthOptions {
+	if o.Failures <= 0 {
+		o.Failures = 5
+	}
+	if o.Outlier <= 1 {
+		o.Outlier = 3
+	}
+	if o.MinSamples <= 0 {
+		o.MinSamples = 5
+	}
+	if o.MaxShare <= 0 || o.MaxShare > 1 {
+		o.MaxShare = 0.5
+	}
+	if o.Ejection <= 0 {
+		o.Ejection = 2 * time.Second
+	}
+	if o.MaxEjection < o.Ejection {
+		o.MaxEjection = max(time.Minute, o.Ejection)
+	}
+	if o.Probes <= 0 {
+		o.Probes = 2
+	}
+	return o
+}
+
+// EjectionCause says in snake case why a target is ejected.
+type EjectionCause string
+
+// Causes of an ejection.
+const (
+	CauseFailures EjectionCause = "consecutive_failures"
+	CauseSlow     EjectionCause = "latency_outlier"
+)
+
+type health struct {
+	consecutive int // failures in a row
+	ejected     bool
+	cause       EjectionCause
+	ejections   int // raises the ejection time
+	until       time.Time
+	probing     bool // a probe is in flight
+	passed      int  // successful probes
+	restoredAt  time.Time
+}
+
+// duration returns the time of the next ejection.
+func (h *health) duration(o HealthOptions) time.Duration {
+	d := o.Ejection
+	for range h.ejections {
+		d = min(2*d, o.MaxEjection)
+	}
+	return d
+}
+
+// ejectable reports whether one more ejection keeps the pool within the cap.
+func (p *Pool) ejectable() bool {
+	return p.ejected+1 <= p.cap()
+}
+
+// cap returns how many targets may be ejected.
+func (p *Pool) cap() int {
+	return int(p.health.MaxShare * float64(p.available))
+}
+
+func (p *Pool) eject(t *target, cause EjectionCause, now time.Time) {
+	h := &t.health
+	if h.ejected {
+		p.extend(t, now)
+		return
+	}
+	if !t.available() || !p.ejectable() {
+		return
+	}
+	h.ejected = true
+	h.cause = cause
+	p.extend(t, now)
+	p.rebuild()
+}
+
+// extend starts a further ejection time.
+func (p *Pool) extend(t *target, now time.Time) {
+	h := &t.health
+	h.until = now.Add(h.duration(p.health))
+	h.ejections++
+	h.passed = 0
+	if p.nextProbe.IsZero() || h.until.Before(p.nextProbe) {
+		p.nextProbe = h.until
+	}
+}
+
+// restore ends an ejection. The averages restart at the pool's median, so that
+// the samples that led to the ejection don't repeat it.
+func (p *Pool) restore(t *target, now time.Time) {
+	h := &t.health
+	h.ejected = false
+	h.consecutive = 0
+	h.passed = 0
+	h.restoredAt = now
+	t.failures = 0
+	t.samples = 0
+	t.slowness = p.median
+}
+
+// probeDone judges a finished probe and reports whether the target returned.
+func (p *Pool) probeDone(t *target, ok bool, now time.Time) {
+	h := &t.health
+	h.probing = false
+	if !h.ejected {
+		return
+	}
+	if !ok {
+		p.extend(t, now)
+		return
+	}
+	h.passed++
+	if h.passed < p.health.Probes {
+		h.until = now
+		p.nextProbe = now
+		return
+	}
+	p.restore(t, now)
+	p.rebuild()
+}
+
+// enforceCap returns targets early when the pool has shrunk, the one that would
+// be probed next first.
+func (p *Pool) enforceCap(now time.Time) {
+	for p.ejected > p.cap() {
+		var first *target
+		for _, t := range p.order {
+			if t.health.ejected && t.available() && (first == nil || t.health.until.Before(first.health.until)) {
+				first = t
+			}
+		}
+		p.restore(first, now)
+		p.ejected--
+	}
+}
+
+// judge recomputes the median latency and ejects outliers, slowest first.
+func (p *Pool) judge(now time.Time) {
+	p.scratch = p.scratch[:0]
+	for _, t := range p.order {
+		if t.available() && !t.health.ejected && t.samples >= p.health.MinSamples {
+			p.scratch = append(p.scratch, t)
+		}
+	}
+	if len(p.scratch) == 0 {
+		return
+	}
+	slices.SortFunc(p.scratch, func(a, b *target) int {
+		switch {
+		case a.slowness > b.slowness:
+			return -1
+		case a.slowness < b.slowness:
+			return 1
+		}
+		return 0
+	})
+	// The lower median, so that one of two targets can be an outlier.
+	p.median = p.scratch[len(p.scratch)/2].slowness
+	for _, t := range p.scratch {
+		if t.slowness <= p.health.Outlier*p.median {
+			break
+		}
+		p.eject(t, CauseSlow, now)
+	}
+}
