load: Send open-loop mixes and check the promises

Nothing showed whether a run kept the promises. The tool is ready for real entries; it has not been run against one yet.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -43,7 +43,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin())
+	root.AddCommand(newStandin(), newLoad())
 	return root
 }
 
