--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -153,6 +153,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build account request")
 	}
+	// A connection from before the run may have gone silent.
+	req.Close = true
 	resp, err := r.options.Client.Do(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "read account of %s", base)
