--- a/api/design/design.go
+++ b/api/design/design.go
@@ -61,6 +61,7 @@
 
 	Error("bad_request", ErrorResult, "The input is refused; the message names the field.")
 	Error("not_found", ErrorResult, "No such request of this customer.")
+	Error("unavailable", ErrorResult, "This entry takes no requests now; nothing was done. Try another entry.")
 
 	Method("run", func() {
 		Description("Runs a pipeline and answers when it is complete. A pipeline that may wait is accepted once recorded durably.")
@@ -77,6 +78,7 @@
 			Response(StatusOK)
 			Response("bad_request", StatusBadRequest)
 			Response("not_found", StatusNotFound)
+			Response("unavailable", StatusServiceUnavailable)
 		})
 	})
 
@@ -87,6 +89,9 @@
 			Attribute("service", String, "Name of the service.", nameRule)
 			Attribute("operation", String, "Name of the operation.", nameRule)
 			Attribute("order_id", String, "Identity of an order that must not repeat.", nameRule)
+			Attribute("first_attempt", Boolean, "The caller's word that no earlier request used this order id. It lets an entry without a quorum answer not_run instead of unknown.", func() {
+				Default(false)
+			})
 			Attribute("class", String, "Request class; the manifest's default when empty.", optionalNameRule)
 			Attribute("deadline_ms", Int64, "Time that the caller will wait, in milliseconds.", deadlineRule)
 			Attribute("input", String, "Body of the call.", inputRule)
@@ -99,6 +104,7 @@
 			Response(StatusOK)
 			Response("bad_request", StatusBadRequest)
 			Response("not_found", StatusNotFound)
+			Response("unavailable", StatusServiceUnavailable)
 		})
 	})
 
@@ -116,6 +122,7 @@
 			Response(StatusOK)
 			Response("bad_request", StatusBadRequest)
 			Response("not_found", StatusNotFound)
+			Response("unavailable", StatusServiceUnavailable)
 		})
 	})
 
@@ -137,6 +144,7 @@
 			Response(StatusOK)
 			Response("bad_request", StatusBadRequest)
 			Response("not_found", StatusNotFound)
+			Response("unavailable", StatusServiceUnavailable)
 		})
 	})
 })
--- a/api/gen/http/cli/cardamomline/cli.go
+++ b/api/gen/http/cli/cardamomline/cli.go
@@ -29,7 +29,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "pipelines run --body '{\n      \"class\": \"xwj\",\n      \"deadline_ms\": 44327587,\n      \"input\": \"dwx\",\n      \"max_tokens\": 15860,\n      \"prefix\": \"lix\",\n      \"submission_id\": \"1mq\"\n   }' --pipeline \"u\" --customer-key \"c\"" + "\n" +
+	return os.Args[0] + " " + "pipelines run --body '{\n      \"class\": \"wxj\",\n      \"deadline_ms\": 78650304,\n      \"input\": \"ixz\",\n      \"max_tokens\": 5039,\n      \"prefix\": \"qiu\",\n      \"submission_id\": \"cwz\"\n   }' --pipeline \"5hd\" --customer-key \"g\"" + "\n" +
 		""
 }
 
@@ -197,7 +197,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines run --body '{\n      \"class\": \"xwj\",\n      \"deadline_ms\": 44327587,\n      \"input\": \"dwx\",\n      \"max_tokens\": 15860,\n      \"prefix\": \"lix\",\n      \"submission_id\": \"1mq\"\n   }' --pipeline \"u\" --customer-key \"c\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines run --body '{\n      \"class\": \"wxj\",\n      \"deadline_ms\": 78650304,\n      \"input\": \"ixz\",\n      \"max_tokens\": 5039,\n      \"prefix\": \"qiu\",\n      \"submission_id\": \"cwz\"\n   }' --pipeline \"5hd\" --customer-key \"g\"")
 }
 
 func pipelinesCallUsage() {
@@ -221,7 +221,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines call --body '{\n      \"class\": \"vsy\",\n      \"deadline_ms\": 1232192,\n      \"input\": \"w5d\",\n      \"order_id\": \"eee\"\n   }' --service \"6\" --operation \"e7x\" --customer-key \"o\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines call --body '{\n      \"class\": \"7xx\",\n      \"deadline_ms\": 1977630,\n      \"first_attempt\": false,\n      \"input\": \"t30\",\n      \"order_id\": \"d96\"\n   }' --service \"ldw\" --operation \"b\" --customer-key \"pc\"")
 }
 
 func pipelinesFetchUsage() {
@@ -241,7 +241,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines fetch --id \"8\" --customer-key \"ex\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines fetch --id \"nt\" --customer-key \"7\"")
 }
 
 func pipelinesStreamUsage() {
@@ -263,5 +263,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines stream --body '{\n      \"class\": \"3h5\",\n      \"deadline_ms\": 11386561,\n      \"input\": \"5ye\",\n      \"max_tokens\": 8232,\n      \"prefix\": \"5uh\",\n      \"submission_id\": \"yno\"\n   }' --pipeline \"j\" --customer-key \"b3g\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines stream --body '{\n      \"class\": \"bjb\",\n      \"deadline_ms\": 27522770,\n      \"input\": \"02k\",\n      \"max_tokens\": 11909,\n      \"prefix\": \"nps\",\n      \"submission_id\": \"vs8\"\n   }' --pipeline \"t\" --customer-key \"hu\"")
 }
--- a/api/gen/http/pipelines/client/cli.go
+++ b/api/gen/http/pipelines/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(pipelinesRunBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"xwj\",\n      \"deadline_ms\": 44327587,\n      \"input\": \"dwx\",\n      \"max_tokens\": 15860,\n      \"prefix\": \"lix\",\n      \"submission_id\": \"1mq\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"wxj\",\n      \"deadline_ms\": 78650304,\n      \"input\": \"ixz\",\n      \"max_tokens\": 5039,\n      \"prefix\": \"qiu\",\n      \"submission_id\": \"cwz\"\n   }'")
 		}
 		if body.Class != nil {
 			if utf8.RuneCountInString(*body.Class) > 128 {
@@ -112,7 +112,7 @@
 	{
 		err = json.Unmarshal([]byte(pipelinesCallBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"vsy\",\n      \"deadline_ms\": 1232192,\n      \"input\": \"w5d\",\n      \"order_id\": \"eee\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"7xx\",\n      \"deadline_ms\": 1977630,\n      \"first_attempt\": false,\n      \"input\": \"t30\",\n      \"order_id\": \"d96\"\n   }'")
 		}
 		if body.OrderID != nil {
 			if utf8.RuneCountInString(*body.OrderID) < 1 {
@@ -182,10 +182,17 @@
 		}
 	}
 	v := &pipelines.CallPayload{
-		OrderID:    body.OrderID,
-		Class:      body.Class,
-		DeadlineMs: body.DeadlineMs,
-		Input:      body.Input,
+		OrderID:      body.OrderID,
+		FirstAttempt: body.FirstAttempt,
+		Class:        body.Class,
+		DeadlineMs:   body.DeadlineMs,
+		Input:        body.Input,
+	}
+	{
+		var zero bool
+		if v.FirstAttempt == zero {
+			v.FirstAttempt = false
+		}
 	}
 	v.Service = service
 	v.Operation = operation
@@ -239,7 +246,7 @@
 	{
 		err = json.Unmarshal([]byte(pipelinesStreamBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"3h5\",\n      \"deadline_ms\": 11386561,\n      \"input\": \"5ye\",\n      \"max_tokens\": 8232,\n      \"prefix\": \"5uh\",\n      \"submission_id\": \"yno\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"class\": \"bjb\",\n      \"deadline_ms\": 27522770,\n      \"input\": \"02k\",\n      \"max_tokens\": 11909,\n      \"prefix\": \"nps\",\n      \"submission_id\": \"vs8\"\n   }'")
 		}
 		if body.Class != nil {
 			if utf8.RuneCountInString(*body.Class) > 128 {
--- a/api/gen/http/pipelines/client/encode_decode.go
+++ b/api/gen/http/pipelines/client/encode_decode.go
@@ -70,6 +70,7 @@
 // DecodeRunResponse may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
 //   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
 //   - error: internal error
 func DecodeRunResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -131,6 +132,20 @@
 				return nil, goahttp.ErrValidationError("pipelines", "run", err)
 			}
 			return nil, NewRunNotFound(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body RunUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunUnavailable(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("pipelines", "run", resp.StatusCode, string(body))
@@ -191,6 +206,7 @@
 // DecodeCallResponse may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
 //   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
 //   - error: internal error
 func DecodeCallResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -252,6 +268,20 @@
 				return nil, goahttp.ErrValidationError("pipelines", "call", err)
 			}
 			return nil, NewCallNotFound(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body CallUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "call", err)
+			}
+			err = ValidateCallUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "call", err)
+			}
+			return nil, NewCallUnavailable(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("pipelines", "call", resp.StatusCode, string(body))
@@ -306,6 +336,7 @@
 // DecodeFetchResponse may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
 //   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
 //   - error: internal error
 func DecodeFetchResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -367,6 +398,20 @@
 				return nil, goahttp.ErrValidationError("pipelines", "fetch", err)
 			}
 			return nil, NewFetchNotFound(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body FetchUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "fetch", err)
+			}
+			err = ValidateFetchUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "fetch", err)
+			}
+			return nil, NewFetchUnavailable(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("pipelines", "fetch", resp.StatusCode, string(body))
@@ -425,6 +470,7 @@
 // DecodeStreamResponse may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): http.StatusBadRequest
 //   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
 //   - error: internal error
 func DecodeStreamResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -484,6 +530,20 @@
 				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
 			}
 			return nil, NewStreamNotFound(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body StreamUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamUnavailable(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("pipelines", "stream", resp.StatusCode, string(body))
--- a/api/gen/http/pipelines/client/types.go
+++ b/api/gen/http/pipelines/client/types.go
@@ -36,6 +36,9 @@
 type CallRequestBody struct {
 	// Identity of an order that must not repeat.
 	OrderID *string `form:"order_id,omitempty" json:"order_id,omitempty" xml:"order_id,omitempty"`
+	// The caller's word that no earlier request used this order id. It lets an
+	// entry without a quorum answer not_run instead of unknown.
+	FirstAttempt bool `form:"first_attempt" json:"first_attempt" xml:"first_attempt"`
 	// Request class; the manifest's default when empty.
 	Class *string `form:"class,omitempty" json:"class,omitempty" xml:"class,omitempty"`
 	// Time that the caller will wait, in milliseconds.
@@ -186,6 +189,24 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// RunUnavailableResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unavailable" error.
+type RunUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // CallBadRequestResponseBody is the type of the "pipelines" service "call"
 // endpoint HTTP response body for the "bad_request" error.
 type CallBadRequestResponseBody struct {
@@ -222,6 +243,24 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// CallUnavailableResponseBody is the type of the "pipelines" service "call"
+// endpoint HTTP response body for the "unavailable" error.
+type CallUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // FetchBadRequestResponseBody is the type of the "pipelines" service "fetch"
 // endpoint HTTP response body for the "bad_request" error.
 type FetchBadRequestResponseBody struct {
@@ -258,6 +297,24 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// FetchUnavailableResponseBody is the type of the "pipelines" service "fetch"
+// endpoint HTTP response body for the "unavailable" error.
+type FetchUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // StreamBadRequestResponseBody is the type of the "pipelines" service "stream"
 // endpoint HTTP response body for the "bad_request" error.
 type StreamBadRequestResponseBody struct {
@@ -294,6 +351,24 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// StreamUnavailableResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unavailable" error.
+type StreamUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // StageReportResponseBody is used to define fields on response body types.
 type StageReportResponseBody struct {
 	// Name of the stage.
@@ -348,10 +423,17 @@
 // "call" endpoint of the "pipelines" service.
 func NewCallRequestBody(p *pipelines.CallPayload) *CallRequestBody {
 	body := &CallRequestBody{
-		OrderID:    p.OrderID,
-		Class:      p.Class,
-		DeadlineMs: p.DeadlineMs,
-		Input:      p.Input,
+		OrderID:      p.OrderID,
+		FirstAttempt: p.FirstAttempt,
+		Class:        p.Class,
+		DeadlineMs:   p.DeadlineMs,
+		Input:        p.Input,
+	}
+	{
+		var zero bool
+		if body.FirstAttempt == zero {
+			body.FirstAttempt = false
+		}
 	}
 	return body
 }
@@ -426,6 +508,20 @@
 	return v
 }
 
+// NewRunUnavailable builds a pipelines service run endpoint unavailable error.
+func NewRunUnavailable(body *RunUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewCallAnswerOK builds a "pipelines" service "call" endpoint result from a
 // HTTP "OK" response.
 func NewCallAnswerOK(body *CallResponseBody) *pipelinesviews.AnswerView {
@@ -482,6 +578,21 @@
 	return v
 }
 
+// NewCallUnavailable builds a pipelines service call endpoint unavailable
+// error.
+func NewCallUnavailable(body *CallUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewFetchAnswerOK builds a "pipelines" service "fetch" endpoint result from a
 // HTTP "OK" response.
 func NewFetchAnswerOK(body *FetchResponseBody) *pipelinesviews.AnswerView {
@@ -539,6 +650,21 @@
 	return v
 }
 
+// NewFetchUnavailable builds a pipelines service fetch endpoint unavailable
+// error.
+func NewFetchUnavailable(body *FetchUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewStreamEventOK builds a "pipelines" service "stream" endpoint result from
 // a HTTP "OK" response.
 func NewStreamEventOK(body *StreamResponseBody) *pipelines.StreamEvent {
@@ -583,6 +709,21 @@
 	return v
 }
 
+// NewStreamUnavailable builds a pipelines service stream endpoint unavailable
+// error.
+func NewStreamUnavailable(body *StreamUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // ValidateStreamResponseBody runs the validations defined on StreamResponseBody
 func ValidateStreamResponseBody(body *StreamResponseBody) (err error) {
 	if body.Event == nil {
@@ -644,6 +785,30 @@
 	return
 }
 
+// ValidateRunUnavailableResponseBody runs the validations defined on
+// run_unavailable_response_body
+func ValidateRunUnavailableResponseBody(body *RunUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateCallBadRequestResponseBody runs the validations defined on
 // call_bad_request_response_body
 func ValidateCallBadRequestResponseBody(body *CallBadRequestResponseBody) (err error) {
@@ -692,6 +857,30 @@
 	return
 }
 
+// ValidateCallUnavailableResponseBody runs the validations defined on
+// call_unavailable_response_body
+func ValidateCallUnavailableResponseBody(body *CallUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateFetchBadRequestResponseBody runs the validations defined on
 // fetch_bad_request_response_body
 func ValidateFetchBadRequestResponseBody(body *FetchBadRequestResponseBody) (err error) {
@@ -740,6 +929,30 @@
 	return
 }
 
+// ValidateFetchUnavailableResponseBody runs the validations defined on
+// fetch_unavailable_response_body
+func ValidateFetchUnavailableResponseBody(body *FetchUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateStreamBadRequestResponseBody runs the validations defined on
 // stream_bad_request_response_body
 func ValidateStreamBadRequestResponseBody(body *StreamBadRequestResponseBody) (err error) {
@@ -788,6 +1001,30 @@
 	return
 }
 
+// ValidateStreamUnavailableResponseBody runs the validations defined on
+// stream_unavailable_response_body
+func ValidateStreamUnavailableResponseBody(body *StreamUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateStageReportResponseBody runs the validations defined on
 // StageReportResponseBody
 func ValidateStageReportResponseBody(body *StageReportResponseBody) (err error) {
--- a/api/gen/http/pipelines/server/encode_decode.go
+++ b/api/gen/http/pipelines/server/encode_decode.go
@@ -125,6 +125,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -244,6 +257,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCallUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -336,6 +362,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewFetchUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -447,6 +486,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
--- a/api/gen/http/pipelines/server/types.go
+++ b/api/gen/http/pipelines/server/types.go
@@ -38,6 +38,9 @@
 type CallRequestBody struct {
 	// Identity of an order that must not repeat.
 	OrderID *string `form:"order_id,omitempty" json:"order_id,omitempty" xml:"order_id,omitempty"`
+	// The caller's word that no earlier request used this order id. It lets an
+	// entry without a quorum answer not_run instead of unknown.
+	FirstAttempt *bool `form:"first_attempt,omitempty" json:"first_attempt,omitempty" xml:"first_attempt,omitempty"`
 	// Request class; the manifest's default when empty.
 	Class *string `form:"class,omitempty" json:"class,omitempty" xml:"class,omitempty"`
 	// Time that the caller will wait, in milliseconds.
@@ -188,6 +191,24 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// RunUnavailableResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unavailable" error.
+type RunUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // CallBadRequestResponseBody is the type of the "pipelines" service "call"
 // endpoint HTTP response body for the "bad_request" error.
 type CallBadRequestResponseBody struct {
@@ -224,6 +245,24 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// CallUnavailableResponseBody is the type of the "pipelines" service "call"
+// endpoint HTTP response body for the "unavailable" error.
+type CallUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // FetchBadRequestResponseBody is the type of the "pipelines" service "fetch"
 // endpoint HTTP response body for the "bad_request" error.
 type FetchBadRequestResponseBody struct {
@@ -260,6 +299,24 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// FetchUnavailableResponseBody is the type of the "pipelines" service "fetch"
+// endpoint HTTP response body for the "unavailable" error.
+type FetchUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // StreamBadRequestResponseBody is the type of the "pipelines" service "stream"
 // endpoint HTTP response body for the "bad_request" error.
 type StreamBadRequestResponseBody struct {
@@ -296,6 +353,24 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// StreamUnavailableResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unavailable" error.
+type StreamUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // StageReportResponseBody is used to define fields on response body types.
 type StageReportResponseBody struct {
 	// Name of the stage.
@@ -455,6 +530,20 @@
 	return body
 }
 
+// NewRunUnavailableResponseBody builds the HTTP response body from the result
+// of the "run" endpoint of the "pipelines" service.
+func NewRunUnavailableResponseBody(res *goa.ServiceError) *RunUnavailableResponseBody {
+	body := &RunUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewCallBadRequestResponseBody builds the HTTP response body from the result
 // of the "call" endpoint of the "pipelines" service.
 func NewCallBadRequestResponseBody(res *goa.ServiceError) *CallBadRequestResponseBody {
@@ -483,6 +572,20 @@
 	return body
 }
 
+// NewCallUnavailableResponseBody builds the HTTP response body from the result
+// of the "call" endpoint of the "pipelines" service.
+func NewCallUnavailableResponseBody(res *goa.ServiceError) *CallUnavailableResponseBody {
+	body := &CallUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewFetchBadRequestResponseBody builds the HTTP response body from the result
 // of the "fetch" endpoint of the "pipelines" service.
 func NewFetchBadRequestResponseBody(res *goa.ServiceError) *FetchBadRequestResponseBody {
@@ -511,6 +614,20 @@
 	return body
 }
 
+// NewFetchUnavailableResponseBody builds the HTTP response body from the
+// result of the "fetch" endpoint of the "pipelines" service.
+func NewFetchUnavailableResponseBody(res *goa.ServiceError) *FetchUnavailableResponseBody {
+	body := &FetchUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewStreamBadRequestResponseBody builds the HTTP response body from the
 // result of the "stream" endpoint of the "pipelines" service.
 func NewStreamBadRequestResponseBody(res *goa.ServiceError) *StreamBadRequestResponseBody {
@@ -539,6 +656,20 @@
 	return body
 }
 
+// NewStreamUnavailableResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "pipelines" service.
+func NewStreamUnavailableResponseBody(res *goa.ServiceError) *StreamUnavailableResponseBody {
+	body := &StreamUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewRunPayload builds a pipelines service run endpoint payload.
 func NewRunPayload(body *RunRequestBody, pipeline string, customerKey string) *pipelines.RunPayload {
 	v := &pipelines.RunPayload{
@@ -563,6 +694,12 @@
 		DeadlineMs: *body.DeadlineMs,
 		Input:      *body.Input,
 	}
+	if body.FirstAttempt != nil {
+		v.FirstAttempt = *body.FirstAttempt
+	}
+	if body.FirstAttempt == nil {
+		v.FirstAttempt = false
+	}
 	v.Service = service
 	v.Operation = operation
 	v.CustomerKey = customerKey
--- a/api/gen/pipelines/client.go
+++ b/api/gen/pipelines/client.go
@@ -35,6 +35,7 @@
 // Run may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): The input is refused; the message names the field.
 //   - "not_found" (type *goa.ServiceError): No such request of this customer.
+//   - "unavailable" (type *goa.ServiceError): This entry takes no requests now; nothing was done. Try another entry.
 //   - error: internal error
 func (c *Client) Run(ctx context.Context, p *RunPayload) (res *Answer, err error) {
 	var ires any
@@ -49,6 +50,7 @@
 // Call may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): The input is refused; the message names the field.
 //   - "not_found" (type *goa.ServiceError): No such request of this customer.
+//   - "unavailable" (type *goa.ServiceError): This entry takes no requests now; nothing was done. Try another entry.
 //   - error: internal error
 func (c *Client) Call(ctx context.Context, p *CallPayload) (res *Answer, err error) {
 	var ires any
@@ -63,6 +65,7 @@
 // Fetch may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): The input is refused; the message names the field.
 //   - "not_found" (type *goa.ServiceError): No such request of this customer.
+//   - "unavailable" (type *goa.ServiceError): This entry takes no requests now; nothing was done. Try another entry.
 //   - error: internal error
 func (c *Client) Fetch(ctx context.Context, p *FetchPayload) (res *Answer, err error) {
 	var ires any
@@ -77,6 +80,7 @@
 // Stream may return the following errors:
 //   - "bad_request" (type *goa.ServiceError): The input is refused; the message names the field.
 //   - "not_found" (type *goa.ServiceError): No such request of this customer.
+//   - "unavailable" (type *goa.ServiceError): This entry takes no requests now; nothing was done. Try another entry.
 //   - error: internal error
 func (c *Client) Stream(ctx context.Context, p *StreamPayload) (res StreamClientStream, err error) {
 	var ires any
--- a/api/gen/pipelines/service.go
+++ b/api/gen/pipelines/service.go
@@ -98,6 +98,9 @@
 	Operation string
 	// Identity of an order that must not repeat.
 	OrderID *string
+	// The caller's word that no earlier request used this order id. It lets an
+	// entry without a quorum answer not_run instead of unknown.
+	FirstAttempt bool
 	// Request class; the manifest's default when empty.
 	Class *string
 	// Time that the caller will wait, in milliseconds.
@@ -190,6 +193,11 @@
 	return goa.NewServiceError(err, "not_found", false, false, false)
 }
 
+// MakeUnavailable builds a goa.ServiceError from an error.
+func MakeUnavailable(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "unavailable", false, false, false)
+}
+
 // NewAnswer initializes result type Answer from viewed result type Answer.
 func NewAnswer(vres *pipelinesviews.Answer) *Answer {
 	return newAnswer(vres.Projected)
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -46,22 +46,23 @@
 	ready, _ := a.Ready()
 	r := &wire.HeartbeatRequest{
 		Process: &wire.ProcessInfo{
-			Name:        a.o.Name,
-			Role:        "agent",
-			Incarnation: a.incarnation,
-			Revision:    a.o.Config.Revision(),
-			Leaving:     a.isLeaving(),
-			Ready:       ready,
+			Name:          a.o.Name,
+			Role:          "agent",
+			Incarnation:   a.incarnation,
+			Address:       a.o.Address,
+			FailureDomain: a.o.FailureDomain,
+			Region:        a.o.Region,
+			Revision:      a.o.Config.Revision(),
+			Leaving:       a.isLeaving(),
+			Ready:         ready,
 		},
+		TargetName:    a.o.TargetName,
 		TargetVersion: a.infoVersion.Load(),
 	}
 	info := a.info.Load()
 	if !describe || info == nil {
 		return r
 	}
-	r.Process.Address = a.o.Address
-	r.Process.FailureDomain = a.o.FailureDomain
-	r.Process.Region = a.o.Region
 	r.Target = &wire.TargetInfo{
 		Name:          a.o.TargetName,
 		Kind:          info.Kind,
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -106,7 +106,7 @@
 	}
 	result := a.target.run(ctx, req, onToken)
 	stop()
-	if result.GetCanceled() || result.GetError() == errorDeadline {
+	if result.GetCanceled() || result.GetError() == ErrorDeadline {
 		a.cancelAtTarget(req.GetAttempt())
 	}
 	result.Revision = a.o.Config.Revision()
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -25,14 +25,15 @@
 	maxEventLine     = 1 << 20
 )
 
-// Errors of a result that did not come from the target itself.
+// Errors of a result. An entry retries at another target after ErrorOverloaded
+// and ErrorTargetUnreachable, because the call has not run.
 const (
-	errorTargetUnreachable = "target_unreachable"
-	errorTargetBroke       = "target_connection_broke"
-	errorTargetRefused     = "target_refused"
-	errorTargetFailed      = "target_failed"
-	errorCanceled          = "canceled"
-	errorDeadline          = "deadline_exceeded"
+	ErrorTargetUnreachable = "target_unreachable"
+	ErrorTargetBroke       = "target_connection_broke"
+	ErrorTargetFailed      = "target_failed"
+	ErrorOverloaded        = "overloaded"
+	ErrorCanceled          = "canceled"
+	ErrorDeadline          = "deadline_exceeded"
 )
 
 // stageCall is the body of a stage call in the target's protocol.
@@ -147,16 +148,48 @@
 	if into == nil {
 		return nil
 	}
-	return errors.Wrapf(json.Unmarshal(b, into), "target %s: decode answer of %s", t.url, req.URL.Path)
+	if err := json.Unmarshal(b, into); err != nil {
+		return errors.Wrapf(err, "target %s: decode answer of %s", t.url, req.URL.Path)
+	}
+	return nil
+}
+
+// targetRefusal is the body of a target's answer that isn't a success.
+type targetRefusal struct {
+	Reason string `json:"error"`
+	Detail string `json:"detail"`
+}
+
+// notRunReasons are the target's refusals that say the call never started.
+var notRunReasons = map[string]struct{}{
+	"bad_request":       {},
+	"unknown_operation": {},
+	"unknown_model":     {},
+	"stale_fence":       {},
+	ErrorOverloaded:     {},
+}
+
+// readRefusal notes the target's reason. Only the reasons that name a call which
+// never started count as not run; any other failure may have taken effect.
+func readRefusal(resp *http.Response, result *wire.AttemptResult) {
+	var refusal targetRefusal
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventLine))
+	_ = json.Unmarshal(b, &refusal)
+	if _, ok := notRunReasons[refusal.Reason]; ok {
+		result.Ran = false
+		result.Error = refusal.Reason
+		return
+	}
+	result.Error = ErrorTargetFailed + ": " + resp.Status
 }
 
 // run makes one stage call. The result tells by its ran field whether the call
-// may have taken effect: only a failed dial and a refusal (a 4xx status) have not.
+// may have taken effect: a failed dial and certain refusals have not.
 func (t *target) run(ctx context.Context, req *wire.AttemptRequest, onToken func(*wire.Token)) *wire.AttemptResult {
 	result := &wire.AttemptResult{Attempt: req.GetAttempt(), Request: req.GetRequest()}
 	hr, err := t.newPost(ctx, "/v1/stage/"+req.GetOperation(), newStageCall(req))
 	if err != nil {
-		result.Error = errorTargetUnreachable
+		result.Error = ErrorTargetUnreachable
 		return result
 	}
 	resp, err := t.http.Do(hr)
@@ -167,11 +200,8 @@
 	defer func() { _ = resp.Body.Close() }()
 	result.Ran = true
 	switch {
-	case resp.StatusCode >= http.StatusInternalServerError:
-		result.Error = errorTargetFailed + ": " + resp.Status
-	case resp.StatusCode >= http.StatusBadRequest:
-		result.Ran = false
-		result.Error = errorTargetRefused + ": " + resp.Status
+	case resp.StatusCode != http.StatusOK:
+		readRefusal(resp, result)
 	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
 		readEvents(ctx, resp.Body, req, result, onToken)
 	default:
@@ -201,7 +231,7 @@
 func failCall(ctx context.Context, result *wire.AttemptResult, err error) {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		result.Error = errorTargetUnreachable
+		result.Error = ErrorTargetUnreachable
 		return
 	}
 	result.Ran = true
@@ -212,11 +242,11 @@
 func breakReason(ctx context.Context) string {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return errorDeadline
+		return ErrorDeadline
 	case ctx.Err() != nil:
-		return errorCanceled
+		return ErrorCanceled
 	}
-	return errorTargetBroke
+	return ErrorTargetBroke
 }
 
 func readAnswer(ctx context.Context, body io.Reader, req *wire.AttemptRequest, result *wire.AttemptResult) {
@@ -233,11 +263,11 @@
 func acceptAnswer(b []byte, req *wire.AttemptRequest, result *wire.AttemptResult) {
 	var a stageAnswer
 	if err := json.Unmarshal(b, &a); err != nil {
-		result.Error = errorTargetFailed + ": answer isn't JSON"
+		result.Error = ErrorTargetFailed + ": answer isn't JSON"
 		return
 	}
 	if a.Attempt != req.GetAttempt() || a.Request != req.GetRequest() {
-		result.Error = errorTargetFailed + ": answer of another attempt"
+		result.Error = ErrorTargetFailed + ": answer of another attempt"
 		return
 	}
 	result.Output = []byte(a.Output)
@@ -263,7 +293,7 @@
 		case name == "data" && event == "token":
 			var token tokenEvent
 			if err := json.Unmarshal([]byte(value), &token); err != nil || token.Offset != next {
-				result.Error = errorTargetFailed + ": token out of order at offset " + strconv.Itoa(int(next))
+				result.Error = ErrorTargetFailed + ": token out of order at offset " + strconv.Itoa(int(next))
 				return
 			}
 			next++
@@ -271,6 +301,11 @@
 		case name == "data" && event == "done":
 			acceptAnswer([]byte(value), req, result)
 			return
+		case name == "data" && event == "error":
+			var refusal targetRefusal
+			_ = json.Unmarshal([]byte(value), &refusal)
+			result.Error = ErrorTargetFailed + ": " + refusal.Reason
+			return
 		}
 	}
 	result.Error = breakReason(ctx)
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -170,6 +170,9 @@
 // the whole attempt; canceling it closes the connection. Tokens are handed to
 // onToken in order of arrival; an error from onToken ends the attempt.
 func (c *Client) Do(ctx context.Context, address string, req *wire.AttemptRequest, onToken func(*wire.Token) error) End {
+	if address == "" {
+		return &NotSent{err: errors.Errorf("attempt %s: the agent's address isn't known", req.GetAttempt())}
+	}
 	body, err := proto.Marshal(req)
 	if err != nil {
 		return &NotSent{err: errors.Wrapf(err, "encode attempt %s", req.GetAttempt())}
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -13,6 +13,8 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"github.com/cardamomline/cardamomline/internal/settings"
 )
 
 // Exit codes of every command.
@@ -43,7 +45,13 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newLoad())
+	root.AddCommand(
+		newRole(settings.RoleEntry, "Run an entry: the caller API", "Run an entry. It has no disk; many run behind the platform's balancer."),
+		newRole(settings.RoleAgent, "Run the agent beside a target", "Run the agent beside a target. Entries reach the target only through it."),
+		newRole(settings.RoleControl, "Run a control VM", "Run a control VM, which holds part of the replicated state in its data folder."),
+		newDev(),
+		newStandin(),
+	)
 	return root
 }
 
--- /dev/null
+++ b/internal/commands/role.go
@@ -0,0 +1,61 @@
+package commands
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cardamomline/cardamomline/internal/process"
+	"github.com/cardamomline/cardamomline/internal/settings"
+)
+
+const defaultStopTimeout = 30 * time.Second
+
+// roleCommand runs one process of the role that its settings must name.
+type roleCommand struct {
+	role        settings.Role
+	settings    string
+	stopTimeout time.Duration
+}
+
+func newRole(role settings.Role, short, long string) *cobra.Command {
+	c := &roleCommand{role: role}
+	cmd := &cobra.Command{
+		Use:     string(role),
+		Short:   short,
+		Long:    long,
+		Example: "  cardamomline " + string(role) + " --settings examples/settings/" + string(role) + "-1.yaml",
+		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return c.run(cmd.Context()) },
+	}
+	cmd.Flags().StringVar(&c.settings, "settings", "", "settings file of this process (YAML)")
+	cmd.Flags().DurationVar(&c.stopTimeout, "stop-timeout", defaultStopTimeout, "longest time to wait for running requests after SIGTERM")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func (c *roleCommand) run(ctx context.Context) error {
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return err
+	}
+	if s.Role() != c.role {
+		return errors.Errorf("%s: role is %s, but the command is %s", c.settings, s.Role(), c.role)
+	}
+	k, err := process.New(s, process.Options{})
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	return process.Run(ctx, k, s.Name(), c.stopTimeout)
+}
+
+// untilSignal returns a context that ends at SIGTERM or an interrupt.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,300 @@
+// Package control is the role of a control VM.
+//
+// It puts the replicated log, the ledger behind it and the roster together and
+// serves them to the other processes by twirp. Commands and quorum-confirmed
+// reads are forwarded to the leader; heartbeats, roster polls and configuration
+// polls are answered by whichever control VM is asked.
+//
+// # Usage
+//
+//	c, err := control.New(control.Options{Timers: ts, Node: node, Ledger: led, Roster: ros, ...})
+//	mux.Handle("/", c.Handler())
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomline/cardamomline/internal/ledger"
+	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/roster"
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+const (
+	// confirmPeriod is how often a control VM asks the quorum for the current
+	// revision, and confirmBound how old the answer may be to be passed on.
+	confirmPeriod = 250 * time.Millisecond
+	confirmBound  = 2 * time.Second
+
+	peerPullPeriod = 500 * time.Millisecond
+	forwardTimeout = 900 * time.Millisecond
+	proposeTimeout = 900 * time.Millisecond
+	dialTimeout    = 300 * time.Millisecond
+	idlePerHost    = 128
+
+	// expirePeriod and retention bound the finished orders and waiting requests.
+	expirePeriod = 10 * time.Second
+	expireBatch  = 2000
+)
+
+// Options holds what a Control needs.
+type Options struct {
+	// Timers is the timer service; required.
+	Timers *timer.Service
+	// Node runs the replicated log; required.
+	Node *replica.Node
+	// Ledger is the state machine behind the log; required.
+	Ledger *ledger.Ledger
+	// Roster is the membership; required.
+	Roster *roster.Roster
+	// Metrics receives counters and histograms; required.
+	Metrics *metrics.Metrics
+	// Name is the name of this process, Address its own IP:port.
+	Name    string
+	Address string
+	// Peers are the addresses of all control VMs, this one included.
+	Peers []string
+	// Retention is how long final outcomes are kept; 7 days when zero.
+	Retention time.Duration
+}
+
+func (o *Options) check() error {
+	if o.Timers == nil || o.Node == nil || o.Ledger == nil || o.Roster == nil || o.Metrics == nil {
+		return errors.New("control: a required part is missing")
+	}
+	if o.Retention == 0 {
+		o.Retention = 7 * 24 * time.Hour
+	}
+	return nil
+}
+
+// confirmation is what a quorum last vouched for.
+type confirmation struct {
+	revision uint64
+	fence    uint64
+	drains   []string
+	at       time.Time
+}
+
+// Control serves the other processes of the system.
+type Control struct {
+	o         Options
+	http      *http.Client
+	confirmed atomic.Pointer[confirmation]
+	leaving   atomic.Bool
+
+	mu      sync.Mutex
+	changed chan struct{}
+	leaders map[string]wire.Control
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a Control, or an error that names what is missing.
+func New(o Options) (*Control, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	return &Control{
+		o: o,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idlePerHost,
+			DisableCompression:  true,
+		}},
+		changed: make(chan struct{}),
+		leaders: make(map[string]wire.Control),
+		done:    make(chan struct{}),
+	}, nil
+}
+
+// Handler returns the HTTP handler of the twirp services.
+func (c *Control) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(&service{c: c}))
+	mux.Handle(wire.ReplicaPathPrefix, wire.NewReplicaServer(&replicaService{node: c.o.Node}))
+	return mux
+}
+
+// Ready reports whether this control VM is in touch with a quorum, and why not.
+func (c *Control) Ready() (ok bool, why string) {
+	switch {
+	case c.leaving.Load():
+		return false, "leaving"
+	case c.fresh() == nil:
+		return false, "no quorum confirmed the current revision"
+	}
+	return true, ""
+}
+
+// Start implements kernel.Starter.
+func (c *Control) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	var wg sync.WaitGroup
+	wg.Go(func() { c.every(ctx, confirmPeriod, c.confirm) })
+	wg.Go(func() { c.every(ctx, expirePeriod, c.expire) })
+	for _, peer := range c.o.Peers {
+		if peer != c.o.Address {
+			wg.Go(func() { c.pullRoster(ctx, peer) })
+		}
+	}
+	go func() {
+		wg.Wait()
+		close(c.done)
+	}()
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (c *Control) Stop(context.Context) error {
+	c.leaving.Store(true)
+	c.cancel()
+	<-c.done
+	return nil
+}
+
+// Done implements kernel.Stopper.
+func (c *Control) Done() <-chan struct{} { return c.done }
+
+func (c *Control) every(ctx context.Context, period time.Duration, do func(context.Context)) {
+	ticker := c.o.Timers.Subscribe(period)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ticker.C():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// confirm asks the leader, under a quorum's confirmation, for what is current.
+func (c *Control) confirm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	asked := c.o.Timers.Now()
+	resp, err := c.query(ctx, &wire.QueryRequest{Kind: &wire.QueryRequest_Revision{Revision: &wire.RevisionQuery{}}})
+	if err != nil {
+		return
+	}
+	next := &confirmation{revision: resp.GetRevision(), fence: resp.GetFence(), at: asked, drains: resp.GetDrains()}
+	old := c.confirmed.Swap(next)
+	if old == nil || old.revision != next.revision || !slices.Equal(old.drains, next.drains) {
+		c.wakePolls()
+	}
+}
+
+// fresh returns the last confirmation, or nil when it is too old to pass on.
+func (c *Control) fresh() *confirmation {
+	last := c.confirmed.Load()
+	if last == nil || c.o.Timers.Since(last.at) > confirmBound {
+		return nil
+	}
+	return last
+}
+
+// wakePolls lets every waiting poll look again.
+func (c *Control) wakePolls() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *Control) waitChange() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// expire removes old final outcomes; only the leader proposes it.
+func (c *Control) expire(ctx context.Context) {
+	if c.o.Node.Status().Role != replica.Leader {
+		return
+	}
+	before := c.o.Timers.Now().Add(-c.o.Retention).UnixMilli()
+	cmd := &wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{BeforeMs: before, Max: expireBatch}}}
+	_, _ = c.propose(ctx, cmd)
+}
+
+// propose stamps a command with the leader's time and commits it.
+func (c *Control) propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	cmd.AtMs = c.o.Timers.Now().UnixMilli()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	began := c.o.Timers.Now()
+	answer, err := c.o.Node.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	c.o.Metrics.ObserveStage("commit_seconds", "commit", "command", c.o.Timers.Since(began))
+	result, ok := answer.(*wire.Result)
+	if !ok {
+		return nil, errors.Errorf("state machine answered a %T", answer)
+	}
+	c.noteResult(cmd, result)
+	return result, nil
+}
+
+// noteResult wakes polls as soon as this control VM, being the leader, has
+// applied a change that other processes wait for.
+func (c *Control) noteResult(cmd *wire.Command, result *wire.Result) {
+	switch cmd.GetKind().(type) {
+	case *wire.Command_ApplyManifest:
+		if result.GetRefusal() == "" && !result.GetRepeated() {
+			klog.InfoS("Configuration accepted", "revision", result.GetRevision(), "operator", cmd.GetApplyManifest().GetOperator())
+		}
+		c.wakePolls()
+	case *wire.Command_SetDrain:
+		klog.InfoS("Drain set", "target", cmd.GetSetDrain().GetTarget(), "draining", cmd.GetSetDrain().GetDraining())
+		c.wakePolls()
+	}
+}
+
+// pullRoster follows the roster of one peer.
+func (c *Control) pullRoster(ctx context.Context, peer string) {
+	client := wire.NewControlProtobufClient("http://"+peer, c.http)
+	var since uint64
+	var epoch string
+	c.every(ctx, peerPullPeriod, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		defer cancel()
+		resp, err := client.Roster(ctx, &wire.RosterRequest{Since: since, Epoch: epoch, Process: c.o.Name, Peer: true})
+		if err != nil {
+			return
+		}
+		c.o.Roster.Merge(resp)
+		since, epoch = resp.GetVersion(), resp.GetEpoch()
+	})
+}
+
+// leader returns a client for the leader's address.
+func (c *Control) leader(address string) wire.Control {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.leaders[address]
+	if !ok {
+		l = wire.NewControlProtobufClient("http://"+address, c.http)
+		c.leaders[address] = l
+	}
+	return l
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,256 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// maxPollWait bounds how long a poll is held.
+const maxPollWait = 30 * time.Second
+
+// service is the twirp service of a control VM.
+type service struct {
+	c *Control
+}
+
+// Execute implements wire.Control.
+func (s *service) Execute(ctx context.Context, r *wire.ExecuteRequest) (*wire.ExecuteResponse, error) {
+	if r.GetCommand().GetKind() == nil {
+		return nil, twirp.RequiredArgumentError("command")
+	}
+	result, err := s.c.propose(ctx, r.GetCommand())
+	if err == nil {
+		return &wire.ExecuteResponse{Result: result, Revision: s.c.o.Ledger.Revision()}, nil
+	}
+	leader, ok := forwardTo(err, r.GetForwarded())
+	if !ok {
+		return nil, unavailable(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return s.c.leader(leader).Execute(ctx, &wire.ExecuteRequest{Command: r.GetCommand(), Sender: r.GetSender(), Revision: r.GetRevision(), Forwarded: true})
+}
+
+// Query implements wire.Control.
+func (s *service) Query(ctx context.Context, r *wire.QueryRequest) (*wire.QueryResponse, error) {
+	resp, err := s.c.query(ctx, r)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return resp, nil
+}
+
+// query answers a read after a quorum has confirmed this leader, or forwards it.
+func (c *Control) query(ctx context.Context, r *wire.QueryRequest) (*wire.QueryResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	err := c.o.Node.Barrier(ctx)
+	if err == nil {
+		return c.read(r), nil
+	}
+	leader, ok := forwardTo(err, r.GetForwarded())
+	if !ok {
+		return nil, err
+	}
+	return c.leader(leader).Query(ctx, &wire.QueryRequest{Kind: r.GetKind(), Forwarded: true})
+}
+
+// forwardTo returns the leader's address when the error names one. A call is
+// forwarded only once, so that two VMs with old views can't pass it back and forth.
+func forwardTo(err error, forwarded bool) (address string, ok bool) {
+	var notLeader *replica.NotLeaderError
+	if forwarded || !errors.As(err, &notLeader) || notLeader.Leader() == "" {
+		return "", false
+	}
+	return notLeader.Leader(), true
+}
+
+func unavailable(err error) error {
+	return twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()), err)
+}
+
+func (c *Control) read(r *wire.QueryRequest) *wire.QueryResponse {
+	l := c.o.Ledger
+	resp := &wire.QueryResponse{Revision: l.Revision()}
+	switch k := r.GetKind().(type) {
+	case *wire.QueryRequest_Order:
+		resp.Order, resp.Found = l.Order(k.Order.GetCustomer(), k.Order.GetOrderId())
+	case *wire.QueryRequest_Waiting:
+		w, ok := l.Waiting(k.Waiting.GetId())
+		// A foreign customer gets the same answer as for a request that doesn't exist.
+		if ok && (k.Waiting.GetOperator() || w.GetCustomer() == k.Waiting.GetCustomer()) {
+			resp.Waiting, resp.Found = w, true
+		}
+	case *wire.QueryRequest_Manifest:
+		resp.Manifest, resp.Found = l.Manifest(k.Manifest.GetRevision())
+	case *wire.QueryRequest_History:
+		resp.History = l.History(int(k.History.GetMax()))
+	case *wire.QueryRequest_Drains:
+		resp.Drains = l.Drains()
+	case *wire.QueryRequest_Unsettled:
+		resp.Orders = l.Unsettled(int(k.Unsettled.GetMax()))
+	case *wire.QueryRequest_Revision:
+		resp.Drains = l.Drains()
+		resp.Fence = l.Fence(PlacementScope)
+	}
+	return resp
+}
+
+// PlacementScope is the scope of the fencing token for engine orders.
+const PlacementScope = "placement"
+
+// Heartbeat implements wire.Control.
+func (s *service) Heartbeat(_ context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	if r.GetProcess().GetName() == "" || r.GetProcess().GetIncarnation() == "" {
+		return nil, twirp.RequiredArgumentError("process")
+	}
+	want := s.c.o.Roster.Announce(r)
+	resp := &wire.HeartbeatResponse{WantTarget: want, Revision: s.c.o.Ledger.Revision()}
+	if last := s.c.fresh(); last != nil {
+		resp.Confirmed = true
+		resp.Revision = last.revision
+		resp.Fence = last.fence
+	}
+	resp.Draining = s.c.isDrained(r.GetTargetName())
+	return resp, nil
+}
+
+// isDrained reports whether a target is drained. Without a quorum the last known
+// drains stay in force.
+func (c *Control) isDrained(target string) bool {
+	last := c.confirmed.Load()
+	return last != nil && slices.Contains(last.drains, target)
+}
+
+func (c *Control) drains() []string {
+	last := c.confirmed.Load()
+	if last == nil {
+		return nil
+	}
+	return last.drains
+}
+
+// Roster implements wire.Control.
+func (s *service) Roster(ctx context.Context, r *wire.RosterRequest) (*wire.RosterResponse, error) {
+	wait := s.c.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPollWait))
+	for {
+		changed, updated := s.c.o.Roster.Changed(), s.c.waitChange()
+		resp := s.c.o.Roster.Since(r.GetSince(), r.GetEpoch())
+		resp.Drains = s.c.drains()
+		last := s.c.fresh()
+		resp.Confirmed = last != nil
+		if last != nil {
+			resp.Revision = last.revision
+		}
+		if len(resp.GetChanges()) > 0 || resp.GetFull() || r.GetWaitMs() == 0 {
+			return resp, nil
+		}
+		select {
+		case <-changed:
+		case <-updated:
+			resp.Drains = s.c.drains()
+			return resp, nil
+		case <-wait:
+			return resp, nil
+		case <-ctx.Done():
+			return nil, twirp.WrapError(twirp.NewError(twirp.Canceled, "poll ended"), ctx.Err())
+		}
+	}
+}
+
+// Config implements wire.Control. Only a revision that this control VM has
+// applied and a quorum has confirmed counts as current.
+func (s *service) Config(ctx context.Context, r *wire.ConfigRequest) (*wire.ConfigResponse, error) {
+	wait := s.c.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPollWait))
+	for {
+		changed := s.c.waitChange()
+		resp := s.c.config(r.GetKnownRevision())
+		if resp.GetManifest() != nil || r.GetWaitMs() == 0 || !resp.GetConfirmed() {
+			return resp, nil
+		}
+		select {
+		case <-changed:
+		case <-wait:
+			return s.c.config(r.GetKnownRevision()), nil
+		case <-ctx.Done():
+			return nil, twirp.WrapError(twirp.NewError(twirp.Canceled, "poll ended"), ctx.Err())
+		}
+	}
+}
+
+func (c *Control) config(known uint64) *wire.ConfigResponse {
+	last := c.fresh()
+	newest, ok := c.o.Ledger.Manifest(0)
+	resp := &wire.ConfigResponse{Confirmed: last != nil}
+	if last == nil {
+		return resp
+	}
+	if !ok || newest.GetRevision() < last.revision {
+		// This control VM has not yet applied what the quorum has confirmed.
+		resp.Confirmed = last.revision == 0
+		return resp
+	}
+	resp.Revision = newest.GetRevision()
+	if newest.GetRevision() > known {
+		resp.Manifest = newest
+	}
+	return resp
+}
+
+// Status implements wire.Control.
+func (s *service) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	return s.c.status(), nil
+}
+
+func (c *Control) status() *wire.StatusResponse {
+	st := c.o.Node.Status()
+	ok, why := c.Ready()
+	if ok {
+		why = "ready"
+	}
+	counts := c.o.Ledger.Counts()
+	resp := &wire.StatusResponse{
+		ClusterId:     st.Cluster,
+		MemberId:      st.Member,
+		LeaderId:      st.LeaderID,
+		LeaderAddress: st.LeaderAddress,
+		Term:          st.Term,
+		Commit:        st.Commit,
+		Applied:       st.Applied,
+		Losable:       int32(st.Losable),
+		Roster:        c.o.Roster.Processes(),
+		Revision:      c.o.Ledger.Revision(),
+		Confirmed:     c.fresh() != nil,
+		Drains:        c.o.Ledger.Drains(),
+		Orders:        uint64(counts.Orders()),
+		Waiting:       uint64(counts.Unfinished()),
+		State:         why,
+	}
+	for _, m := range st.Members {
+		resp.Members = append(resp.Members, &wire.MemberStatus{Member: m.Member, Match: m.Match, Active: m.Active})
+	}
+	return resp
+}
+
+// replicaService is the twirp service of the replicated log.
+type replicaService struct {
+	node *replica.Node
+}
+
+// Hello implements wire.Replica.
+func (s *replicaService) Hello(_ context.Context, r *wire.HelloRequest) (*wire.HelloResponse, error) {
+	return s.node.Hello(r), nil
+}
+
+// Deliver implements wire.Replica.
+func (s *replicaService) Deliver(_ context.Context, e *wire.Envelope) (*wire.DeliverResponse, error) {
+	s.node.Deliver(e)
+	return &wire.DeliverResponse{}, nil
+}
--- /dev/null
+++ b/internal/entry/membership.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cardamomline/cardamomline/internal/admission"
+	"github.com/cardamomline/cardamomline/internal/budget"
+	"github.com/cardamomline/cardamomline/internal/configwatch"
+	"github.com/cardamomline/cardamomline/internal/routing"
+	"github.com/cardamomline/cardamomline/internal/wire"
+	"github.com/cardamomline/cardamomline/pkg/manifest"
+)
+
+const (
+	rosterWait      = 10 * time.Second
+	rosterPause     = 150 * time.Millisecond
+	rosterJitter    = 150 * time.Millisecond
+	heartbeatPeriod = time.Second
+	tickPeriod      = 50 * time.Millisecond
+
+	// subsetSize is the number of targets of a service that one entry works on.
+	// Below it, every entry knows all targets.
+	subsetSize = 48
+)
+
+// serviceState is what this entry knows and decides about one service.
+type serviceState struct {
+	name  string
+	pool  *routing.Pool
+	queue *admission.Queue
+}
+
+// service returns the state of a service and makes it on first use.
+func (e *Entry) service(s *manifest.Service, policy manifest.Policy) *serviceState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if state, ok := e.services[s.Name()]; ok {
+		return state
+	}
+	o := routing.Options{Service: s.Name(), FailureDomain: e.o.FailureDomain, Seed: e.o.Seed, Policy: routing.Adaptive{}}
+	ao := admission.Options{Service: s.Name(), Policy: admission.Adaptive{}}
+	if policy == manifest.PolicyBaseline {
+		o.Policy = routing.Baseline{}
+		ao.Policy = admission.Baseline{}
+	}
+	state := &serviceState{name: s.Name(), pool: routing.NewPool(o), queue: admission.NewQueue(ao)}
+	e.services[s.Name()] = state
+	e.syncService(state)
+	return state
+}
+
+// Reconfigure follows a newer configuration. A change of policy drops what the
+// decisions of the old one had learnt.
+func (e *Entry) Reconfigure(cfg *configwatch.Config) {
+	e.Wake()
+	policy := cfg.Manifest().Policy()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if policy == e.policy {
+		return
+	}
+	e.policy = policy
+	e.services = make(map[string]*serviceState)
+	o := budget.RetryOptions{Policy: budget.Adaptive{}}
+	if policy == manifest.PolicyBaseline {
+		o.Policy = budget.Baseline{}
+	}
+	e.retries.Store(budget.NewRetries(o))
+}
+
+func (e *Entry) states() []*serviceState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]*serviceState, 0, len(e.services))
+	for _, s := range e.services {
+		all = append(all, s)
+	}
+	return all
+}
+
+// followRoster long-polls the control VMs for changes of the membership.
+func (e *Entry) followRoster(ctx context.Context) {
+	var since uint64
+	var epoch string
+	for ctx.Err() == nil {
+		resp, err := e.o.Control.Roster(ctx, &wire.RosterRequest{
+			Since: since, Epoch: epoch, WaitMs: rosterWait.Milliseconds(), Process: e.o.Name, Revision: e.o.Config.Revision(),
+		})
+		if err != nil {
+			_ = e.o.Timers.Sleep(ctx, rosterPause+rand.N(rosterJitter))
+			continue
+		}
+		since, epoch = resp.GetVersion(), resp.GetEpoch()
+		e.roster.Merge(resp)
+		drains := resp.GetDrains()
+		e.drains.Store(&drains)
+		e.o.Config.Confirm(resp.GetRevision(), resp.GetConfirmed())
+		e.syncPools()
+	}
+}
+
+func (e *Entry) syncPools() {
+	for _, s := range e.states() {
+		e.syncService(s)
+	}
+}
+
+// syncService hands the targets of a service that belong to this entry's subset
+// to its pool, and their slots to its queue.
+func (e *Entry) syncService(s *serviceState) {
+	infos := e.roster.Targets(s.name)
+	keep := e.subset(infos)
+	targets := make([]routing.Target, 0, len(infos))
+	slots := 0
+	for _, t := range infos {
+		if keep != nil {
+			if _, ok := keep[t.GetName()]; !ok {
+				continue
+			}
+		}
+		target := newTarget(t)
+		target.Leaving = target.Leaving || e.isDrained(t.GetName())
+		targets = append(targets, target)
+		if !target.Leaving && !target.Silent {
+			slots += target.Slots
+		}
+	}
+	s.pool.Sync(targets, e.o.Timers.Now())
+	s.queue.SetSlots(slots)
+}
+
+func (e *Entry) isDrained(target string) bool {
+	drains := e.drains.Load()
+	return drains != nil && slices.Contains(*drains, target)
+}
+
+// subset returns the names of the targets that this entry works on, or nil for all.
+func (e *Entry) subset(infos []*wire.TargetInfo) map[string]struct{} {
+	if len(infos) <= subsetSize {
+		return nil
+	}
+	names := make([]string, 0, len(infos))
+	for _, t := range infos {
+		names = append(names, t.GetName())
+	}
+	keep := make(map[string]struct{}, subsetSize)
+	for _, name := range routing.Subset(e.o.Name, e.entries(), names, subsetSize) {
+		keep[name] = struct{}{}
+	}
+	return keep
+}
+
+// entries returns the names of all entries in the roster, this one included.
+func (e *Entry) entries() []string {
+	names := []string{e.o.Name}
+	for _, p := range e.roster.Processes() {
+		if p.GetProcess().GetRole() == "entry" && p.GetProcess().GetName() != e.o.Name {
+			names = append(names, p.GetProcess().GetName())
+		}
+	}
+	return names
+}
+
+func newTarget(t *wire.TargetInfo) routing.Target {
+	return routing.Target{
+		Name:          t.GetName(),
+		Address:       t.GetAgentAddress(),
+		Incarnation:   t.GetIncarnation(),
+		FailureDomain: t.GetFailureDomain(),
+		Models:        t.GetModels(),
+		Slots:         int(t.GetSlots()),
+		Leaving:       t.GetLeaving(),
+		Silent:        t.GetSilent(),
+		NotReady:      !t.GetReady(),
+	}
+}
+
+// announce sends this entry's heartbeats.
+func (e *Entry) announce(ctx context.Context) {
+	ticker := e.o.Timers.Subscribe(heartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		ready, _ := e.Ready()
+		resp, err := e.o.Control.Heartbeat(ctx, &wire.HeartbeatRequest{Process: &wire.ProcessInfo{
+			Name: e.o.Name, Role: "entry", Incarnation: e.incarnation, Address: e.o.Address,
+			FailureDomain: e.o.FailureDomain, Region: e.o.Region,
+			Revision: e.o.Config.Revision(), Leaving: e.leaving.Load(), Ready: ready,
+		}})
+		if err == nil {
+			e.o.Config.Confirm(resp.GetRevision(), resp.GetConfirmed())
+		} else {
+			e.o.Metrics.Count("entry_heartbeat_failures", 1)
+		}
+		select {
+		case <-ticker.C():
+		case <-e.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick lets pools and queues follow the time.
+func (e *Entry) tick(ctx context.Context) {
+	ticker := e.o.Timers.Subscribe(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C():
+		case <-ctx.Done():
+			return
+		}
+		now := e.o.Timers.Now()
+		for _, s := range e.states() {
+			s.pool.Tick(now)
+			deliver(s.queue.Expire(now))
+		}
+	}
+}
+
+// deliver hands decisions on waiting calls to the calls that wait for them.
+func deliver(decisions []admission.Decision) {
+	for _, d := range decisions {
+		d.For().Owner().(chan admission.Decision) <- d
+	}
+}
--- /dev/null
+++ b/internal/entry/pipeline.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cardamomline/cardamomline/internal/budget"
+	"github.com/cardamomline/cardamomline/internal/wire"
+	"github.com/cardamomline/cardamomline/pkg/manifest"
+)
+
+// pipelineRun is one run of a pipeline's stages.
+type pipelineRun struct {
+	e         *Entry
+	pipeline  *manifest.Pipeline
+	manifest  *manifest.Manifest
+	request   string
+	customer  *manifest.Customer
+	class     *manifest.Class
+	prefix    string
+	input     string
+	maxTokens int
+	deadline  time.Time
+	onToken   func(*wire.Token) error
+	story     *story
+	// outputs holds the results of finished stages by name; it may be filled in
+	// advance with results that an earlier run recorded.
+	outputs map[string][]byte
+	// onStage is called after each finished stage.
+	onStage func(ctx context.Context, stage string, output []byte) error
+	replies []stageReply
+	plan    *budget.Plan
+	// ran tells that a stage may have run.
+	ran bool
+}
+
+type stageReply struct {
+	stage string
+	reply *reply
+}
+
+// run runs the stages in the order of the manifest, which has every stage behind
+// the ones that it needs, and returns the output of the last one.
+func (p *pipelineRun) run(ctx context.Context) ([]byte, error) {
+	stages := p.pipeline.Stages()
+	if err := p.prepare(stages); err != nil {
+		return nil, err
+	}
+	for i, stage := range stages {
+		if _, ok := p.outputs[stage.Name()]; ok {
+			continue
+		}
+		r, err := p.e.run(ctx, p.newCall(stages, i))
+		if err != nil {
+			var failed *callError
+			if errors.As(err, &failed) {
+				p.ran = p.ran || failed.mayHaveRun
+			}
+			return nil, err
+		}
+		p.ran = true
+		p.story.finished(stage.Name(), r)
+		p.outputs[stage.Name()] = r.output
+		p.replies = append(p.replies, stageReply{stage: stage.Name(), reply: r})
+		if p.onStage != nil {
+			if err := p.onStage(ctx, stage.Name(), r.output); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return p.outputs[stages[len(stages)-1].Name()], nil
+}
+
+// prepare makes the plan of the pipeline and refuses early what can't finish in
+// time, so that no stage runs for an answer that nobody can use.
+func (p *pipelineRun) prepare(stages []*manifest.Stage) error {
+	plan, err := newPlan(p.pipeline)
+	if err != nil {
+		return err
+	}
+	p.plan = plan
+	if p.manifest.Policy() == manifest.PolicyBaseline {
+		return nil
+	}
+	now := p.e.o.Timers.Now()
+	var done []string
+	for _, stage := range stages {
+		if _, ok := p.outputs[stage.Name()]; ok {
+			done = append(done, stage.Name())
+		}
+	}
+	v := plan.CanFinish(p.e.estimator, done, p.deadline.Sub(now), 0, now)
+	if v.Fits {
+		return nil
+	}
+	return &callError{reason: string(v.Reason), detail: fmt.Sprintf("the stages need %v and %v is left", v.Needed.Round(time.Millisecond), v.Left.Round(time.Millisecond))}
+}
+
+func newPlan(pl *manifest.Pipeline) (*budget.Plan, error) {
+	stages := make([]budget.Stage, 0, len(pl.Stages()))
+	for _, s := range pl.Stages() {
+		stages = append(stages, budget.Stage{Name: s.Name(), Needs: s.Needs(), Expected: s.Expected()})
+	}
+	return budget.NewPlan(pl.Name(), stages)
+}
+
+func (p *pipelineRun) newCall(stages []*manifest.Stage, i int) *call {
+	stage := stages[i]
+	service, _ := p.manifest.Service(stage.Service())
+	now := p.e.o.Timers.Now()
+	allot := p.plan.Allot(p.e.estimator, stage.Name(), p.deadline.Sub(now), now)
+	operation, _ := service.Operation(stage.Operation())
+	c := &call{
+		request: p.request, customer: p.customer, class: p.class, service: service, operation: operation,
+		stage: stage.Name(), model: stage.Model(), input: p.stageInput(stage), deadline: p.deadline,
+		key: p.plan.Key(stage.Name()), expected: allot.Expected, needs: allot.Needs, limit: allot.Limit, started: p.ran,
+		policy: p.manifest.Policy(), story: p.story,
+	}
+	if service.Kind() == manifest.KindEngine {
+		c.prefix, c.maxTokens = p.prefix, p.maxTokens
+	}
+	if i == len(stages)-1 {
+		c.onToken = p.onToken
+	}
+	return c
+}
+
+// stageInput is the request's input for a stage without needs, and otherwise the
+// outputs of the needed stages.
+func (p *pipelineRun) stageInput(stage *manifest.Stage) []byte {
+	if len(stage.Needs()) == 0 {
+		return []byte(p.input)
+	}
+	parts := make([]string, 0, len(stage.Needs()))
+	for _, name := range stage.Needs() {
+		parts = append(parts, string(p.outputs[name]))
+	}
+	return []byte(strings.Join(parts, "\n"))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -163,6 +163,8 @@
 		return s.waiting.lease(at, c.LeaseWaiting)
 	case *wire.Command_RecordStage:
 		return s.waiting.recordStage(at, c.RecordStage)
+	case *wire.Command_RenewWaiting:
+		return s.waiting.renewLease(at, c.RenewWaiting)
 	case *wire.Command_CompleteWaiting:
 		return s.waiting.complete(at, c.CompleteWaiting)
 	case *wire.Command_SetDrain:
@@ -238,6 +240,13 @@
 	return l.s.drainNames()
 }
 
+// Fence returns the newest fencing token of a scope, 0 when none was granted.
+func (l *Ledger) Fence(scope string) uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.s.fences[scope].GetFence()
+}
+
 // Unsettled returns at most limit orders that need an operator, oldest first:
 // those with an unknown outcome and those still claimed after their deadline.
 func (l *Ledger) Unsettled(limit int) []*wire.OrderRecord {
--- a/internal/ledger/waiting.go
+++ b/internal/ledger/waiting.go
@@ -276,6 +276,19 @@
 	return answer
 }
 
+// renewLease extends the lease of an epoch that's still the newest.
+func (w *waiting) renewLease(at step, c *wire.RenewWaiting) *wire.Result {
+	slot, r, refusal := w.held(c.GetId(), c.GetEpoch())
+	if refusal != nil {
+		return refusal
+	}
+	if isFinished(r) {
+		return refuseFinished(r)
+	}
+	w.renew(at, slot, r, max(c.GetLeaseMs(), 0))
+	return &wire.Result{}
+}
+
 func (w *waiting) complete(at step, c *wire.CompleteWaiting) *wire.Result {
 	if c.GetState() != wire.WaitingState_WAITING_STATE_DONE && c.GetState() != wire.WaitingState_WAITING_STATE_FAILED {
 		return invalid("outcome (done or failed)")
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -98,9 +98,10 @@
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close()
+		err = errors.Wrapf(err, "shut down server on %s", s.Address())
 	}
 	<-s.done
-	return errors.Wrapf(err, "shut down server on %s", s.Address())
+	return err
 }
 
 // Done implements kernel.Stopper.
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,207 @@
+// Package process puts the parts of each role together in a kernel.
+//
+// # Usage
+//
+//	p, err := process.New(settings, process.Options{})
+//	if err != nil {
+//		return err
+//	}
+//	return process.Run(ctx, p, stopTimeout)
+package process
+
+import (
+	"context"
+	"hash/maphash"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomline/cardamomline/internal/agent"
+	"github.com/cardamomline/cardamomline/internal/attempt"
+	"github.com/cardamomline/cardamomline/internal/configwatch"
+	"github.com/cardamomline/cardamomline/internal/control"
+	"github.com/cardamomline/cardamomline/internal/controlclient"
+	"github.com/cardamomline/cardamomline/internal/entry"
+	"github.com/cardamomline/cardamomline/internal/journal"
+	"github.com/cardamomline/cardamomline/internal/kernel"
+	"github.com/cardamomline/cardamomline/internal/ledger"
+	"github.com/cardamomline/cardamomline/internal/listener"
+	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/roster"
+	"github.com/cardamomline/cardamomline/internal/settings"
+	"github.com/cardamomline/cardamomline/internal/timer"
+)
+
+// Names under which the parts of a process find each other.
+const (
+	TimerPart   = "timer"
+	MetricsPart = "metrics"
+	AdminPart   = "admin"
+	ServerPart  = "server"
+	ConfigPart  = "config"
+	EntryPart   = "entry"
+	AgentPart   = "agent"
+	ControlPart = "control"
+	NodePart    = "node"
+	RosterPart  = "roster"
+	LinkPart    = "transport"
+)
+
+// Options changes how a process is put together.
+type Options struct {
+	// Listener replaces listening on the address of the settings, so that a
+	// process can run on a free port that its peers know already.
+	Listener net.Listener
+	// NoAdmin leaves out the admin server.
+	NoAdmin bool
+}
+
+// builder collects what the parts of one process share.
+type builder struct {
+	s *settings.Settings
+	o Options
+	k *kernel.Kernel
+	t *timer.Service
+	m *metrics.Metrics
+}
+
+// New returns the kernel of the process that the settings describe.
+func New(s *settings.Settings, o Options) (*kernel.Kernel, error) {
+	b := &builder{s: s, o: o, k: kernel.New(), t: timer.NewService(), m: metrics.New(string(s.Role()))}
+	b.k.Register(TimerPart, b.t)
+	b.k.Register(MetricsPart, b.m)
+	var err error
+	switch s.Role() {
+	case settings.RoleEntry:
+		err = b.entry()
+	case settings.RoleAgent:
+		err = b.agent()
+	case settings.RoleControl:
+		err = b.control()
+	default:
+		err = errors.Errorf("settings of %s: no process has the role %q", s.Name(), s.Role())
+	}
+	if err != nil {
+		return nil, err
+	}
+	return b.k, nil
+}
+
+// Run starts the process, waits for ctx and stops the parts in reverse order.
+// A part that has not ended after stopTimeout is given up.
+func Run(ctx context.Context, k *kernel.Kernel, name string, stopTimeout time.Duration) error {
+	if err := k.Start(ctx); err != nil {
+		return err
+	}
+	klog.InfoS("Process started", "name", name)
+	<-ctx.Done()
+	klog.InfoS("Process stopping", "name", name)
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	err := k.Stop(stopCtx)
+	klog.InfoS("Process stopped", "name", name)
+	return err
+}
+
+func (b *builder) client() (*controlclient.Client, error) {
+	return controlclient.New(controlclient.Options{Timers: b.t, Addresses: b.s.Control(), Process: b.s.Name()})
+}
+
+// admin and server are registered before the part that they serve: they stop
+// after it, so that callers are told why while it ends its work.
+func (b *builder) admin(ready listener.ReadyFunc) {
+	if b.s.Admin() == "" || b.o.NoAdmin {
+		return
+	}
+	b.k.Register(AdminPart, listener.New(listener.Options{Address: b.s.Admin(), Handler: listener.Admin(b.m, ready)}))
+}
+
+func (b *builder) entry() error {
+	client, err := b.client()
+	if err != nil {
+		return err
+	}
+	var e *entry.Entry
+	watcher := configwatch.New(configwatch.Options{
+		Timers: b.t, Source: client, Process: b.s.Name(),
+		OnChange: func(cfg *configwatch.Config) { e.Reconfigure(cfg) },
+	})
+	e, err = entry.New(entry.Options{
+		Timers: b.t, Control: client, Config: watcher, Metrics: b.m, Name: b.s.Name(), Region: b.s.Region(),
+		FailureDomain: b.s.FailureDomain(), Address: b.s.Listen(), Seed: seed(b.s.Name()),
+	})
+	if err != nil {
+		return err
+	}
+	b.admin(e.Ready)
+	b.k.Register(ServerPart, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: e.Handler()}))
+	b.k.Register(ConfigPart, watcher)
+	b.k.Register(EntryPart, e)
+	return nil
+}
+
+func (b *builder) agent() error {
+	client, err := b.client()
+	if err != nil {
+		return err
+	}
+	var a *agent.Agent
+	watcher := configwatch.New(configwatch.Options{
+		Timers: b.t, Source: client, Process: b.s.Name(),
+		OnChange: func(*configwatch.Config) { a.Wake() },
+	})
+	target := b.s.Target()
+	a, err = agent.New(agent.Options{
+		Timers: b.t, Control: client, Config: watcher, Metrics: b.m, Name: b.s.Name(), TargetName: target.Name(),
+		Service: target.Service(), TargetURL: target.URL(), Address: b.s.Listen(),
+		Region: b.s.Region(), FailureDomain: b.s.FailureDomain(),
+	})
+	if err != nil {
+		return err
+	}
+	b.admin(a.Ready)
+	b.k.Register(ServerPart, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: a.Handler()}))
+	b.k.Register(ConfigPart, watcher)
+	b.k.Register(AgentPart, a)
+	return nil
+}
+
+func (b *builder) control() error {
+	j, err := journal.Open(journal.Options{Folder: filepath.Join(b.s.DataFolder(), "journal")})
+	if err != nil {
+		return errors.Wrapf(err, "data folder %s", b.s.DataFolder())
+	}
+	led := ledger.New(ledger.Options{})
+	link := control.NewTransport()
+	node, err := replica.NewNode(replica.NodeOptions{
+		Timer: b.t, Journal: j, Transport: link, Greeter: link, StateMachine: led, Address: b.s.Listen(),
+		Peers: b.s.Peers(), FailureDomain: b.s.FailureDomain(), Seed: seed(b.s.Name()),
+	})
+	if err != nil {
+		return err
+	}
+	ros := roster.New(roster.Options{Timer: b.t, Epoch: attempt.NewID()})
+	c, err := control.New(control.Options{
+		Timers: b.t, Node: node, Ledger: led, Roster: ros, Metrics: b.m, Name: b.s.Name(), Address: b.s.Listen(), Peers: b.s.Peers(),
+	})
+	if err != nil {
+		return err
+	}
+	b.admin(c.Ready)
+	b.k.Register(LinkPart, link)
+	b.k.Register(NodePart, node)
+	b.k.Register(RosterPart, ros)
+	b.k.Register(ServerPart, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: c.Handler()}))
+	b.k.Register(ControlPart, c)
+	return nil
+}
+
+// seed differs between processes and between starts, so that processes don't
+// choose in step after a common restart.
+func seed(name string) uint64 {
+	return maphash.String(maphash.MakeSeed(), name)
+}
--- /dev/null
+++ b/internal/process/rollout.go
@@ -0,0 +1,100 @@
+package process
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cardamomline/cardamomline/internal/controlclient"
+	"github.com/cardamomline/cardamomline/internal/timer"
+)
+
+const (
+	rolloutPeriod = 50 * time.Millisecond
+	// rolloutBound is the promise: in force everywhere within 4 s.
+	rolloutBound = 4 * time.Second
+)
+
+// Report tells where a revision is in force.
+type Report struct {
+	revision uint64
+	took     time.Duration
+	inForce  []string
+	behind   []string
+}
+
+// Revision returns the revision that the report is about.
+func (r *Report) Revision() uint64 { return r.revision }
+
+// Took returns the time until the last process had the revision, or the time waited.
+func (r *Report) Took() time.Duration { return r.took }
+
+// InForce returns the processes that have the revision or a newer one.
+func (r *Report) InForce() []string { return r.inForce }
+
+// Behind returns the live processes that did not confirm the revision.
+func (r *Report) Behind() []string { return r.behind }
+
+// Rollout watches a revision come into force.
+type Rollout struct {
+	control *controlclient.Client
+	timers  *timer.Service
+}
+
+// NewRollout returns a Rollout.
+func NewRollout(c *controlclient.Client, ts *timer.Service) *Rollout {
+	return &Rollout{control: c, timers: ts}
+}
+
+// Wait returns when the revision is in force at every live process, or after the
+// promised bound with the names of those that did not confirm it.
+func (r *Rollout) Wait(ctx context.Context, revision uint64) (*Report, error) {
+	began := r.timers.Now()
+	for {
+		report := r.look(ctx, revision)
+		report.took = r.timers.Since(began)
+		if len(report.behind) == 0 && len(report.inForce) > 0 || report.took >= rolloutBound {
+			return report, nil
+		}
+		if err := r.timers.Sleep(ctx, rolloutPeriod); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// look merges the views of all control VMs; each process counts with the newest
+// revision that any of them has heard from it. A control VM counts as a process.
+func (r *Rollout) look(ctx context.Context, revision uint64) *Report {
+	newest := make(map[string]uint64)
+	silent := make(map[string]bool)
+	for i, s := range r.control.StatusAll(ctx) {
+		name := "control VM " + r.control.Addresses()[i]
+		if s == nil {
+			newest[name] = 0
+			continue
+		}
+		newest[name] = s.GetRevision()
+		for _, p := range s.GetRoster() {
+			n := p.GetProcess().GetName()
+			newest[n] = max(newest[n], p.GetProcess().GetRevision())
+			if time.Duration(p.GetSilentMs())*time.Millisecond >= silenceBound {
+				silent[n] = true
+			}
+		}
+	}
+	report := &Report{revision: revision}
+	for name, have := range newest {
+		switch {
+		case have >= revision:
+			report.inForce = append(report.inForce, name)
+		case !silent[name]:
+			report.behind = append(report.behind, name)
+		}
+	}
+	slices.Sort(report.inForce)
+	slices.Sort(report.behind)
+	return report
+}
+
+// silenceBound is the time without a heartbeat after which a process isn't live.
+const silenceBound = 3 * time.Second
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -13,35 +14,36 @@
 }
 
 // renewLoad takes a new load report every period, so that reports lag behind.
-func (l *lifetime) renewLoad() {
-	ticker := l.standin.timer.Subscribe(l.standin.options.LoadLag)
+func (s *Standin) renewLoad(ctx context.Context) {
+	ticker := s.timer.Subscribe(s.options.LoadLag)
 	defer ticker.Stop()
+	s.takeLoad()
 	for {
 		select {
 		case <-ticker.C():
-			l.takeLoad()
-		case <-l.ctx.Done():
+			s.takeLoad()
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (l *lifetime) takeLoad() {
-	if l.standin.faults.frozen() {
+func (s *Standin) takeLoad() {
+	if s.faults.get().Freeze {
 		return
 	}
-	now := l.worker.load()
-	now.Slots = l.standin.options.Slots
-	l.reports.mu.Lock()
-	defer l.reports.mu.Unlock()
-	l.reports.last, l.reports.at = now, l.standin.timer.Now()
+	l := s.worker.load()
+	l.Slots = s.options.Slots
+	s.reports.mu.Lock()
+	defer s.reports.mu.Unlock()
+	s.reports.last, s.reports.at = l, s.timer.Now()
 }
 
-// report returns the latest load report with its age.
-func (l *lifetime) report() Load {
-	l.reports.mu.Lock()
-	defer l.reports.mu.Unlock()
-	last := l.reports.last
-	last.AgeMS = l.standin.timer.Since(l.reports.at).Milliseconds()
-	return last
+// Load returns the latest load report with its age.
+func (s *Standin) Load() Load {
+	s.reports.mu.Lock()
+	defer s.reports.mu.Unlock()
+	l := s.reports.last
+	l.AgeMS = s.timer.Since(s.reports.at).Milliseconds()
+	return l
 }
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -17,11 +17,11 @@
 type pool struct {
 	operations map[string]Operation
 	queue      *slotQueue
-	life       *lifetime
+	standin    *Standin
 }
 
-func newPool(l *lifetime, o Options) *pool {
-	p := &pool{operations: make(map[string]Operation), queue: newSlotQueue(o.Slots, o.Queue), life: l}
+func newPool(s *Standin, o Options) *pool {
+	p := &pool{operations: make(map[string]Operation), queue: newSlotQueue(o.Slots, o.Queue), standin: s}
 	for _, op := range o.Operations {
 		p.operations[op.Name] = op
 	}
@@ -40,17 +40,16 @@
 		if !a.pin() {
 			return StageResult{}, work{}, context.Canceled
 		}
-		ctx = p.life.ctx
+		ctx = p.standin.lifetime()
 	}
-	s := p.life.standin
-	start := s.timer.Now()
-	err := p.life.spend(ctx, op.Duration, a.faults.slow)
-	w := work{busy: s.timer.Since(start), ran: true}
+	start := p.standin.timer.Now()
+	err := p.standin.spend(ctx, op.Duration)
+	w := work{busy: p.standin.timer.Since(start), ran: true}
 	if err != nil {
 		return StageResult{}, w, err
 	}
 	if !op.Idempotent {
-		s.book.effect(op.Name, a.request, s.timer.Now())
+		p.standin.book.effect(op.Name, a.request, p.standin.timer.Now())
 	}
 	return StageResult{
 		Attempt: a.request.Attempt, Request: a.request.Request, BusyMS: millis(w.busy),
@@ -66,7 +65,6 @@
 // activeAttempt is an attempt that has not ended.
 type activeAttempt struct {
 	request StageRequest
-	faults  callFaults
 	ctx     context.Context
 	cancel  context.CancelFunc
 
