--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -51,6 +51,7 @@
 		newRole(settings.RoleControl, "Run a control VM", "Run a control VM, which holds part of the replicated state in its data folder."),
 		newDev(),
 		newStandin(),
+		newLoad(),
 	)
 	return root
 }
--- a/internal/commands/standin.go
+++ b/internal/commands/standin.go
@@ -19,6 +19,7 @@
 // standinCommand serves the stand-ins of a settings file.
 type standinCommand struct {
 	settings string
+	accounts string
 }
 
 func newStandin() *cobra.Command {
@@ -30,6 +31,7 @@
 		RunE:  func(cmd *cobra.Command, _ []string) error { return c.run(cmd) },
 	}
 	cmd.Flags().StringVar(&c.settings, "settings", "", "YAML file with a list of stand-ins")
+	cmd.Flags().StringVar(&c.accounts, "accounts", "", "address that serves the accounts of all stand-ins, also of dead ones")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
@@ -51,6 +53,9 @@
 		k.Register(o.Name, s)
 		all = append(all, s)
 	}
+	if c.accounts != "" {
+		k.Register("accounts", standin.NewAccounts(c.accounts, all...))
+	}
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/standin/account.go
+++ b/internal/standin/account.go
@@ -59,15 +59,16 @@
 // Account is everything that a stand-in did. Forgotten counts say how many of
 // the oldest records the bound on memory has removed.
 type Account struct {
-	Name              string          `json:"name"`
-	Service           string          `json:"service"`
-	Kind              Kind            `json:"kind"`
-	NextSequence      uint64          `json:"next_sequence"`
-	Effects           []Effect        `json:"effects"`
-	Attempts          []AttemptRecord `json:"attempts"`
-	Totals            []Total         `json:"totals"`
-	ForgottenEffects  int             `json:"forgotten_effects"`
-	ForgottenAttempts int             `json:"forgotten_attempts"`
+	Name              string              `json:"name"`
+	Service           string              `json:"service"`
+	Kind              Kind                `json:"kind"`
+	NextSequence      uint64              `json:"next_sequence"`
+	Effects           []Effect            `json:"effects"`
+	Attempts          []AttemptRecord     `json:"attempts"`
+	Totals            []Total             `json:"totals"`
+	EngineOrders      []EngineOrderRecord `json:"engine_orders,omitempty"`
+	ForgottenEffects  int                 `json:"forgotten_effects"`
+	ForgottenAttempts int                 `json:"forgotten_attempts"`
 }
 
 type effectKey struct{ customer, order, operation string }
@@ -85,6 +86,7 @@
 	effectOrder      []effectKey
 	forgottenEffects int
 	totals           map[totalKey]*Total
+	orders           []EngineOrderRecord
 }
 
 func newBook(limit int) *book {
@@ -172,6 +174,18 @@
 	}
 }
 
+// maxEngineOrders bounds the engine orders kept; the oldest are removed first.
+const maxEngineOrders = 1000
+
+func (b *book) order(r EngineOrderRecord) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.orders = append(b.orders, r)
+	if len(b.orders) > maxEngineOrders {
+		b.orders = b.orders[len(b.orders)-maxEngineOrders:]
+	}
+}
+
 func (b *book) total(customer, operation string) *Total {
 	key := totalKey{customer: customer, operation: operation}
 	t, ok := b.totals[key]
@@ -195,7 +209,7 @@
 	defer b.mu.Unlock()
 	a := Account{
 		NextSequence: b.next, Effects: []Effect{}, Attempts: []AttemptRecord{}, Totals: []Total{},
-		ForgottenEffects: b.forgottenEffects, ForgottenAttempts: int(b.next) - len(b.attempts),
+		EngineOrders: slices.Clone(b.orders), ForgottenEffects: b.forgottenEffects, ForgottenAttempts: int(b.next) - len(b.attempts),
 	}
 	for _, key := range b.effectOrder {
 		e := *b.effects[key]
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -10,19 +11,22 @@
 // engine is a model engine with continuous batching. Every step it processes a
 // chunk of prompts and decodes one token of each request whose prompt is done.
 type engine struct {
-	standin *Standin
+	life    *lifetime
 	options EngineOptions
 	slots   int
 	limit   int
 	wake    chan struct{}
 
-	mu     sync.Mutex
-	queue  []*sequence // by priority, then by arrival
-	batch  []*sequence
-	cache  *prefixCache
-	orders engineState
+	mu    sync.Mutex
+	queue []*sequence // by priority, then by arrival
+	batch []*sequence
+	cache *prefixCache
+	state EngineState
 }
 
+// bytesPerToken estimates the prompt tokens of a call that doesn't say them.
+const bytesPerToken = 4
+
 // sequence is one request in the engine.
 type sequence struct {
 	request  StageRequest
@@ -35,12 +39,12 @@
 	news     chan struct{} // holds a value after produced or ended changed
 }
 
-func newEngine(s *Standin, o Options) *engine {
+func newEngine(l *lifetime, o Options) *engine {
 	return &engine{
-		standin: s, options: o.Engine, slots: o.Slots, limit: o.Queue,
-		wake:   make(chan struct{}, 1),
-		cache:  newPrefixCache(o.Engine, s.timer),
-		orders: newEngineState(o.Engine),
+		life: l, options: o.Engine, slots: o.Slots, limit: o.Queue,
+		wake:  make(chan struct{}, 1),
+		cache: newPrefixCache(o.Engine, l.standin.timer),
+		state: newEngineState(o.Engine),
 	}
 }
 
@@ -85,7 +89,7 @@
 	seq := &sequence{request: r, total: total, produced: min(r.FromOffset, total), news: make(chan struct{}, 1)}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.orders.admit(r); err != nil {
+	if err := e.allow(r); err != nil {
 		return nil, err
 	}
 	if len(e.queue) >= e.limit {
@@ -116,8 +120,9 @@
 	return seq.produced, seq.ended
 }
 
-// loop steps until ctx is done.
-func (e *engine) loop(ctx context.Context) {
+// loop steps until the lifetime ends.
+func (e *engine) loop() {
+	ctx := e.life.ctx
 	for ctx.Err() == nil {
 		d, promptBudget := e.plan()
 		if d == 0 {
@@ -127,8 +132,9 @@
 			}
 			continue
 		}
-		if e.standin.spend(ctx, d) == nil {
-			e.step(d, promptBudget)
+		slow := e.life.standin.faults.slow(OperationGenerate)
+		if e.life.spend(ctx, d, slow) == nil {
+			e.step(time.Duration(float64(d)*slow), promptBudget)
 		}
 	}
 }
@@ -157,9 +163,10 @@
 
 func (e *engine) admit(seq *sequence) {
 	seq.ran = true
-	cached := e.cache.use(seq.request.Prefix, seq.request.PromptTokens)
+	prompt := cmp.Or(seq.request.PromptTokens, len(seq.request.Input)/bytesPerToken)
+	cached := e.cache.use(seq.request.Prefix, min(prompt, e.options.PrefixTokens))
 	// The tokens of a resumed text are part of the prompt.
-	seq.prompt = seq.request.PromptTokens - cached + seq.request.FromOffset
+	seq.prompt = prompt - cached + seq.request.FromOffset
 	e.batch = append(e.batch, seq)
 }
 
@@ -196,7 +203,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return Load{
-		Queued: len(e.queue), Running: len(e.batch), Models: e.orders.names(), CachedTokens: e.cache.used,
+		Queued: len(e.queue), Running: len(e.batch), Models: append([]string{}, e.state.Models...), CachedTokens: e.cache.used,
 	}
 }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -3,21 +3,39 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
 
 // Faults says how a stand-in misbehaves. The zero value is a healthy stand-in.
 type Faults struct {
-	Slow   float64 `json:"slow,omitempty" yaml:"slow"`     // factor on all working times; 0 and 1 change nothing
-	Errors float64 `json:"errors,omitempty" yaml:"errors"` // share of calls that fail, 0 to 1
-	Freeze bool    `json:"freeze,omitempty" yaml:"freeze"` // accept calls, answer none and stop all work
-	Seed   uint64  `json:"seed,omitempty" yaml:"seed"`     // of the choice of failing calls
+	Slow       float64  `json:"slow,omitempty" yaml:"slow"`             // factor on working times; 0 and 1 change nothing
+	Errors     float64  `json:"errors,omitempty" yaml:"errors"`         // share of calls that fail, 0 to 1
+	Freeze     bool     `json:"freeze,omitempty" yaml:"freeze"`         // accept calls, answer none and stop all work
+	Operations []string `json:"operations,omitempty" yaml:"operations"` // that Slow and Errors apply to; all when empty
+	Calls      int      `json:"calls,omitempty" yaml:"calls"`           // Slow and Errors end after so many calls; 0 for never
+	Seed       uint64   `json:"seed,omitempty" yaml:"seed"`             // of the choice of failing calls
+}
+
+// FaultCall is the body of POST /v1/faults: the faults in force from now on and
+// what happens at once.
+type FaultCall struct {
+	Faults   `yaml:",inline"`
+	Silence  bool  `json:"silence,omitempty" yaml:"silence"`     // connections that are open now go silent
+	Die      bool  `json:"die,omitempty" yaml:"die"`             // close the listener and all connections
+	ReviveMS int64 `json:"revive_ms,omitempty" yaml:"revive_ms"` // start again so long after Die; 0 for never
+}
+
+// ScheduledFault is a FaultCall that comes some time after each start.
+type ScheduledFault struct {
+	After     time.Duration `yaml:"after"`
+	FaultCall `yaml:",inline"`
 }
 
 func (f Faults) check(standin string) error {
-	if f.Slow < 0 {
-		return &OptionError{standin: standin, option: "faults.slow", want: "no negative factor"}
+	if f.Slow < 0 || f.Calls < 0 {
+		return &OptionError{standin: standin, option: "faults.slow and faults.calls", want: "no negative number"}
 	}
 	if f.Errors < 0 || f.Errors > 1 {
 		return &OptionError{standin: standin, option: "faults.errors", want: "a share from 0 to 1"}
@@ -25,10 +43,38 @@
 	return nil
 }
 
+func (f Faults) applies(operation string) bool {
+	return len(f.Operations) == 0 || slices.Contains(f.Operations, operation)
+}
+
+// apply puts a FaultCall in force.
+func (s *Standin) apply(f FaultCall) {
+	s.faults.set(f.Faults)
+	if f.Silence {
+		s.Silence()
+	}
+	if !f.Die {
+		return
+	}
+	// Dying waits for the goroutine that asked for it.
+	if f.ReviveMS > 0 {
+		go s.DieFor(time.Duration(f.ReviveMS) * time.Millisecond)
+	} else {
+		go s.Die()
+	}
+}
+
+// callFaults is what the faults in force do to one call.
+type callFaults struct {
+	slow  float64
+	fails bool
+}
+
 // faultState is the faults in force. It is safe for concurrent use.
 type faultState struct {
 	mu     sync.Mutex
 	faults Faults
+	left   int // calls that Slow and Errors still apply to, when Calls is set
 	random *rand.Rand
 	thawed chan struct{} // closed while the stand-in isn't frozen
 }
@@ -49,29 +95,36 @@
 	if !f.Freeze && s.faults.Freeze {
 		close(s.thawed)
 	}
-	s.faults = f
+	s.faults, s.left = f, f.Calls
 	s.random = rand.New(rand.NewPCG(f.Seed, 1))
 }
 
-func (s *faultState) get() Faults {
+func (s *faultState) frozen() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults
+	return s.faults.Freeze
 }
 
-func (s *faultState) fails() bool {
+// call returns what the faults do to a call that begins now.
+func (s *faultState) call(operation string) callFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults.Errors > 0 && s.random.Float64() < s.faults.Errors
+	f := s.faults
+	if !f.applies(operation) || (f.Calls > 0 && s.left == 0) {
+		return callFaults{slow: 1}
+	}
+	s.left = max(0, s.left-1)
+	return callFaults{slow: orDefault(f.Slow, 1), fails: f.Errors > 0 && s.random.Float64() < f.Errors}
 }
 
-// scale returns the duration of work that takes d in a healthy stand-in.
-func (s *faultState) scale(d time.Duration) time.Duration {
-	f := s.get()
-	if f.Slow == 0 {
-		return d
+// slow returns the factor on work that belongs to no single call.
+func (s *faultState) slow(operation string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.faults.applies(operation) || (s.faults.Calls > 0 && s.left == 0) {
+		return 1
 	}
-	return time.Duration(float64(d) * f.Slow)
+	return orDefault(s.faults.Slow, 1)
 }
 
 // wait returns once the stand-in isn't frozen, or with the error of ctx.
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -14,36 +13,35 @@
 }
 
 // renewLoad takes a new load report every period, so that reports lag behind.
-func (s *Standin) renewLoad(ctx context.Context) {
-	ticker := s.timer.Subscribe(s.options.LoadLag)
+func (l *lifetime) renewLoad() {
+	ticker := l.standin.timer.Subscribe(l.standin.options.LoadLag)
 	defer ticker.Stop()
-	s.takeLoad()
 	for {
 		select {
 		case <-ticker.C():
-			s.takeLoad()
-		case <-ctx.Done():
+			l.takeLoad()
+		case <-l.ctx.Done():
 			return
 		}
 	}
 }
 
-func (s *Standin) takeLoad() {
-	if s.faults.get().Freeze {
+func (l *lifetime) takeLoad() {
+	if l.standin.faults.frozen() {
 		return
 	}
-	l := s.worker.load()
-	l.Slots = s.options.Slots
-	s.reports.mu.Lock()
-	defer s.reports.mu.Unlock()
-	s.reports.last, s.reports.at = l, s.timer.Now()
+	now := l.worker.load()
+	now.Slots = l.standin.options.Slots
+	l.reports.mu.Lock()
+	defer l.reports.mu.Unlock()
+	l.reports.last, l.reports.at = now, l.standin.timer.Now()
 }
 
-// Load returns the latest load report with its age.
-func (s *Standin) Load() Load {
-	s.reports.mu.Lock()
-	defer s.reports.mu.Unlock()
-	l := s.reports.last
-	l.AgeMS = s.timer.Since(s.reports.at).Milliseconds()
-	return l
+// report returns the latest load report with its age.
+func (l *lifetime) report() Load {
+	l.reports.mu.Lock()
+	defer l.reports.mu.Unlock()
+	last := l.reports.last
+	last.AgeMS = l.standin.timer.Since(l.reports.at).Milliseconds()
+	return last
 }
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,6 +39,9 @@
 	PromptPerToken time.Duration `yaml:"prompt_per_token"` // processing of one uncached prompt token
 	PromptChunk    int           `yaml:"prompt_chunk"`     // prompt tokens that one step processes at most
 	CacheTokens    int           `yaml:"cache_tokens"`     // capacity of the prefix cache
+	PrefixTokens   int           `yaml:"prefix_tokens"`    // length of a shared prompt prefix
+	KVPerToken     time.Duration `yaml:"kv_per_token"`     // export or import of one cached token
+	ModelBytes     int64         `yaml:"model_bytes"`      // weights of a model
 	ChecksFencing  bool          `yaml:"checks_fencing"`   // refuse a fencing token lower than the highest one seen
 	Role           string        `yaml:"role"`             // prefill, decode or both
 	EventDelay     time.Duration `yaml:"event_delay"`      // age at which a cache event becomes visible
@@ -48,20 +52,23 @@
 
 // Options describes one stand-in.
 type Options struct {
-	Name       string        `yaml:"name"`
-	Service    string        `yaml:"service"`
-	Kind       Kind          `yaml:"kind"`
-	Listen     string        `yaml:"listen"`     // address; port 0 takes a free one
-	Slots      int           `yaml:"slots"`      // requests worked on at the same time
-	Queue      int           `yaml:"queue"`      // requests that may wait for a slot
-	Operations []Operation   `yaml:"operations"` // of a pool or a plain service
-	Engine     EngineOptions `yaml:"engine"`
-	ReadRate   float64       `yaml:"read_rate"` // bytes per second of a weight store
-	LoadLag    time.Duration `yaml:"load_lag"`  // period at which the load report is renewed
-	Account    int           `yaml:"account"`   // attempts, and orders, that the account keeps
-	Faults     Faults        `yaml:"faults"`
+	Name       string           `yaml:"name"`
+	Service    string           `yaml:"service"`
+	Kind       Kind             `yaml:"kind"`
+	Listen     string           `yaml:"listen"`     // address; port 0 takes a free one
+	Slots      int              `yaml:"slots"`      // requests worked on at the same time
+	Queue      int              `yaml:"queue"`      // requests that may wait for a slot
+	Operations []Operation      `yaml:"operations"` // of a pool or a plain service
+	Engine     EngineOptions    `yaml:"engine"`
+	ReadRate   float64          `yaml:"read_rate"` // bytes per second of a weight store
+	LoadLag    time.Duration    `yaml:"load_lag"`  // period at which the load report is renewed
+	Account    int              `yaml:"account"`   // attempts, and orders, that the account keeps
+	Faults     Faults           `yaml:"faults"`
+	Schedule   []ScheduledFault `yaml:"schedule"` // faults to come, by time after each start
 
 	Timer *timer.Service `yaml:"-"`
+	// Client reads from the weight store.
+	Client *http.Client `yaml:"-"`
 	// Open replaces net.Listen, so that tests can use connections in memory.
 	Open func(address string) (net.Listener, error) `yaml:"-"`
 }
@@ -76,6 +83,9 @@
 	defaultPromptChunk = 512
 	defaultCacheTokens = 32_768
 	defaultModelLoad   = 2 * time.Second
+	defaultPrefix      = 256
+	defaultKVPerToken  = 2 * time.Microsecond
+	defaultModelBytes  = 8 << 30
 	defaultEventDelay  = 300 * time.Millisecond
 	defaultReadRate    = 1 << 30
 )
@@ -106,6 +116,7 @@
 	o.LoadLag = orDefault(o.LoadLag, defaultLoadLag)
 	o.ReadRate = orDefault(o.ReadRate, defaultReadRate)
 	o.Timer = orDefault(o.Timer, timer.NewService())
+	o.Client = orDefault(o.Client, http.DefaultClient)
 	if o.Open == nil {
 		o.Open = listenTCP
 	}
@@ -136,14 +147,38 @@
 	if o.Slots < 0 || o.Queue < 0 || o.Account < 0 || o.LoadLag < 0 || o.ReadRate < 0 {
 		return &OptionError{standin: o.Name, option: "slots, queue, account, load_lag and read_rate", want: "no negative value"}
 	}
+	for _, op := range o.Operations {
+		if op.Name == "" || op.Duration < 0 {
+			return &OptionError{standin: o.Name, option: "operations", want: "a name and no negative duration for each"}
+		}
+	}
+	if err := o.Engine.check(o.Name); err != nil {
+		return err
+	}
+	for _, f := range o.Schedule {
+		if err := f.check(o.Name); err != nil {
+			return err
+		}
+	}
 	return o.Faults.check(o.Name)
 }
 
+func (e EngineOptions) check(standin string) error {
+	least := min(e.StepBase, e.StepPerRequest, e.PromptPerToken, e.KVPerToken, e.EventDelay, e.ModelLoad)
+	if least < 0 || min(e.PromptChunk, e.CacheTokens, e.PrefixTokens, e.EventGap) < 0 || e.ModelBytes < 0 {
+		return &OptionError{standin: standin, option: "engine", want: "no negative value"}
+	}
+	return nil
+}
+
 func (e EngineOptions) withDefaults() EngineOptions {
 	e.StepBase = orDefault(e.StepBase, defaultStepBase)
 	e.StepPerRequest = orDefault(e.StepPerRequest, defaultStepRequest)
 	e.PromptPerToken = orDefault(e.PromptPerToken, defaultPromptToken)
 	e.PromptChunk = orDefault(e.PromptChunk, defaultPromptChunk)
+	e.PrefixTokens = orDefault(e.PrefixTokens, defaultPrefix)
+	e.KVPerToken = orDefault(e.KVPerToken, defaultKVPerToken)
+	e.ModelBytes = orDefault(e.ModelBytes, defaultModelBytes)
 	e.CacheTokens = orDefault(e.CacheTokens, defaultCacheTokens)
 	e.ModelLoad = orDefault(e.ModelLoad, defaultModelLoad)
 	e.EventDelay = orDefault(e.EventDelay, defaultEventDelay)
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -17,11 +17,11 @@
 type pool struct {
 	operations map[string]Operation
 	queue      *slotQueue
-	standin    *Standin
+	life       *lifetime
 }
 
-func newPool(s *Standin, o Options) *pool {
-	p := &pool{operations: make(map[string]Operation), queue: newSlotQueue(o.Slots, o.Queue), standin: s}
+func newPool(l *lifetime, o Options) *pool {
+	p := &pool{operations: make(map[string]Operation), queue: newSlotQueue(o.Slots, o.Queue), life: l}
 	for _, op := range o.Operations {
 		p.operations[op.Name] = op
 	}
@@ -40,16 +40,17 @@
 		if !a.pin() {
 			return StageResult{}, work{}, context.Canceled
 		}
-		ctx = p.standin.lifetime()
+		ctx = p.life.ctx
 	}
-	start := p.standin.timer.Now()
-	err := p.standin.spend(ctx, op.Duration)
-	w := work{busy: p.standin.timer.Since(start), ran: true}
+	s := p.life.standin
+	start := s.timer.Now()
+	err := p.life.spend(ctx, op.Duration, a.faults.slow)
+	w := work{busy: s.timer.Since(start), ran: true}
 	if err != nil {
 		return StageResult{}, w, err
 	}
 	if !op.Idempotent {
-		p.standin.book.effect(op.Name, a.request, p.standin.timer.Now())
+		s.book.effect(op.Name, a.request, s.timer.Now())
 	}
 	return StageResult{
 		Attempt: a.request.Attempt, Request: a.request.Request, BusyMS: millis(w.busy),
@@ -65,6 +66,7 @@
 // activeAttempt is an attempt that has not ended.
 type activeAttempt struct {
 	request StageRequest
+	faults  callFaults
 	ctx     context.Context
 	cancel  context.CancelFunc
 
--- a/internal/standin/protocol.go
+++ b/internal/standin/protocol.go
@@ -56,13 +56,15 @@
 
 // Info is the answer to GET /v1/info.
 type Info struct {
-	Name          string   `json:"name"`
-	Kind          Kind     `json:"kind"`
-	Service       string   `json:"service"`
-	Models        []string `json:"models"`
-	ChecksFencing bool     `json:"checks_fencing"`
-	Slots         int      `json:"slots"`
-	Role          string   `json:"role,omitempty"`
+	Name          string            `json:"name"`
+	Kind          Kind              `json:"kind"`
+	Service       string            `json:"service"`
+	Models        []string          `json:"models"`
+	ChecksFencing bool              `json:"checks_fencing"`
+	Slots         int               `json:"slots"`
+	Role          string            `json:"role,omitempty"`
+	Adapters      []string          `json:"adapters,omitempty"`
+	Versions      map[string]string `json:"versions,omitempty"` // by model
 }
 
 // Load is the answer to GET /v1/load. It describes the stand-in AgeMS ago.
--- a/internal/standin/routes.go
+++ b/internal/standin/routes.go
@@ -14,75 +14,87 @@
 
 const maxBodyBytes = 4 << 20
 
-func (s *Standin) routes() http.Handler {
+func (l *lifetime) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/info", s.unfrozen(s.serveInfo))
-	mux.HandleFunc("POST /v1/stage/{operation}", s.unfrozen(s.serveStage))
-	mux.HandleFunc("POST /v1/cancel", s.unfrozen(s.serveCancel))
-	mux.HandleFunc("GET /v1/load", s.unfrozen(s.serveLoad))
+	mux.HandleFunc("GET /v1/info", l.unfrozen(l.serveInfo))
+	mux.HandleFunc("POST /v1/stage/{operation}", l.unfrozen(l.serveStage))
+	mux.HandleFunc("POST /v1/cancel", l.unfrozen(l.serveCancel))
+	mux.HandleFunc("GET /v1/load", l.unfrozen(l.serveLoad))
+	switch k := l.worker.(type) {
+	case *engine:
+		l.engineRoutes(mux, k)
+	case *weightStore:
+		mux.HandleFunc("POST /v1/weights/{model}", l.unfrozen(l.serveWeights(k)))
+	}
 	// The account and the faults stay in reach while the stand-in is frozen.
-	mux.HandleFunc("GET /v1/account", s.serveAccount)
-	mux.HandleFunc("POST /v1/faults", s.serveFaults)
+	mux.HandleFunc("GET /v1/account", l.serveAccount)
+	mux.HandleFunc("POST /v1/faults", l.serveFaults)
 	return mux
 }
 
 // unfrozen delays a call while the stand-in is frozen.
-func (s *Standin) unfrozen(next http.HandlerFunc) http.HandlerFunc {
+func (l *lifetime) unfrozen(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if s.faults.wait(r.Context()) == nil {
+		if l.standin.faults.wait(r.Context()) == nil {
 			next(w, r)
 		}
 	}
 }
 
-func (s *Standin) serveInfo(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, Info{
-		Name: s.options.Name, Kind: s.options.Kind, Service: s.options.Service,
-		Models: s.worker.load().Models, ChecksFencing: s.options.Engine.ChecksFencing,
-		Slots: s.options.Slots, Role: s.options.Engine.Role,
-	})
+func (l *lifetime) serveInfo(w http.ResponseWriter, _ *http.Request) {
+	o := &l.standin.options
+	i := Info{Name: o.Name, Kind: o.Kind, Service: o.Service, Slots: o.Slots, Models: []string{}}
+	if e, ok := l.worker.(*engine); ok {
+		e.mu.Lock()
+		state := e.state.clone()
+		e.mu.Unlock()
+		i.Models, i.Adapters, i.Versions, i.Role = state.Models, state.Adapters, state.Versions, state.Role
+		i.ChecksFencing = o.Engine.ChecksFencing
+	}
+	writeJSON(w, http.StatusOK, i)
 }
 
-func (s *Standin) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Load())
+func (l *lifetime) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, l.report())
 }
 
-func (s *Standin) serveAccount(w http.ResponseWriter, r *http.Request) {
+func (l *lifetime) serveAccount(w http.ResponseWriter, r *http.Request) {
 	from, err := numberParam(r, "from")
 	if err != nil {
 		writeRefusal(w, badRequest(err))
 		return
 	}
-	writeJSON(w, http.StatusOK, s.Account(from))
+	writeJSON(w, http.StatusOK, l.standin.Account(from))
 }
 
-func (s *Standin) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
+func (l *lifetime) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f FaultCall
 	if err := readStrictJSON(r, &f); err != nil {
 		writeRefusal(w, badRequest(err))
 		return
 	}
-	if err := s.SetFaults(f); err != nil {
+	if err := f.check(l.standin.options.Name); err != nil {
 		writeRefusal(w, badRequest(err))
 		return
 	}
+	l.standin.apply(f)
 	writeJSON(w, http.StatusOK, f)
 }
 
-func (s *Standin) serveCancel(w http.ResponseWriter, r *http.Request) {
+func (l *lifetime) serveCancel(w http.ResponseWriter, r *http.Request) {
 	var c CancelRequest
 	if err := readJSON(r, &c); err != nil {
 		writeRefusal(w, badRequest(err))
 		return
 	}
-	writeJSON(w, http.StatusOK, CancelResult{Attempt: c.Attempt, State: s.cancel(c.Attempt)})
+	writeJSON(w, http.StatusOK, CancelResult{Attempt: c.Attempt, State: l.cancel(c.Attempt)})
 }
 
 // cancel stops an attempt and returns its state, as CancelResult describes it.
-func (s *Standin) cancel(attempt string) string {
-	v, ok := s.active.Load(attempt)
+func (l *lifetime) cancel(attempt string) string {
+	v, ok := l.active.Load(attempt)
 	if !ok {
-		return s.book.state(attempt)
+		return l.standin.book.state(attempt)
 	}
 	if v.(*activeAttempt).stop() {
 		return StateCanceled
@@ -90,7 +102,7 @@
 	return StateRunning
 }
 
-func (s *Standin) serveStage(w http.ResponseWriter, r *http.Request) {
+func (l *lifetime) serveStage(w http.ResponseWriter, r *http.Request) {
 	var req StageRequest
 	if err := readJSON(r, &req); err != nil {
 		writeRefusal(w, badRequest(err))
@@ -100,22 +112,22 @@
 		writeRefusal(w, badRequest(errors.New("want attempt, request and no negative numbers")))
 		return
 	}
-	op, ok := s.operation(r.PathValue("operation"))
+	op, ok := l.operation(r.PathValue("operation"))
 	if !ok {
 		writeRefusal(w, errUnknown)
 		return
 	}
-	a, err := s.open(r.Context(), req)
+	a, err := l.open(r.Context(), op.Name, req)
 	if err != nil {
 		writeRefusal(w, refusalOf(err))
 		return
 	}
-	defer s.close(a)
-	s.attempt(w, a, op)
+	defer l.close(a)
+	l.attempt(w, a, op)
 }
 
-func (s *Standin) operation(name string) (Operation, bool) {
-	for _, op := range s.options.Operations {
+func (l *lifetime) operation(name string) (Operation, bool) {
+	for _, op := range l.standin.options.Operations {
 		if op.Name == name {
 			return op, true
 		}
@@ -124,34 +136,34 @@
 }
 
 // open makes the attempt cancelable. It refuses an attempt id that is in use.
-func (s *Standin) open(ctx context.Context, req StageRequest) (*activeAttempt, error) {
-	a := &activeAttempt{request: req}
+func (l *lifetime) open(ctx context.Context, operation string, req StageRequest) (*activeAttempt, error) {
+	a := &activeAttempt{request: req, faults: l.standin.faults.call(operation)}
 	if req.DeadlineMS > 0 {
 		a.ctx, a.cancel = context.WithTimeout(ctx, time.Duration(req.DeadlineMS)*time.Millisecond)
 	} else {
 		a.ctx, a.cancel = context.WithCancel(ctx)
 	}
-	if _, taken := s.active.LoadOrStore(req.Attempt, a); taken {
+	if _, taken := l.active.LoadOrStore(req.Attempt, a); taken {
 		a.cancel()
 		return nil, badRequest(errors.New("the attempt is running"))
 	}
 	return a, nil
 }
 
-func (s *Standin) close(a *activeAttempt) {
-	s.active.Delete(a.request.Attempt)
+func (l *lifetime) close(a *activeAttempt) {
+	l.active.Delete(a.request.Attempt)
 	a.cancel()
 }
 
 // attempt runs an attempt, answers it and records it.
-func (s *Standin) attempt(w http.ResponseWriter, a *activeAttempt, op Operation) {
-	seq := s.book.begin(op.Name, a.request, s.timer.Now())
+func (l *lifetime) attempt(w http.ResponseWriter, a *activeAttempt, op Operation) {
+	seq := l.standin.book.begin(op.Name, a.request, l.standin.timer.Now())
 	var result StageResult
 	var used work
 	err := error(errFault)
 	answer := answerWriter(&jsonAnswer{w: w})
-	if !s.faults.fails() {
-		switch k := s.worker.(type) {
+	if !a.faults.fails {
+		switch k := l.worker.(type) {
 		case *engine:
 			stream := &eventAnswer{w: w}
 			answer = stream
@@ -161,9 +173,10 @@
 		}
 	}
 	// The record ends before the answer, so that whoever has the answer finds it.
-	s.book.end(seq, op.Name, a.request, used, stateOf(err), s.timer.Now())
-	if s.faults.wait(s.life) != nil {
-		return
+	l.standin.book.end(seq, op.Name, a.request, used, stateOf(err), l.standin.timer.Now())
+	if l.standin.faults.wait(l.ctx) != nil || l.ctx.Err() != nil {
+		// A process that has died answers nothing, not even an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
 		answer.refusal(refusalOf(err))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -15,6 +15,17 @@
 // text that belongs to another request, and a lost, repeated or foreign token,
 // from the text alone.
 //
+// # Protocol
+//
+// Besides the calls on the design page there are:
+//
+//	GET  /v1/cache-events?after=N -> {events, next}; a number that is missing is a lost event
+//	POST /v1/kv-export {prefix} -> {prefix, tokens, proof}
+//	POST /v1/kv-import {prefix, tokens, proof} -> {prefix, tokens, proof}
+//	POST /v1/weights/{model} {reader, bytes} -> {model, bytes, busy_ms}  (weight store)
+//	POST /v1/faults {slow, errors, freeze, operations, calls, seed, silence, die, revive_ms}
+//	GET  /v1/account?from=SEQUENCE
+//
 // # Usage
 //
 //	s, err := standin.New(standin.Options{Name: "engine-1", Kind: standin.KindEngine})
@@ -30,7 +41,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -39,29 +49,18 @@
 	"github.com/cardamomline/cardamomline/internal/timer"
 )
 
-// worker does the work of a kind of stand-in.
-type worker interface {
-	load() Load
-}
-
 // Standin is one stand-in. It is safe for concurrent use.
 type Standin struct {
 	options Options
 	timer   *timer.Service
 	book    *book
 	faults  *faultState
-	worker  worker
-	active  sync.Map // attempt id to *activeAttempt
-	handler http.Handler
-	reports loadReports
-
-	mu       sync.Mutex
-	server   *http.Server
-	address  string
-	life     context.Context
-	end      context.CancelFunc
-	done     chan struct{}
-	routines sync.WaitGroup
+
+	mu      sync.Mutex
+	address string
+	life    *lifetime // nil before the first start and after an end
+	revival context.CancelFunc
+	done    chan struct{}
 }
 
 // New returns a Standin that isn't running yet, or an *OptionError.
@@ -70,64 +69,122 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Standin{options: o, timer: o.Timer, book: newBook(o.Account), faults: newFaultState(o.Faults), done: make(chan struct{})}
-	switch o.Kind {
-	case KindEngine:
-		s.worker = newEngine(s, o)
-	default:
-		s.worker = newPool(s, o)
-	}
-	s.life, s.end = context.WithCancel(context.Background())
-	s.handler = s.routes()
-	return s, nil
+	return &Standin{
+		options: o, timer: o.Timer, book: newBook(o.Account), faults: newFaultState(o.Faults),
+		address: o.Listen, done: make(chan struct{}),
+	}, nil
 }
 
-// Start listens and returns once connections are accepted.
+// Start listens and returns once connections are accepted. A stand-in that has
+// died or was stopped starts again at its address, with its account and the
+// faults of its options, but without its caches.
 func (s *Standin) Start(context.Context) error {
-	l, err := s.options.Open(s.options.Listen)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life != nil {
+		return errors.Errorf("start stand-in %s: it is running", s.options.Name)
+	}
+	return s.start()
+}
+
+func (s *Standin) start() error {
+	l, err := s.options.Open(s.address)
 	if err != nil {
 		return errors.Wrapf(err, "start stand-in %s", s.options.Name)
 	}
-	s.mu.Lock()
 	s.address = l.Addr().String()
-	s.server = &http.Server{Handler: s.handler}
-	server := s.server
-	s.mu.Unlock()
-	if e, ok := s.worker.(*engine); ok {
-		s.routines.Go(func() { e.loop(s.life) })
+	select {
+	case <-s.done:
+		s.done = make(chan struct{})
+	default:
 	}
-	s.routines.Go(func() { s.renewLoad(s.life) })
-	s.routines.Go(func() { _ = server.Serve(l) })
-	go func() {
-		s.routines.Wait()
-		close(s.done)
-	}()
+	s.faults.set(s.options.Faults)
+	s.life = newLifetime(s, l)
 	return nil
 }
 
 // Stop completes the calls in flight and ends the stand-in. When ctx ends first,
 // the remaining calls are cut off.
 func (s *Standin) Stop(ctx context.Context) error {
-	s.mu.Lock()
-	server := s.server
-	s.mu.Unlock()
-	if server == nil {
+	life := s.leave(nil)
+	defer s.ended()
+	if life == nil {
 		return nil
 	}
-	err := server.Shutdown(ctx)
-	s.end()
-	if err != nil {
-		_ = server.Close()
-	}
-	<-s.done
+	err := life.server.Shutdown(ctx)
+	life.kill()
 	if err != nil {
 		return errors.Wrapf(err, "stop stand-in %s", s.options.Name)
 	}
 	return nil
 }
 
+// Die ends the stand-in as a killed process would: it closes the listener and
+// every connection, and work in progress has no effect.
+func (s *Standin) Die() {
+	if life := s.leave(nil); life != nil {
+		life.kill()
+	}
+	s.ended()
+}
+
+// DieFor ends the stand-in like Die and starts it again after d. Done stays open.
+func (s *Standin) DieFor(d time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	life := s.leave(cancel)
+	if life == nil {
+		cancel()
+		return
+	}
+	life.kill()
+	go s.revive(ctx, d)
+}
+
+func (s *Standin) revive(ctx context.Context, d time.Duration) {
+	if s.timer.Sleep(ctx, d) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() == nil && s.life == nil {
+		// When the address has been taken, the stand-in stays dead.
+		_ = s.start()
+	}
+}
+
+// leave takes the running lifetime out of the stand-in, calls off a revival and
+// sets how to call off the next one.
+func (s *Standin) leave(revival context.CancelFunc) *lifetime {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.revival != nil {
+		s.revival()
+	}
+	s.revival = revival
+	life := s.life
+	s.life = nil
+	return life
+}
+
+func (s *Standin) ended() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life != nil {
+		return // started again in the meantime
+	}
+	select {
+	case <-s.done:
+	default:
+		close(s.done)
+	}
+}
+
 // Done returns a channel that is closed when the stand-in has ended.
-func (s *Standin) Done() <-chan struct{} { return s.done }
+func (s *Standin) Done() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.done
+}
 
 // Address returns the address that the stand-in listens on, once it has started.
 func (s *Standin) Address() string {
@@ -158,16 +215,13 @@
 	return nil
 }
 
-// lifetime returns a context that ends with the stand-in.
-func (s *Standin) lifetime() context.Context { return s.life }
-
-// spend lets the working time d pass, as the faults in force change it.
-func (s *Standin) spend(ctx context.Context, d time.Duration) error {
-	if err := s.faults.wait(ctx); err != nil {
-		return err
-	}
-	if err := s.timer.Sleep(ctx, s.faults.scale(d)); err != nil {
-		return err
+// Silence makes the connections that are open now go silent: they stay open, but
+// nothing that is sent on them arrives. New connections work.
+func (s *Standin) Silence() {
+	s.mu.Lock()
+	life := s.life
+	s.mu.Unlock()
+	if life != nil {
+		life.connections.silence()
 	}
-	return s.faults.wait(ctx)
 }
