--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -186,15 +186,12 @@
 }
 
 func addresses(v strictyaml.Value) []string {
-	items := v.Sequence(MaxControl)
-	if v.IsEmptySequence() {
-		v.Fail("an empty sequence", "the address of at least one control VM")
-	}
-	list := make([]string, 0, len(items))
-	for _, item := range items {
-		a := address(item)
+	var list []string
+	for item := range v.Items(1, MaxControl) {
+		value := item.Value()
+		a := address(value)
 		if a != "" && slices.Contains(list, a) {
-			item.Fail("the address "+a+" a second time", "each address once")
+			value.Fail("the address "+a+" a second time", "each address once")
 		}
 		list = append(list, a)
 	}
--- a/internal/strictyaml/mapping.go
+++ b/internal/strictyaml/mapping.go
@@ -33,36 +33,74 @@
 			return kv.value
 		}
 	}
-	at := m.mark
-	at.path = &path{parent: m.mark.path, key: key}
-	return Value{r: m.r, mark: at}
+	return Value{r: m.r, mark: m.mark}
 }
 
 // Required returns the value of the key; its absence is a fault.
 func (m Mapping) Required(key string) Value {
 	v := m.Optional(key)
 	if m.present && !v.Present() {
-		m.r.Fail(m.mark, "no key "+key, "the required key "+key)
+		m.r.Fail(m.mark, "a mapping without "+quote(key), "the required key "+quote(key))
 	}
 	return v
 }
 
-func (m *Mapping) add(pair *ast.MappingValueNode, keys []string) {
+func (m *Mapping) addSections(sections []section, keys []string) {
+	m.present = true
+	for _, s := range sections {
+		at := Mark{line: s.line, column: 1, path: m.mark.path}
+		if !m.accept(s.key, at, keys) {
+			continue
+		}
+		if items := splitItems(s); items != nil {
+			at.line = items[0].lines + 1
+			at.column = int32(len(items[0].text)-len(strings.TrimLeft(string(items[0].text), " "))) + 1
+			at.path = &path{parent: m.mark.path, key: s.key}
+			m.values = append(m.values, keyValue{key: s.key, value: Value{r: m.r, mark: at, pieces: items}})
+			continue
+		}
+		lines := s.line - 1
+		parsed := m.r.parse(s.text, lines)
+		if parsed == nil {
+			continue // the fault is recorded
+		}
+		node, ok := parsed.(*ast.MappingNode)
+		if !ok || len(node.Values) != 1 {
+			m.r.failSyntax(at, "a section that can't be read", "the key "+s.key+" with one value")
+			continue
+		}
+		m.append(s.key, node.Values[0].Value, lines)
+	}
+}
+
+func (m *Mapping) addPair(pair *ast.MappingValueNode, keys []string, lines int32) {
+	at := m.r.value(pair.Key, m.mark.path, lines).mark
 	key, ok := pair.Key.(*ast.StringNode)
 	if !ok {
-		m.r.Fail(nodeMark(pair.Key, m.mark.path), "a key that isn't plain text", "one of the keys "+strings.Join(keys, ", "))
+		m.r.Fail(at, "a key that isn't plain text", "one of the keys "+strings.Join(keys, ", "))
 		return
 	}
-	if !slices.Contains(keys, key.Value) {
-		m.r.Fail(nodeMark(key, m.mark.path), "the unknown key "+quote(key.Value), "one of the keys "+strings.Join(keys, ", "))
-		return
+	if m.accept(key.Value, at, keys) {
+		m.append(key.Value, pair.Value, lines)
+	}
+}
+
+// accept reports whether the key is known and new.
+func (m *Mapping) accept(key string, at Mark, keys []string) bool {
+	if !slices.Contains(keys, key) {
+		m.r.Fail(at, "the unknown key "+quote(key), "one of the keys "+strings.Join(keys, ", "))
+		return false
 	}
 	for _, kv := range m.values {
-		if kv.key == key.Value {
-			m.r.Fail(nodeMark(key, m.mark.path), "the key "+key.Value+" a second time", "each key once")
-			return
+		if kv.key == key {
+			m.r.Fail(at, "the key "+key+" a second time", "each key once")
+			return false
 		}
 	}
-	p := &path{parent: m.mark.path, key: key.Value}
-	m.values = append(m.values, keyValue{key: key.Value, value: Value{r: m.r, node: pair.Value, mark: nodeMark(pair.Value, p)}})
+	return true
+}
+
+func (m *Mapping) append(key string, n ast.Node, lines int32) {
+	v := m.r.value(n, &path{parent: m.mark.path, key: key}, lines)
+	m.values = append(m.values, keyValue{key: key, value: v})
 }
--- a/internal/strictyaml/reader.go
+++ b/internal/strictyaml/reader.go
@@ -7,6 +7,10 @@
 // aliases, tags, merge keys, block scalars and several documents in one file are
 // refused: they hide what a file says from a reader of a diff.
 //
+// A file in the usual style, with its keys in the first column and one sequence
+// item after the other, is parsed in pieces. The syntax tree of one piece is
+// garbage before the next is read, which keeps the memory for a large file small.
+//
 // # Usage
 //
 //	r := strictyaml.NewReader("entry-1.yaml")
@@ -20,18 +24,15 @@
 
 import (
 	"fmt"
-	"strconv"
 
-	"github.com/go-faster/errors"
-	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
 )
 
 // Reader reads one file and collects its faults.
 type Reader struct {
-	file string
-	errs Errors
+	file   string
+	errs   Errors
+	broken bool
 }
 
 // NewReader returns a Reader whose faults carry the file name.
@@ -39,35 +40,25 @@
 	return &Reader{file: file}
 }
 
-// Read parses the file and returns its root. The value is absent when the file
-// is empty or isn't YAML; the fault is recorded.
+// Read returns the root of the file. The value is absent when the file is empty
+// or isn't YAML; the fault is recorded.
 func (r *Reader) Read(data []byte) Value {
-	absent := Value{r: r, mark: Mark{line: 1, column: 1}}
-	if c := firstControl(data); c >= 0 {
-		r.Fail(markAt(data, c), fmt.Sprintf("the control character %#02x", data[c]), "printable text")
+	absent := Value{r: r}
+	if at, found := firstUnprintable(data); found != "" {
+		r.failSyntax(at, found, "printable text in UTF-8")
 		return absent
 	}
-	f, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
-	if err != nil {
-		r.failSyntax(err)
-		return absent
+	if sections := splitSections(data); sections != nil {
+		return Value{r: r, sections: sections, mark: Mark{line: sections[0].line, column: 1}}
 	}
-	var body ast.Node
-	for _, doc := range f.Docs {
-		if doc.Body == nil {
-			continue
+	node := r.parse(data, 0)
+	if node == nil {
+		if !r.broken {
+			r.Fail(absent.mark, "an empty file", "a mapping of keys to values")
 		}
-		if body != nil {
-			r.Fail(nodeMark(doc.Body, nil), "a second document", "one document in a file")
-			break
-		}
-		body = doc.Body
-	}
-	if body == nil {
-		r.Fail(absent.mark, "an empty file", "a mapping of keys to values")
 		return absent
 	}
-	return Value{r: r, node: body, mark: nodeMark(body, nil)}
+	return r.value(node, nil, 0)
 }
 
 // Fail records a fault at a place that was read earlier.
@@ -75,6 +66,10 @@
 	r.errs.add(&Error{file: r.file, mark: at, found: found, expected: expected})
 }
 
+// Broken reports whether a part of the file couldn't be read at all, so that
+// decoded items may be missing.
+func (r *Reader) Broken() bool { return r.broken }
+
 // Err returns *Errors with all faults so far, or nil.
 func (r *Reader) Err() error {
 	if len(r.errs.list) == 0 {
@@ -84,41 +79,16 @@
 	return &r.errs
 }
 
-func (r *Reader) failSyntax(err error) {
-	at := Mark{line: 1, column: 1}
-	found := err.Error()
-	var syntax *yaml.SyntaxError
-	if errors.As(err, &syntax) {
-		found = syntax.Message
-		if syntax.Token != nil && syntax.Token.Position != nil {
-			at.line = int32(syntax.Token.Position.Line)
-			at.column = int32(syntax.Token.Position.Column)
-		}
-	}
-	r.Fail(at, "a syntax error: "+found, "YAML")
+func (r *Reader) failSyntax(at Mark, found, expected string) {
+	r.broken = true
+	r.Fail(at, found, expected)
 }
 
-// firstControl returns the index of the first character that YAML doesn't
-// allow, or -1.
-func firstControl(data []byte) int {
-	for i, c := range data {
-		if c < 0x20 && c != '\n' && c != '\r' && c != '\t' || c == 0x7f {
-			return i
-		}
-	}
-	return -1
-}
-
-func markAt(data []byte, offset int) Mark {
-	m := Mark{line: 1, column: 1}
-	for _, c := range data[:offset] {
-		m.column++
-		if c == '\n' {
-			m.line++
-			m.column = 1
-		}
-	}
-	return m
+// value wraps a node of a piece that starts after the given number of lines.
+func (r *Reader) value(n ast.Node, p *path, lines int32) Value {
+	m := nodeMark(n, p)
+	m.line += lines
+	return Value{r: r, node: n, mark: m, lines: lines}
 }
 
 func nodeMark(n ast.Node, p *path) Mark {
@@ -132,10 +102,9 @@
 	return Mark{line: int32(tk.Position.Line), column: int32(tk.Position.Column), path: p}
 }
 
-func quote(s string) string {
-	const longest = 60
-	if runes := []rune(s); len(runes) > longest {
-		s = string(runes[:longest]) + "..."
+func describeItems(n int) string {
+	if n == 1 {
+		return "1 item"
 	}
-	return strconv.Quote(s)
+	return fmt.Sprintf("%d items", n)
 }
--- a/internal/strictyaml/value.go
+++ b/internal/strictyaml/value.go
@@ -7,18 +7,25 @@
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 // Value is one value of a file, or the absence of one. The methods that decode
 // it record a fault and return the zero value when the file has something else.
 type Value struct {
-	r    *Reader
-	node ast.Node
-	mark Mark
+	r     *Reader
+	node  ast.Node
+	mark  Mark
+	lines int32 // number of lines before the piece that the node was parsed from
+
+	sections []section // of the root, when it isn't parsed yet
+	pieces   []piece   // of a sequence that isn't parsed yet
 }
 
 // Present reports whether the file has a value here.
-func (v Value) Present() bool { return v.node != nil }
+func (v Value) Present() bool {
+	return v.node != nil || v.sections != nil || v.pieces != nil
+}
 
 // Mark returns the place of the value, or of the mapping that lacks it.
 func (v Value) Mark() Mark { return v.mark }
@@ -26,7 +33,11 @@
 // Mapping decodes a mapping. A key that isn't listed or is doubled is a fault.
 func (v Value) Mapping(keys ...string) Mapping {
 	m := Mapping{r: v.r, mark: v.mark}
-	if v.node == nil {
+	if !v.Present() {
+		return m
+	}
+	if v.sections != nil {
+		m.addSections(v.sections, keys)
 		return m
 	}
 	node, ok := v.node.(*ast.MappingNode)
@@ -37,38 +48,11 @@
 	m.present = true
 	m.values = make([]keyValue, 0, len(node.Values))
 	for _, pair := range node.Values {
-		m.add(pair, keys)
+		m.addPair(pair, keys, v.lines)
 	}
 	return m
 }
 
-// Sequence decodes a sequence of at most most items.
-func (v Value) Sequence(most int) []Value {
-	if v.node == nil {
-		return nil
-	}
-	node, ok := v.node.(*ast.SequenceNode)
-	if !ok {
-		v.fail("a sequence")
-		return nil
-	}
-	if len(node.Values) > most {
-		v.r.Fail(v.mark, fmt.Sprintf("%d items", len(node.Values)), fmt.Sprintf("at most %d", most))
-		return nil
-	}
-	values := make([]Value, 0, len(node.Values))
-	for i, n := range node.Values {
-		values = append(values, Value{r: v.r, node: n, mark: nodeMark(n, &path{parent: v.mark.path, index: i})})
-	}
-	return values
-}
-
-// IsEmptySequence reports whether the file has a sequence without items here.
-func (v Value) IsEmptySequence() bool {
-	node, ok := v.node.(*ast.SequenceNode)
-	return ok && len(node.Values) == 0
-}
-
 // Text decodes a string for which accept is true. Expected describes such a string.
 func (v Value) Text(accept func(string) bool, expected string) string {
 	s, ok := v.scalar()
@@ -76,8 +60,8 @@
 		v.fail(expected)
 		return ""
 	}
-	if v.node != nil && !accept(s) {
-		v.failText(s, expected)
+	if v.Present() && !accept(s) {
+		v.fail(expected)
 		return ""
 	}
 	return s
@@ -90,7 +74,7 @@
 		v.fail(expected)
 		return ""
 	}
-	if v.node != nil && !accept(s) {
+	if v.Present() && !accept(s) {
 		v.Fail("a secret that isn't accepted", expected)
 		return ""
 	}
@@ -111,7 +95,7 @@
 
 // OneOfOr decodes like OneOf and returns fallback when the value is absent.
 func (v Value) OneOfOr(fallback string, choices ...string) string {
-	if v.node == nil {
+	if !v.Present() {
 		return fallback
 	}
 	return v.OneOf(choices...)
@@ -119,7 +103,7 @@
 
 // Bool decodes true or false.
 func (v Value) Bool() bool {
-	if v.node == nil {
+	if !v.Present() {
 		return false
 	}
 	b, ok := v.node.(*ast.BoolNode)
@@ -132,10 +116,13 @@
 
 // Int decodes a decimal whole number within the bounds.
 func (v Value) Int(least, most int) int {
-	if v.node == nil {
+	if !v.Present() {
 		return 0
 	}
 	expected := fmt.Sprintf("a whole number from %d to %d", least, most)
+	if least == most {
+		expected = fmt.Sprintf("the number %d", least)
+	}
 	n, ok := v.node.(*ast.IntegerNode)
 	if !ok {
 		v.fail(expected)
@@ -144,7 +131,7 @@
 	text := n.GetToken().Value
 	i, err := strconv.Atoi(text)
 	if err != nil || i < least || i > most || strconv.Itoa(i) != text {
-		v.failText(text, expected)
+		v.fail(expected)
 		return 0
 	}
 	return i
@@ -152,7 +139,7 @@
 
 // IntOr decodes like Int and returns fallback when the value is absent.
 func (v Value) IntOr(fallback, least, most int) int {
-	if v.node == nil {
+	if !v.Present() {
 		return fallback
 	}
 	return v.Int(least, most)
@@ -166,7 +153,7 @@
 
 // DurationOr decodes like Duration and returns fallback when the value is absent.
 func (v Value) DurationOr(fallback, least, most time.Duration) time.Duration {
-	if v.node == nil {
+	if !v.Present() {
 		return fallback
 	}
 	return v.Duration(least, most)
@@ -184,7 +171,7 @@
 
 // RateOr decodes like Rate and returns fallback when the value is absent.
 func (v Value) RateOr(fallback, least, most Rate) Rate {
-	if v.node == nil {
+	if !v.Present() {
 		return fallback
 	}
 	return v.Rate(least, most)
@@ -196,7 +183,7 @@
 }
 
 func unit[T ~int64 | ~float64](v Value, least, most T, parse func(string) (T, error), expected string) T {
-	if v.node == nil {
+	if !v.Present() {
 		return 0
 	}
 	text, ok := v.scalar()
@@ -206,11 +193,11 @@
 	}
 	t, err := parse(text)
 	if err != nil {
-		v.failText(text, expected+": "+err.Error())
+		v.fail(expected + ": " + err.Error())
 		return 0
 	}
 	if t < least || t > most {
-		v.failText(text, expected)
+		v.fail(expected)
 		return 0
 	}
 	return t
@@ -218,9 +205,10 @@
 
 // scalar returns the text of a plain or quoted scalar as it stands in the file.
 func (v Value) scalar() (string, bool) {
-	switch n := v.node.(type) {
-	case nil:
+	if !v.Present() {
 		return "", true
+	}
+	switch n := v.node.(type) {
 	case *ast.StringNode:
 		return n.Value, true
 	case *ast.IntegerNode, *ast.FloatNode:
@@ -230,11 +218,14 @@
 }
 
 func (v Value) fail(expected string) {
-	v.Fail(describe(v.node), expected)
-}
-
-func (v Value) failText(found, expected string) {
-	v.Fail(quote(found), expected)
+	found := describe(v.node)
+	switch {
+	case v.sections != nil:
+		found = "a mapping"
+	case v.pieces != nil:
+		found = "a sequence"
+	}
+	v.Fail(found, expected)
 }
 
 func describe(n ast.Node) string {
@@ -246,19 +237,20 @@
 	case *ast.NullNode:
 		return "no value"
 	case *ast.StringNode:
+		if t := n.GetToken().Type; t == token.SingleQuoteType || t == token.DoubleQuoteType {
+			return "the quoted text " + quote(n.Value)
+		}
 		return quote(n.Value)
-	case *ast.BoolNode, *ast.IntegerNode, *ast.FloatNode:
-		return n.GetToken().Value
-	case *ast.InfinityNode, *ast.NanNode:
+	case *ast.BoolNode, *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
 		return n.GetToken().Value
-	case *ast.AnchorNode:
-		return "an anchor"
-	case *ast.AliasNode:
-		return "an alias"
-	case *ast.TagNode:
-		return "a tag"
-	case *ast.LiteralNode:
-		return "a block scalar"
 	}
 	return "a value of another kind"
 }
+
+func quote(s string) string {
+	const longest = 60
+	if runes := []rune(s); len(runes) > longest {
+		s = string(runes[:longest]) + "..."
+	}
+	return strconv.Quote(s)
+}
--- a/pkg/manifest/check.go
+++ b/pkg/manifest/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -66,7 +67,7 @@
 		p.checkCall(s, &at.stages[i])
 		sound = p.checkNeeds(pipe, i, place, &at.stages[i]) && sound
 	}
-	if !sound || len(place) < len(pipe.stages) {
+	if !sound || len(place) == 0 || len(place) < len(pipe.stages) {
 		return
 	}
 	p.checkUnused(pipe, place, at)
@@ -238,10 +239,11 @@
 	return table
 }
 
+// names returns the names of the items, each once.
 func names[T any](items []*T, name func(*T) string) []string {
 	list := make([]string, 0, len(items))
 	for _, item := range items {
-		if n := name(item); n != "" {
+		if n := name(item); n != "" && !slices.Contains(list, n) {
 			list = append(list, n)
 		}
 	}
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -64,6 +64,10 @@
 	modelByName    map[string]*Model
 	serviceByName  map[string]*Service
 	pipelineByName map[string]*Pipeline
+
+	// customerBySource holds the customers by the digest of their lines in the
+	// file, for ParseNext.
+	customerBySource map[Digest]*Customer
 }
 
 // Policy returns the routing and admission policy.
--- a/pkg/manifest/parse.go
+++ b/pkg/manifest/parse.go
@@ -15,7 +15,32 @@
 // Parse reads and checks a manifest. Name is the file name for faults. The error
 // is a *strictyaml.Errors that holds every fault with its position.
 func Parse(name string, data []byte) (*Manifest, error) {
-	p := &parser{r: strictyaml.NewReader(name), m: &Manifest{}}
+	return newParser(name).parse(data)
+}
+
+// ParseNext is Parse for a process that already has a manifest. It takes over
+// the customers whose lines are the same in both files, because parsing them is
+// nearly all of the time that a manifest with thousands of customers takes. The
+// result is that of Parse.
+func ParseNext(previous *Manifest, name string, data []byte) (*Manifest, error) {
+	p := newParser(name)
+	p.known = previous.customerBySource
+	m, err := p.parse(data)
+	if err != nil && p.reused > 0 {
+		// Positions aren't known for customers that were taken over.
+		return Parse(name, data)
+	}
+	return m, err
+}
+
+func newParser(name string) *parser {
+	return &parser{
+		r: strictyaml.NewReader(name),
+		m: &Manifest{customerBySource: map[Digest]*Customer{}},
+	}
+}
+
+func (p *parser) parse(data []byte) (*Manifest, error) {
 	if len(data) > MaxBytes {
 		p.r.Fail(strictyaml.Mark{}, fmt.Sprintf("a file of %d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBytes))
 		return nil, p.r.Err()
@@ -33,6 +58,9 @@
 	r *strictyaml.Reader
 	m *Manifest
 
+	known  map[Digest]*Customer // of the previous manifest
+	reused int
+
 	classAt    []strictyaml.Mark
 	customerAt []customerMarks
 	modelAt    []strictyaml.Mark
@@ -62,22 +90,24 @@
 	root.Required("version").Int(supportedVersion, supportedVersion)
 	p.m.policy = Policy(root.Optional("policy").OneOfOr(string(DefaultPolicy), string(PolicyAdaptive), string(PolicyBaseline)))
 	p.m.unconfirmed = Unconfirmed(root.Optional("unconfirmed").OneOfOr(string(DefaultUnconfirmed), string(UnconfirmedServe), string(UnconfirmedRefuse)))
-	for _, item := range atLeastOne(root.Required("classes"), MaxClasses) {
-		p.class(item)
+	for item := range root.Required("classes").Items(1, MaxClasses) {
+		p.class(item.Value())
 	}
-	for _, item := range atLeastOne(root.Required("customers"), MaxCustomers) {
-		p.customer(item)
+	for item := range root.Required("customers").Items(1, MaxCustomers) {
+		p.customerItem(item)
 	}
-	for _, item := range root.Optional("models").Sequence(MaxModels) {
-		p.model(item)
+	for item := range root.Optional("models").Items(0, MaxModels) {
+		p.model(item.Value())
 	}
-	for _, item := range atLeastOne(root.Required("services"), MaxServices) {
-		p.service(item)
+	for item := range root.Required("services").Items(1, MaxServices) {
+		p.service(item.Value())
 	}
-	for _, item := range root.Optional("pipelines").Sequence(MaxPipelines) {
-		p.pipeline(item)
+	for item := range root.Optional("pipelines").Items(0, MaxPipelines) {
+		p.pipeline(item.Value())
+	}
+	if !p.r.Broken() {
+		p.check()
 	}
-	p.check()
 }
 
 func (p *parser) class(v strictyaml.Value) {
@@ -92,6 +122,25 @@
 	})
 }
 
+// customerItem takes the customer over from the previous manifest when its lines
+// are the same.
+func (p *parser) customerItem(item strictyaml.Item) {
+	source := item.Source()
+	if source == nil {
+		p.customer(item.Value())
+		return
+	}
+	digest := digestOf(source)
+	if c, ok := p.known[digest]; ok {
+		p.reused++
+		p.m.customers = append(p.m.customers, c)
+		p.customerAt = append(p.customerAt, customerMarks{})
+	} else {
+		p.customer(item.Value())
+	}
+	p.m.customerBySource[digest] = p.m.customers[len(p.m.customers)-1]
+}
+
 func (p *parser) customer(v strictyaml.Value) {
 	f := v.Mapping("name", "key", "weight", "max_concurrent", "rate", "default_class")
 	name, key, class := f.Required("name"), f.Required("key"), f.Optional("default_class")
@@ -126,8 +175,8 @@
 		checksFencing: f.Optional("checks_fencing").Bool(),
 		reportsLoad:   f.Optional("reports_load").Bool(),
 	}
-	for _, item := range atLeastOne(f.Required("operations"), MaxOperations) {
-		p.operation(s, item)
+	for item := range f.Required("operations").Items(1, MaxOperations) {
+		p.operation(s, item.Value())
 	}
 	p.serviceAt = append(p.serviceAt, name.Mark())
 	p.m.services = append(p.m.services, s)
@@ -156,8 +205,8 @@
 		deadline:     deadline.Duration(MinDeadline, MaxDeadline),
 		defaultClass: itemName(class),
 	}
-	for _, item := range atLeastOne(f.Required("stages"), MaxStages) {
-		s, marks := p.stage(item)
+	for item := range f.Required("stages").Items(1, MaxStages) {
+		s, marks := p.stage(item.Value())
 		pipe.stages = append(pipe.stages, s)
 		at.stages = append(at.stages, marks)
 	}
@@ -176,22 +225,14 @@
 		model:     optionalName(model),
 		expected:  f.Required("expected").Duration(MinStageTime, MaxStageTime),
 	}
-	for _, need := range f.Optional("needs").Sequence(MaxStages) {
+	for item := range f.Optional("needs").Items(0, MaxStages) {
+		need := item.Value()
 		s.needs = append(s.needs, itemName(need))
 		at.needs = append(at.needs, need.Mark())
 	}
 	return s, at
 }
 
-// atLeastOne decodes a sequence that must not be empty.
-func atLeastOne(v strictyaml.Value, most int) []strictyaml.Value {
-	items := v.Sequence(most)
-	if v.IsEmptySequence() {
-		v.Fail("an empty sequence", "at least one item")
-	}
-	return items
-}
-
 func itemName(v strictyaml.Value) string {
 	return v.Text(isName, fmt.Sprintf("a name of up to %d lower-case letters, digits and single hyphens that starts with a letter", MaxName))
 }
--- a/pkg/manifest/parse_test.go
+++ b/pkg/manifest/parse_test.go
@@ -1,16 +1,21 @@
 package manifest_test
 
 import (
+	"flag"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
+	"github.com/rogpeppe/go-internal/txtar"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cardamomline/cardamomline/internal/strictyaml"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
 )
 
+var update = flag.Bool("update", false, "rewrite the expected faults in testdata/faults")
+
 func example(t testing.TB, name string) []byte {
 	t.Helper()
 	data, err := os.ReadFile(filepath.Join("..", "..", "examples", name))
@@ -18,19 +23,25 @@
 	return data
 }
 
-// Guards against examples that the program itself refuses, and against
-// accessors that return another key's value.
-func TestParseExample(t *testing.T) {
-	_, err := manifest.Parse("imanes.yaml", example(t, "imanes.yaml"))
-	require.NoError(t, err)
-	m, err := manifest.Parse("harbwr.yaml", example(t, "harbwr.yaml"))
+func parse(t testing.TB, data []byte) *manifest.Manifest {
+	t.Helper()
+	m, err := manifest.Parse("test.yaml", data)
 	require.NoError(t, err)
+	return m
+}
+
+// Guards against examples that the program itself refuses, against accessors
+// that return another key's value and against lost defaults.
+func TestParseExample(t *testing.T) {
+	parse(t, example(t, "imanes.yaml"))
+	m := parse(t, example(t, "harbwr.yaml"))
 	c, ok := m.Customer("depot-milford-key")
 	require.True(t, ok)
 	require.Equal(t, "depot-milford", c.Name())
 	require.Equal(t, 64, c.MaxConcurrent())
 	s, ok := m.Service("orders-core")
 	require.True(t, ok)
+	require.False(t, s.ReportsLoad())
 	release, ok := s.Operation("release_fuel")
 	require.True(t, ok)
 	require.False(t, release.Idempotent())
@@ -39,15 +50,28 @@
 	require.EqualValues(t, 8e9, model.Size())
 }
 
-// Guards against a check that stops at the first fault or loses its position.
+// Guards against a check that is missing, stops at the first fault, or reports
+// another place than the one to correct. Each file in testdata/faults holds a
+// manifest and the exact faults.
 func TestParseReportsEveryFault(t *testing.T) {
-	_, err := manifest.Parse("bad.yaml", []byte("version: 2\ncolour: red\nclasses: [{name: counter, deadline: 2}]\nclasses: []\n"))
-	var all *strictyaml.Errors
-	require.ErrorAs(t, err, &all)
-	require.Equal(t, `bad.yaml:1:1: found no key customers, expected the required key customers
-bad.yaml:1:1: found no key services, expected the required key services
-bad.yaml:1:10: version: found "2", expected a whole number from 1 to 1
-bad.yaml:2:1: found the unknown key "colour", expected one of the keys version, policy, unconfirmed, classes, customers, models, services, pipelines
-bad.yaml:3:37: classes[0].deadline: found "2", expected a duration from 10ms to 24h: write a number and a unit: ms, s, m or h
-bad.yaml:4:1: found the key classes a second time, expected each key once`, err.Error())
+	files, err := filepath.Glob("testdata/faults/*.txtar")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			require.NoError(t, err)
+			_, err = manifest.Parse("manifest.yaml", archive.Files[0].Data)
+			var all *strictyaml.Errors
+			require.ErrorAs(t, err, &all)
+			var one *strictyaml.Error
+			require.ErrorAs(t, err, &one)
+			got := strings.TrimSpace(all.Error()) + "\n"
+			if *update {
+				archive.Files[1].Data = []byte(got)
+				require.NoError(t, os.WriteFile(file, txtar.Format(archive), 0o644))
+			}
+			require.Equal(t, string(archive.Files[1].Data), got)
+		})
+	}
 }
