commands: Add manifest check, manifest diff and settings check

A build pipeline needs to refuse a bad manifest before it is applied, and an operator needs to read what a change does.

Each command is one type in a file of its own; newRoot and newGroup take a list of them. Files are read up to their size limit only. Settings accept port 0 for the process's own addresses, so that tests need no fixed ports.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -1,7 +1,8 @@
 // Package commands holds the command line of cardamomline.
 //
 // Each command is a small type that declares its flags and calls a package that
-// knows nothing of the command line.
+// knows nothing of the command line. To add a command, write such a type in a
+// file of its own and list it in newRoot, or in its group.
 //
 // # Usage
 //
@@ -10,9 +11,13 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
 
+	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/cardamomline/cardamomline/internal/strictyaml"
 )
 
 // Exit codes of every command.
@@ -25,26 +30,119 @@
 	ExitPartial  = 5 // accepted, but not yet in force everywhere
 )
 
+const exitCodeHelp = `Exit codes: 0 done, 1 failed, 2 bad flags, arguments, settings or manifest,
+3 another change was faster, 4 not found, 5 accepted but not yet in force everywhere.`
+
+// commander is implemented by every command.
+type commander interface {
+	command() *cobra.Command
+}
+
+// exitCoder is implemented by errors that have an exit code of their own.
+type exitCoder interface {
+	ExitCode() int
+}
+
+// usageError reports flags or arguments that were refused before the command ran.
+type usageError struct {
+	err error
+}
+
+// Error implements error.
+func (e *usageError) Error() string { return e.err.Error() + "; see --help" }
+
+// Unwrap returns the cause.
+func (e *usageError) Unwrap() error { return e.err }
+
+// ExitCode implements exitCoder.
+func (e *usageError) ExitCode() int { return ExitUsage }
+
 // Execute runs the command line and returns the exit code.
 func Execute(args []string) int {
 	root := newRoot()
 	root.SetArgs(args)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "cardamomline:", err)
-		return exitCode(err)
+	ran := false
+	trackRun(root, &ran)
+	err := root.Execute()
+	if err == nil {
+		return ExitOK
 	}
-	return ExitOK
+	if !ran {
+		err = &usageError{err: err}
+	}
+	fmt.Fprintln(os.Stderr, errorText(err))
+	return exitCode(err)
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	out := &output{}
+	root := &cobra.Command{
 		Use:           "cardamomline",
 		Short:         "Serve multi-stage model pipelines",
+		Long:          "Serve multi-stage model pipelines and the plain services beside them.\n\n" + exitCodeHelp,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	out.addFlag(root)
+	addCommands(
+		root,
+		&manifestCommand{out: out},
+		&settingsCommand{out: out},
+	)
+	return root
 }
 
-func exitCode(error) int {
+func addCommands(parent *cobra.Command, list ...commander) {
+	for _, c := range list {
+		parent.AddCommand(c.command())
+	}
+}
+
+// newGroup returns a command that only holds other commands.
+func newGroup(use, short string, list ...commander) *cobra.Command {
+	group := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs, // refuses an unknown command
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	addCommands(group, list...)
+	return group
+}
+
+// trackRun sets ran when a command is run. Errors before that are cobra's and
+// mean bad flags or arguments.
+func trackRun(c *cobra.Command, ran *bool) {
+	if run := c.RunE; run != nil {
+		c.RunE = func(cmd *cobra.Command, args []string) error {
+			*ran = true
+			return run(cmd, args)
+		}
+	}
+	for _, child := range c.Commands() {
+		trackRun(child, ran)
+	}
+}
+
+// errorText returns the message for an error. Faults in files start with the
+// file name, so that editors and terminals can jump to them.
+func errorText(err error) string {
+	var faults *strictyaml.Errors
+	if errors.As(err, &faults) {
+		return faults.Error()
+	}
+	return "cardamomline: " + err.Error()
+}
+
+func exitCode(err error) int {
+	var coder exitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	var faults *strictyaml.Errors
+	var path *fs.PathError
+	if errors.As(err, &faults) || errors.As(err, &path) {
+		return ExitUsage
+	}
 	return ExitFailure
 }
--- /dev/null
+++ b/internal/commands/manifest.go
@@ -0,0 +1,18 @@
+package commands
+
+import (
+	"github.com/spf13/cobra"
+)
+
+// manifestCommand groups the commands for the manifest.
+type manifestCommand struct {
+	out *output
+}
+
+func (c *manifestCommand) command() *cobra.Command {
+	return newGroup(
+		"manifest", "Check and compare manifests",
+		&manifestCheckCommand{out: c.out},
+		&manifestDiffCommand{out: c.out},
+	)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,9 +16,9 @@
 	"fmt"
 	"net/netip"
 	"net/url"
-	"os"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -70,10 +70,11 @@
 func (s *Settings) FailureDomain() string { return s.failureDomain }
 
 // Listen returns the address for callers (entry) or for other processes (agent,
-// control).
+// control). The system chooses the port when it is 0.
 func (s *Settings) Listen() string { return s.listen }
 
-// Admin returns the address for metrics, health and readiness.
+// Admin returns the address for metrics, health and readiness. The system chooses
+// the port when it is 0.
 func (s *Settings) Admin() string { return s.admin }
 
 // Control returns the addresses of the control VMs.
@@ -108,9 +109,9 @@
 
 // Load reads and checks the settings in the file.
 func Load(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := strictyaml.ReadFile(path, MaxBytes)
 	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
+		return nil, errors.Wrap(err, "load settings")
 	}
 	return Parse(path, data)
 }
@@ -119,11 +120,10 @@
 // *strictyaml.Errors that holds every fault with its position.
 func Parse(name string, data []byte) (*Settings, error) {
 	r := strictyaml.NewReader(name)
-	if len(data) > MaxBytes {
-		r.Fail(strictyaml.Mark{}, fmt.Sprintf("a file of %d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBytes))
-		return nil, r.Err()
+	var s *Settings
+	if r.CheckSize(data, MaxBytes) {
+		s = decode(r.Read(data))
 	}
-	s := decode(r.Read(data))
 	if err := r.Err(); err != nil {
 		return nil, err
 	}
@@ -140,11 +140,11 @@
 		name:          itemName(f.Required("name")),
 		region:        itemName(f.Required("region")),
 		failureDomain: itemName(f.Required("failure_domain")),
-		listen:        address(f.Required("listen")),
-		admin:         address(f.Required("admin")),
+		listen:        ownAddress(f.Required("listen")),
+		admin:         ownAddress(f.Required("admin")),
 		control:       addresses(f.Required("control")),
 	}
-	if s.admin != "" && s.admin == s.listen {
+	if s.admin != "" && s.admin == s.listen && isAddress(s.admin) {
 		f.Optional("admin").Fail("the address of listen", "an address of its own")
 	}
 	switch s.role {
@@ -198,6 +198,12 @@
 	return list
 }
 
+// ownAddress decodes an address that the process listens on. The system chooses
+// the port when it is 0.
+func ownAddress(v strictyaml.Value) string {
+	return v.Text(isOwnAddress, "an IP address and a port from 0 to 65535, such as 127.0.0.1:8080")
+}
+
 func address(v strictyaml.Value) string {
 	return v.Text(isAddress, "an IP address and a port from 1 to 65535, such as 127.0.0.1:8080")
 }
@@ -212,9 +218,13 @@
 	return len(s) <= manifest.MaxName && namePattern.MatchString(s)
 }
 
-func isAddress(s string) bool {
+func isOwnAddress(s string) bool {
 	a, err := netip.ParseAddrPort(s)
-	return err == nil && a.Port() != 0 && a.String() == s
+	return err == nil && a.String() == s
+}
+
+func isAddress(s string) bool {
+	return isOwnAddress(s) && !strings.HasSuffix(s, ":0")
 }
 
 func isPath(s string) bool {
--- a/pkg/manifest/parse.go
+++ b/pkg/manifest/parse.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"regexp"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cardamomline/cardamomline/internal/strictyaml"
 )
 
@@ -12,6 +14,15 @@
 	operationPattern = regexp.MustCompile(`^[a-z][a-z0-9]*(_[a-z0-9]+)*$`)
 )
 
+// Load reads and checks the manifest in the file.
+func Load(path string) (*Manifest, error) {
+	data, err := strictyaml.ReadFile(path, MaxBytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "load manifest")
+	}
+	return Parse(path, data)
+}
+
 // Parse reads and checks a manifest. Name is the file name for faults. The error
 // is a *strictyaml.Errors that holds every fault with its position.
 func Parse(name string, data []byte) (*Manifest, error) {
@@ -41,11 +52,9 @@
 }
 
 func (p *parser) parse(data []byte) (*Manifest, error) {
-	if len(data) > MaxBytes {
-		p.r.Fail(strictyaml.Mark{}, fmt.Sprintf("a file of %d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBytes))
-		return nil, p.r.Err()
+	if p.r.CheckSize(data, MaxBytes) {
+		p.document(p.r.Read(data))
 	}
-	p.document(p.r.Read(data))
 	if err := p.r.Err(); err != nil {
 		return nil, err
 	}
