--- a/internal/commands/dev.go
+++ b/internal/commands/dev.go
@@ -24,8 +24,7 @@
 	data     string
 }
 
-func newDev() *cobra.Command {
-	c := &devCommand{}
+func (c *devCommand) command() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "dev",
 		Short: "Run all roles and stand-ins in one process on loopback",
--- a/internal/commands/load.go
+++ b/internal/commands/load.go
@@ -1,8 +1,7 @@
 package commands
 
 import (
-	"encoding/json"
-	"fmt"
+	"io"
 	"os/signal"
 	"syscall"
 
@@ -18,12 +17,11 @@
 	mix      string
 	entries  []string
 	accounts []string
-	output   string
+	out      *output
 	write    string
 }
 
-func newLoad() *cobra.Command {
-	c := &loadCommand{}
+func (c *loadCommand) command() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "load",
 		Short: "Send an open-loop load and check the promises against the stand-ins' accounts",
@@ -36,7 +34,6 @@
 	f.StringVar(&c.mix, "mix", "", "YAML file that describes the load")
 	f.StringSliceVar(&c.entries, "entries", nil, "addresses of the entries, in place of those in the mix")
 	f.StringSliceVar(&c.accounts, "accounts", nil, "URLs of the accounts, in place of those in the mix")
-	f.StringVar(&c.output, "output", "table", "table or json")
 	f.StringVar(&c.write, "write", "", "file to write the run to as JSON")
 	_ = cmd.MarkFlagRequired("mix")
 	return cmd
@@ -74,19 +71,8 @@
 			return err
 		}
 	}
-	out := cmd.OutOrStdout()
-	switch c.output {
-	case "table":
-		report.Table(out, run)
+	return c.out.write(cmd.OutOrStdout(), run, func(w io.Writer) error {
+		report.Table(w, run)
 		return nil
-	case "json":
-		data, err := json.MarshalIndent(run, "", "  ")
-		if err != nil {
-			return errors.Wrap(err, "encode run")
-		}
-		fmt.Fprintln(out, string(data))
-		return nil
-	default:
-		return errors.Errorf("unknown output %q: want table or json", c.output)
-	}
+	})
 }
--- a/internal/commands/role.go
+++ b/internal/commands/role.go
@@ -18,17 +18,19 @@
 // roleCommand runs one process of the role that its settings must name.
 type roleCommand struct {
 	role        settings.Role
+	short       string
+	long        string
 	settings    string
 	stopTimeout time.Duration
 }
 
-func newRole(role settings.Role, short, long string) *cobra.Command {
-	c := &roleCommand{role: role}
+func (c *roleCommand) command() *cobra.Command {
+	role := string(c.role)
 	cmd := &cobra.Command{
-		Use:     string(role),
-		Short:   short,
-		Long:    long,
-		Example: "  cardamomline " + string(role) + " --settings examples/settings/" + string(role) + "-1.yaml",
+		Use:     role,
+		Short:   c.short,
+		Long:    c.long,
+		Example: "  cardamomline " + role + " --settings examples/settings/" + role + "-1.yaml",
 		Args:    cobra.NoArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return c.run(cmd.Context()) },
 	}
--- a/internal/commands/standin.go
+++ b/internal/commands/standin.go
@@ -22,8 +22,7 @@
 	accounts string
 }
 
-func newStandin() *cobra.Command {
-	c := &standinCommand{}
+func (c *standinCommand) command() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "standin",
 		Short: "Serve stand-ins for engines, pools, services and the weight store",
