report: Add the page on cost, a comparison of runs and a plot

A manager gets cost by stage and customer in Markdown, two runs stand side by side, and latencies can be drawn as SVG or PNG. The load tool asks for each waiting answer with another customer's key, gives up on one entry before its grace ends so that another can tell the outcome, and counts repeated answers as used work. Not yet used on a run against real entries.

--- a/internal/commands/load.go
+++ b/internal/commands/load.go
@@ -1,8 +1,10 @@
 package commands
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -13,6 +15,12 @@
 	"github.com/cardamomline/cardamomline/internal/report"
 )
 
+// Values of the flag --output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
 // loadCommand sends a load and reports what it measured.
 type loadCommand struct {
 	mix      string
@@ -20,6 +28,9 @@
 	accounts []string
 	output   string
 	write    string
+	compare  string
+	cost     string
+	plot     string
 }
 
 func newLoad() *cobra.Command {
@@ -36,13 +47,19 @@
 	f.StringVar(&c.mix, "mix", "", "YAML file that describes the load")
 	f.StringSliceVar(&c.entries, "entries", nil, "addresses of the entries, in place of those in the mix")
 	f.StringSliceVar(&c.accounts, "accounts", nil, "URLs of the accounts, in place of those in the mix")
-	f.StringVar(&c.output, "output", "table", "table or json")
+	f.StringVar(&c.output, "output", outputTable, "table or json")
 	f.StringVar(&c.write, "write", "", "file to write the run to as JSON")
+	f.StringVar(&c.compare, "compare", "", "file of an earlier run to print side by side")
+	f.StringVar(&c.cost, "cost", "", "Markdown file to write the page on cost to")
+	f.StringVar(&c.plot, "plot", "", "SVG or PNG file to draw latencies in")
 	_ = cmd.MarkFlagRequired("mix")
 	return cmd
 }
 
 func (c *loadCommand) run(cmd *cobra.Command) error {
+	if c.output != outputTable && c.output != outputJSON {
+		return errors.Errorf("unknown output %q: want table or json", c.output)
+	}
 	mix, err := load.ReadMix(c.mix)
 	if err != nil {
 		return err
@@ -59,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.writeFiles(run); err != nil {
+		return err
+	}
 	if err := c.print(cmd, run); err != nil {
 		return err
 	}
@@ -68,25 +88,44 @@
 	return nil
 }
 
-func (c *loadCommand) print(cmd *cobra.Command, run *report.Run) error {
+// writeFiles writes the files that the flags name.
+func (c *loadCommand) writeFiles(run *report.Run) error {
 	if c.write != "" {
 		if err := run.Write(c.write); err != nil {
 			return err
 		}
 	}
+	if c.cost != "" {
+		var page bytes.Buffer
+		report.CostPage(&page, run)
+		if err := os.WriteFile(c.cost, page.Bytes(), 0o644); err != nil {
+			return errors.Wrap(err, "write page on cost")
+		}
+	}
+	if c.plot != "" {
+		return report.Plot(c.plot, run)
+	}
+	return nil
+}
+
+func (c *loadCommand) print(cmd *cobra.Command, run *report.Run) error {
 	out := cmd.OutOrStdout()
-	switch c.output {
-	case "table":
-		report.Table(out, run)
-		return nil
-	case "json":
+	if c.output == outputJSON {
 		data, err := json.MarshalIndent(run, "", "  ")
 		if err != nil {
 			return errors.Wrap(err, "encode run")
 		}
 		fmt.Fprintln(out, string(data))
 		return nil
-	default:
-		return errors.Errorf("unknown output %q: want table or json", c.output)
 	}
+	report.Table(out, run)
+	if c.compare == "" {
+		return nil
+	}
+	earlier, err := report.Read(c.compare)
+	if err != nil {
+		return err
+	}
+	report.Compare(out, earlier, run)
+	return nil
 }
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -72,6 +72,7 @@
 	Gaps       []time.Duration // between the tokens of a stream
 	Stream     string          // the tokens of a stream, joined
 	StreamGap  string          // what was wrong with the offsets of a stream
+	Foreign    *Answer         // what another customer got who asked for a waiting request
 }
 
 // Latency returns the time from the first call to the answer.
@@ -89,7 +90,10 @@
 	retryPause   = 50 * time.Millisecond // between calls of one request
 	fetchPause   = 200 * time.Millisecond
 	maxFetchWait = 2 * time.Second
-	maxAnswer    = 16 << 20 // bytes
+	// submitTime bounds one call that submits a waiting request. Its deadline is
+	// the time for the answer, far longer than an entry needs to record it.
+	submitTime = 5 * time.Second
+	maxAnswer  = 16 << 20 // bytes
 )
 
 // connectionError reports a call without an answer. Another entry may be asked.
@@ -106,10 +110,15 @@
 	random := rand.New(rand.NewPCG(c.mix.Seed, uint64(a.Index)))
 	limit, cancel := context.WithTimeout(ctx, a.Request.Deadline+c.mix.Grace)
 	defer cancel()
-	c.try(limit, random, &r, func(entry string) (*Answer, error) { return c.send(limit, entry, &r) })
+	c.try(limit, random, &r, func(entry string) (*Answer, error) {
+		call, cancel := context.WithTimeout(limit, c.callTime(&r))
+		defer cancel()
+		return c.send(call, entry, &r)
+	})
 	if a.Request.Kind == KindWaiting && r.Answer != nil && r.Answer.Outcome == OutcomeAccepted {
 		r.Accepted = r.Answered
 		c.collect(ctx, random, &r)
+		c.askAsStranger(ctx, random, &r)
 	}
 	return r
 }
@@ -161,10 +170,44 @@
 	}
 }
 
+// callTime returns how long the caller waits for one entry. It gives up some time
+// before the grace ends, so that it can ask another entry for the outcome.
+func (c *caller) callTime(r *Record) time.Duration {
+	if r.Arrival.Request.Kind == KindWaiting {
+		return submitTime
+	}
+	return c.timeLeft(r) + c.mix.Grace/4
+}
+
+// timeLeft returns the time to the deadline or, for a call that repeats another
+// one, to the end of the grace if that is longer: the outcome is still wanted.
+func (c *caller) timeLeft(r *Record) time.Duration {
+	left := r.Arrival.Request.Deadline - c.timer.Since(r.Sent)
+	if r.Retries > 0 {
+		left += c.mix.Grace / 2
+	}
+	return max(left, time.Millisecond)
+}
+
+// askAsStranger fetches a complete waiting request with the key of another customer.
+func (c *caller) askAsStranger(ctx context.Context, random *rand.Rand, r *Record) {
+	for _, other := range c.mix.Customers {
+		if other.Name == r.Arrival.Customer.Name || r.Answer.Outcome != OutcomeDone {
+			continue
+		}
+		limit, cancel := context.WithTimeout(ctx, submitTime)
+		defer cancel()
+		entry := c.mix.Entries[random.IntN(len(c.mix.Entries))]
+		if answer, err := c.fetch(limit, entry, other.Key, r.Answer.RequestID); err == nil {
+			r.Foreign = answer
+		}
+		return
+	}
+}
+
 func (c *caller) send(ctx context.Context, entry string, r *Record) (*Answer, error) {
 	a := &r.Arrival
-	left := max(a.Request.Deadline-c.timer.Since(r.Sent), time.Millisecond)
-	path, body := a.body(left)
+	path, body := a.body(c.timeLeft(r))
 	resp, err := c.post(ctx, entry, path, a.Customer.Key, body)
 	if err != nil {
 		return nil, err
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -57,12 +57,13 @@
 }
 
 type checker struct {
-	records    []Record
-	complete   bool
-	effects    map[string]effect // by order id
-	ran        map[string]string // request id to an attempt that ran
-	violations []report.Violation
-	unclear    int
+	records      []Record
+	complete     bool
+	effects      map[string]effect // by order id
+	ran          map[string]string // request id to an attempt that ran
+	violations   []report.Violation
+	unclear      int
+	failedButRan int
 }
 
 func (c *checker) read(a *standin.Account) {
@@ -132,6 +133,9 @@
 		// The recorded outcome names the request that ran.
 		request = ""
 	}
+	if r.Foreign != nil && (r.Foreign.Outcome == OutcomeDone || r.Foreign.Output != "") {
+		c.broken(report.KindMisdelivered, r, "another customer could fetch the answer")
+	}
 	err := r.checkOutput(request)
 	var cut *standin.CutError
 	switch {
@@ -200,6 +204,10 @@
 			}
 		case OutcomeNotRun:
 			c.orderNotRun(r, copies, e)
+		case OutcomeFailed:
+			if e.count > 0 {
+				c.failedButRan++
+			}
 		}
 	}
 }
@@ -223,13 +231,16 @@
 }
 
 func (c *checker) notes() []report.Observation {
-	if c.unclear == 0 {
-		return []report.Observation{}
+	notes := []report.Observation{}
+	for _, n := range []report.Observation{
+		{Kind: "not_run_of_a_copy", Count: c.unclear, Detail: "told not_run about one copy of an order of which another copy ran"},
+		{Kind: "failed_but_ran", Count: c.failedButRan, Detail: "told failed about an order that ran"},
+	} {
+		if n.Count > 0 {
+			notes = append(notes, n)
+		}
 	}
-	return []report.Observation{{
-		Kind: "not_run_of_a_copy", Count: c.unclear,
-		Detail: "told not_run about one copy of an order of which another copy ran",
-	}}
+	return notes
 }
 
 func offsetFault(want, got int) string {
--- a/internal/load/check_test.go
+++ b/internal/load/check_test.go
@@ -130,6 +130,11 @@
 		{"told not_run, but the order ran under another request id", func(*load.Evidence) load.Record {
 			return record(load.KindOrder, &load.Answer{RequestID: "r8", Outcome: load.OutcomeNotRun, Reason: "no_target"})
 		}, report.KindUntrueNotRun},
+		{"another customer could fetch a waiting answer", func(*load.Evidence) load.Record {
+			r := record(load.KindWaiting, quote(whole))
+			r.Accepted, r.Foreign = noon, r.Answer
+			return r
+		}, report.KindMisdelivered},
 		{"last token missing", func(*load.Evidence) load.Record {
 			return record(load.KindPipeline, quote(whole[:len(whole)-len(" 7:abcd")]))
 		}, report.KindCut},
--- a/internal/load/cost.go
+++ b/internal/load/cost.go
@@ -23,6 +23,8 @@
 	for i := range records {
 		if a := records[i].Answer; a != nil && a.Outcome == OutcomeDone {
 			answered[a.RequestID] = true
+			// A repeated answer is the result of an earlier request.
+			answered[standin.MadeFor(a.Output)] = true
 		}
 	}
 	best := bestAttempts(accounts)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -18,6 +18,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -78,13 +79,13 @@
 	if len(m.Entries) == 0 {
 		return nil, &MixError{field: "entries", want: "at least one address"}
 	}
-	before := r.evidence(ctx, nil).Accounts
+	before := r.evidence(ctx, nil, math.MaxUint64).Accounts
 	started := r.options.Timer.Now()
 	records, notSent, err := r.send(ctx, Schedule(m, r.options.Name))
 	if err != nil {
 		return nil, err
 	}
-	run := Summarize(m, records, r.evidence(ctx, before))
+	run := Summarize(m, records, r.evidence(ctx, before, 0))
 	run.Started, run.Seconds, run.NotSent = started, r.options.Timer.Since(started).Seconds(), notSent
 	return run, nil
 }
@@ -123,16 +124,16 @@
 	return kept, len(arrivals) - len(kept), nil
 }
 
-// evidence reads all accounts. Only the attempts that the accounts before don't
-// have are kept.
-func (r *Runner) evidence(ctx context.Context, before []standin.Account) Evidence {
+// evidence reads all accounts with the attempts from a sequence number on. Only
+// the attempts that the accounts before don't have are kept.
+func (r *Runner) evidence(ctx context.Context, before []standin.Account, from uint64) Evidence {
 	if r.options.Accounts != nil {
 		return Evidence{Accounts: since(r.options.Accounts(), before)}
 	}
 	var all []standin.Account
 	missing := 0
 	for _, base := range r.options.Mix.Accounts {
-		got, err := r.account(ctx, base)
+		got, err := r.account(ctx, base, from)
 		if err != nil {
 			missing++
 			continue
@@ -143,13 +144,14 @@
 }
 
 // account reads one account, or the list that an accounts listener serves.
-func (r *Runner) account(ctx context.Context, base string) ([]standin.Account, error) {
+func (r *Runner) account(ctx context.Context, base string, from uint64) ([]standin.Account, error) {
 	ctx, cancel := context.WithTimeout(ctx, accountTime)
 	defer cancel()
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/account", http.NoBody)
+	u := fmt.Sprintf("%s/v1/account?from=%d", base, from)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, http.NoBody)
 	if err != nil {
 		return nil, errors.Wrap(err, "build account request")
 	}
--- a/internal/load/runner_test.go
+++ b/internal/load/runner_test.go
@@ -46,6 +46,7 @@
 	number int
 	orders map[string]load.Answer
 	parked map[string]load.Answer
+	owner  map[string]string
 }
 
 func (e *testEntry) routes() http.Handler {
@@ -56,7 +57,11 @@
 	mux.HandleFunc("GET /v1/waiting/{id}", func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		reply(w, e.parked[r.PathValue("id")])
+		a := e.parked[r.PathValue("id")]
+		if r.Header.Get("Customer-Key") != e.owner[a.RequestID] {
+			a = load.Answer{Outcome: load.OutcomeNotRun}
+		}
+		reply(w, a)
 	})
 	return mux
 }
@@ -94,6 +99,7 @@
 	if r.PathValue("pipeline") == "stem-summary" {
 		e.mu.Lock()
 		e.parked[a.RequestID] = a
+		e.owner[a.RequestID] = r.Header.Get("Customer-Key")
 		e.mu.Unlock()
 		a = load.Answer{RequestID: a.RequestID, Outcome: load.OutcomeAccepted}
 	}
@@ -146,7 +152,7 @@
 		transport := &http.Transport{DialContext: network.Dial}
 		defer transport.CloseIdleConnections()
 		client := &http.Client{Transport: transport}
-		entry := &testEntry{client: client, stage: map[string]string{}, orders: map[string]load.Answer{}, parked: map[string]load.Answer{}}
+		entry := &testEntry{client: client, stage: map[string]string{}, orders: map[string]load.Answer{}, parked: map[string]load.Answer{}, owner: map[string]string{}}
 		var all []*standin.Standin
 		for _, o := range []standin.Options{
 			{Name: "engine-1", Kind: standin.KindEngine, Listen: "engine:80"},
--- a/internal/standin/accounts.go
+++ b/internal/standin/accounts.go
@@ -20,10 +20,15 @@
 // NewAccounts returns an Accounts that will listen on an address.
 func NewAccounts(listen string, all ...*Standin) *Accounts {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/account", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /v1/account", func(w http.ResponseWriter, r *http.Request) {
+		from, err := numberParam(r, "from")
+		if err != nil {
+			writeRefusal(w, badRequest(err))
+			return
+		}
 		list := make([]Account, 0, len(all))
 		for _, s := range all {
-			list = append(list, s.Account(0))
+			list = append(list, s.Account(from))
 		}
 		writeJSON(w, http.StatusOK, list)
 	})
--- a/internal/standin/proof.go
+++ b/internal/standin/proof.go
@@ -18,6 +18,7 @@
 var (
 	headingPattern = regexp.MustCompile(`\[origin:([0-9a-f+]+) [^\[\]]*\]`)
 	textPattern    = regexp.MustCompile(`^\[origin:([0-9a-f+]+) request:([^ \[\]]*) of:([0-9]+)\]`)
+	madeForPattern = regexp.MustCompile(`^\[origin:[0-9a-f+]+ request:([^ \[\]]*) `)
 	outputPattern  = regexp.MustCompile(`^\[origin:[0-9a-f+]+ request:([^ \[\]]*) stage:[^\[\]]*\]`)
 )
 
@@ -150,6 +151,20 @@
 	return nil
 }
 
+// MadeFor returns the id of the request that an output says it was made for, or
+// "" when it doesn't say.
+func MadeFor(output string) string {
+	m := madeForPattern.FindStringSubmatch(output)
+	if m == nil {
+		return ""
+	}
+	request, err := url.QueryUnescape(m[1])
+	if err != nil {
+		return ""
+	}
+	return request
+}
+
 func excerpt(text string) string {
 	const longest = 120
 	return text[:min(len(text), longest)]
