commands: Add the operators' commands

Cause: operators had no way to put a manifest into force, see the system, drain a target or settle an order. Measured: build, vet, revive and the command line tests pass. Conclusion: the script with separate processes can use them.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -95,6 +95,9 @@
 		&loadCommand{out: out},
 		&manifestCommand{out: out},
 		&settingsCommand{out: out},
+		&statusCommand{out: out},
+		&drainCommand{out: out},
+		&ordersCommand{out: out},
 	)
 	return root
 }
--- a/internal/commands/load.go
+++ b/internal/commands/load.go
@@ -1,7 +1,9 @@
 package commands
 
 import (
+	"bytes"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -19,6 +21,9 @@
 	accounts []string
 	out      *output
 	write    string
+	compare  string
+	cost     string
+	plot     string
 }
 
 func (c *loadCommand) command() *cobra.Command {
@@ -35,6 +40,9 @@
 	f.StringSliceVar(&c.entries, "entries", nil, "addresses of the entries, in place of those in the mix")
 	f.StringSliceVar(&c.accounts, "accounts", nil, "URLs of the accounts, in place of those in the mix")
 	f.StringVar(&c.write, "write", "", "file to write the run to as JSON")
+	f.StringVar(&c.compare, "compare", "", "file of an earlier run to print side by side")
+	f.StringVar(&c.cost, "cost", "", "Markdown file to write the page on cost to")
+	f.StringVar(&c.plot, "plot", "", "SVG or PNG file to draw latencies in")
 	_ = cmd.MarkFlagRequired("mix")
 	return cmd
 }
@@ -56,6 +64,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.writeFiles(run); err != nil {
+		return err
+	}
 	if err := c.print(cmd, run); err != nil {
 		return err
 	}
@@ -65,14 +76,37 @@
 	return nil
 }
 
-func (c *loadCommand) print(cmd *cobra.Command, run *report.Run) error {
+// writeFiles writes the files that the flags name.
+func (c *loadCommand) writeFiles(run *report.Run) error {
 	if c.write != "" {
 		if err := run.Write(c.write); err != nil {
 			return err
 		}
 	}
+	if c.cost != "" {
+		var page bytes.Buffer
+		report.CostPage(&page, run)
+		if err := os.WriteFile(c.cost, page.Bytes(), 0o644); err != nil {
+			return errors.Wrap(err, "write page on cost")
+		}
+	}
+	if c.plot != "" {
+		return report.Plot(c.plot, run)
+	}
+	return nil
+}
+
+func (c *loadCommand) print(cmd *cobra.Command, run *report.Run) error {
 	return c.out.write(cmd.OutOrStdout(), run, func(w io.Writer) error {
 		report.Table(w, run)
+		if c.compare == "" {
+			return nil
+		}
+		earlier, err := report.Read(c.compare)
+		if err != nil {
+			return err
+		}
+		report.Compare(w, earlier, run)
 		return nil
 	})
 }
--- a/internal/commands/manifest.go
+++ b/internal/commands/manifest.go
@@ -11,8 +11,11 @@
 
 func (c *manifestCommand) command() *cobra.Command {
 	return newGroup(
-		"manifest", "Check and compare manifests",
+		"manifest", "Check, compare and apply manifests",
 		&manifestCheckCommand{out: c.out},
 		&manifestDiffCommand{out: c.out},
+		&manifestApplyCommand{out: c.out},
+		&manifestShowCommand{out: c.out},
+		&manifestHistoryCommand{out: c.out},
 	)
 }
