--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -138,11 +138,9 @@
 	}
 	s.nowMS = max(s.nowMS, command.GetAtMs())
 	result := s.execute(step{index: index, nowMS: s.nowMS}, command)
+	// The first answer to a change has the index and the revision of its time.
 	if result.Index == 0 {
-		result.Index = index
-	}
-	if result.Revision == 0 {
-		result.Revision = s.manifests.revision
+		result.Index, result.Revision = index, s.manifests.revision
 	}
 	return result
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,9 @@
 package ledger_test
 
 import (
+	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,3 +75,110 @@
 	require.Equal(t, "two", string(newest.GetManifest()))
 	require.EqualValues(t, 2, l.ledger.Revision())
 }
+
+func (l *log) settle(order, operator string, s wire.OrderState) *wire.Result {
+	return l.apply(&wire.Command{Kind: &wire.Command_SettleOrder{SettleOrder: &wire.SettleOrder{Customer: "depot-milford", OrderId: order, State: s, Operator: operator, Reason: "checked at the berth"}}})
+}
+
+// Guards the rules of an order that an operator has to explain: who may claim
+// it, who may settle it, and the sentences that remain.
+func TestOrderStory(t *testing.T) {
+	l := newLog(t, ledger.Options{})
+	require.Empty(t, l.claim("r17", "body", "a1").GetRefusal())
+	require.True(t, l.claim("r17", "body", "a1").GetRepeated())
+	require.Equal(t, ledger.RefusedBodyMismatch, l.claim("r17", "other", "a2").GetRefusal())
+	exists := l.claim("r17", "body", "a2")
+	require.Equal(t, ledger.RefusedOrderExists, exists.GetRefusal())
+	require.Equal(t, "a1", exists.GetOrder().GetAttempt())
+	require.Equal(t, "Order r17 of depot-milford is already recorded: claimed (attempt a1 at agent-1).", exists.GetDetail())
+	require.Equal(t, ledger.RefusedOrderInProgress, l.settle("r17", "rhys", done).GetRefusal())
+	require.Empty(t, l.ledger.Unsettled(10))
+
+	l.nowMS += 2001
+	l.manifest(0, "c1", "rhys", "any command moves the log's time")
+	require.Len(t, l.ledger.Unsettled(10), 1, "a claim past its deadline needs an operator")
+	require.Equal(t, ledger.RefusedAttemptMismatch, l.outcome("r17", "a2", notRun, "").GetRefusal())
+	require.Empty(t, l.outcome("r17", "a1", notRun, "").GetRefusal())
+	require.Equal(t, ledger.RefusedAttemptUsed, l.claim("r17", "body", "a1").GetRefusal())
+	require.Empty(t, l.claim("r17", "body", "a2").GetRefusal())
+	require.Empty(t, l.outcome("r17", "a2", unknown, "").GetRefusal())
+	require.Len(t, l.ledger.Unsettled(10), 1)
+	require.Empty(t, l.settle("r17", "rhys", done).GetRefusal())
+	require.True(t, l.settle("r17", "rhys", done).GetRepeated())
+	late := l.outcome("r17", "a2", notRun, "")
+	require.Equal(t, ledger.RefusedOrderSettled, late.GetRefusal())
+	require.Equal(t, "Order r17 of depot-milford was already recorded as done by rhys, which is final.", late.GetDetail())
+
+	r, ok := l.ledger.Order("depot-milford", "r17")
+	require.True(t, ok)
+	var story []string
+	for _, e := range r.GetEvents() {
+		story = append(story, e.GetText())
+	}
+	require.Equal(t, []string{
+		"Claimed by entry-1 for attempt a1 at agent-1.",
+		"Attempt a1 was recorded as not run.",
+		"Claimed by entry-1 for attempt a2 at agent-1.",
+		"Attempt a2 was recorded as unknown.",
+		"rhys settled the order as done (checked at the berth).",
+	}, story)
+	require.Empty(t, l.ledger.Unsettled(10))
+	require.Equal(t, 0, l.ledger.Counts().Open())
+}
+
+// Guards a view against the commands applied after it, and the pages of the
+// table against leaks and lost records when most orders expire.
+func TestViewIsUnaffectedByLaterCommands(t *testing.T) {
+	const total = 2000
+	l := newLog(t, ledger.Options{})
+	for i := range total {
+		l.nowMS++
+		order := fmt.Sprintf("o%d", i)
+		l.claim(order, "body", "a1")
+		if i%100 != 0 {
+			l.outcome(order, "a1", done, "ok")
+		}
+	}
+	before, err := l.ledger.Snapshot()
+	require.NoError(t, err)
+	view := l.ledger.View()
+	expired := l.apply(&wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{BeforeMs: l.nowMS + 1000, Max: total}}})
+	// The newest order settled in the present millisecond and stays.
+	require.EqualValues(t, total-total/100-1, expired.GetExpired())
+	l.claim("o0", "body", "a1")
+	l.outcome("o0", "a1", done, "ok")
+	data, err := view.Marshal()
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(before, data), "a view changed after it was taken")
+	require.Equal(t, total/100+1, l.ledger.Counts().Orders())
+	for i := 100; i < total; i += 100 {
+		r, ok := l.ledger.Order("depot-milford", fmt.Sprintf("o%d", i))
+		require.True(t, ok)
+		require.Equal(t, claimed, r.GetState())
+	}
+	restored := ledger.New(ledger.Options{})
+	require.NoError(t, restored.Restore(view.Index(), before))
+	require.Equal(t, total, restored.Counts().Orders())
+	require.Error(t, restored.Restore(view.Index(), before[:len(before)-1]), "a torn snapshot was accepted")
+	require.Equal(t, total, restored.Counts().Orders(), "a failed restore changed the state")
+}
+
+// Guards against a history of large manifests that fills the memory, and
+// against one that loses the newest revision.
+func TestHistoryIsBounded(t *testing.T) {
+	l := newLog(t, ledger.Options{History: 4, HistoryBytes: 2000})
+	for i := range uint64(6) {
+		l.manifest(i, fmt.Sprintf("c%d", i), "rhys", strings.Repeat("x", 900))
+	}
+	history := l.ledger.History(10)
+	require.Len(t, history, 4)
+	for i, r := range history {
+		require.EqualValues(t, 6-i, r.GetRevision())
+		require.Equal(t, i < 2, len(r.GetManifest()) > 0)
+	}
+	_, ok := l.ledger.Manifest(2)
+	require.False(t, ok)
+	oldest, ok := l.ledger.Manifest(3)
+	require.True(t, ok)
+	require.Equal(t, "rhys", oldest.GetOperator())
+}
--- /dev/null
+++ b/internal/ledger/property_test.go
@@ -0,0 +1,310 @@
+package ledger_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/cardamomline/cardamomline/internal/ledger"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	claimed = wire.OrderState_ORDER_STATE_CLAIMED
+	done    = wire.OrderState_ORDER_STATE_DONE
+	notRun  = wire.OrderState_ORDER_STATE_NOT_RUN
+	unknown = wire.OrderState_ORDER_STATE_UNKNOWN
+	failed  = wire.OrderState_ORDER_STATE_FAILED
+
+	accepted = wire.WaitingState_WAITING_STATE_ACCEPTED
+	leased   = wire.WaitingState_WAITING_STATE_LEASED
+	finished = wire.WaitingState_WAITING_STATE_DONE
+)
+
+var small = ledger.Options{History: 3, ChangeAnswers: 4, Events: 3}
+
+// machine applies random commands to two ledgers and compares them. The twin is
+// replaced by a restored one now and then.
+type machine struct {
+	*log
+	twin     *ledger.Ledger
+	commands []*wire.Command                // for resends
+	running  map[string]string              // order to the attempt that may run
+	changes  map[string]*wire.ApplyManifest // by change id
+	answers  map[string]*wire.Result        // first answers by change id
+	kept     []string                       // change ids within the bound, oldest first
+	accepted map[string]string              // submission to waiting id
+	fences   map[string]uint64
+	epoch    uint64
+}
+
+func newMachine(t *rapid.T) *machine {
+	return &machine{
+		log:      newLog(t, small),
+		twin:     ledger.New(small),
+		running:  map[string]string{},
+		changes:  map[string]*wire.ApplyManifest{},
+		answers:  map[string]*wire.Result{},
+		accepted: map[string]string{},
+		fences:   map[string]uint64{},
+	}
+}
+
+func (m *machine) state(l *ledger.Ledger) *wire.LedgerSnapshot {
+	data, err := l.Snapshot()
+	require.NoError(m.t, err)
+	s := &wire.LedgerSnapshot{}
+	require.NoError(m.t, proto.Unmarshal(data, s))
+	return s
+}
+
+// run applies a command to both ledgers and checks what it changed.
+func (m *machine) run(c *wire.Command) {
+	before := m.state(m.ledger)
+	result := m.apply(c)
+	data, err := proto.Marshal(c)
+	require.NoError(m.t, err)
+	require.True(m.t, proto.Equal(result, m.twin.Apply(m.index, data).(*wire.Result)), "two replicas answer differently")
+	after := m.state(m.ledger)
+	m.checkOrders(c, before, after)
+	m.checkWaiting(c, result, before, after)
+	m.checkEffect(c, result, before, after)
+	m.checkAnswer(c, result)
+}
+
+func orders(s *wire.LedgerSnapshot) map[string]*wire.OrderRecord {
+	out := map[string]*wire.OrderRecord{}
+	for _, r := range s.GetOrders() {
+		out[r.GetCustomer()+"/"+r.GetOrderId()] = r
+	}
+	return out
+}
+
+// checkOrders guards P3 and P4: no order has two attempts that may both run, a
+// final outcome never changes, and only final orders expire.
+func (m *machine) checkOrders(c *wire.Command, before, after *wire.LedgerSnapshot) {
+	now := orders(after)
+	for key, old := range orders(before) {
+		r := now[key]
+		switch {
+		case r == nil:
+			require.Contains(m.t, []wire.OrderState{done, failed, notRun}, old.GetState(), "an open order was removed")
+			require.Less(m.t, old.GetSettledMs(), c.GetExpire().GetBeforeMs())
+			delete(m.running, key)
+		case old.GetState() == done || old.GetState() == failed:
+			require.True(m.t, proto.Equal(old, r), "a final order changed: %v to %v", old, r)
+		case old.GetState() == notRun && r.GetState() != notRun:
+			require.Equal(m.t, claimed, r.GetState())
+			require.NotEqual(m.t, old.GetAttempt(), r.GetAttempt(), "a barred attempt was granted again")
+			require.Equal(m.t, old.GetBodyHash(), r.GetBodyHash())
+		case r.GetState() != old.GetState():
+			require.Equal(m.t, old.GetAttempt(), r.GetAttempt())
+			require.NotEqual(m.t, claimed, r.GetState())
+		}
+	}
+	for key, r := range now {
+		attempt := m.running[key]
+		if r.GetState() != claimed && r.GetState() != unknown {
+			delete(m.running, key)
+			continue
+		}
+		if attempt != "" {
+			require.Equal(m.t, attempt, r.GetAttempt(), "two attempts of %s may run", key)
+		}
+		m.running[key] = r.GetAttempt()
+		require.LessOrEqual(m.t, len(r.GetEvents()), small.Events)
+	}
+}
+
+// checkWaiting guards against work under a stale epoch, a second completion,
+// and leases in another order than that of deadlines.
+func (m *machine) checkWaiting(c *wire.Command, result *wire.Result, before, after *wire.LedgerSnapshot) {
+	now := map[string]*wire.WaitingRecord{}
+	left := int64(1 << 60)
+	for _, r := range after.GetWaiting() {
+		now[r.GetId()] = r
+		if r.GetState() == accepted || r.GetState() == leased && r.GetLeaseUntilMs() <= m.nowMS {
+			left = min(left, r.GetDeadlineMs())
+		}
+	}
+	epoch := c.GetRecordStage().GetEpoch() + c.GetCompleteWaiting().GetEpoch()
+	for _, old := range before.GetWaiting() {
+		r := now[old.GetId()]
+		if r == nil {
+			require.Equal(m.t, finished, old.GetState())
+			require.Less(m.t, old.GetFinishedMs(), c.GetExpire().GetBeforeMs())
+			continue
+		}
+		if old.GetState() == finished || epoch != 0 && epoch != old.GetEpoch() {
+			require.True(m.t, proto.Equal(old, r), "a stale epoch changed %v to %v", old, r)
+		}
+		if r.GetEpoch() != old.GetEpoch() {
+			require.True(m.t, old.GetState() == accepted || old.GetLeaseUntilMs() <= m.nowMS, "a lease was taken away")
+			require.Greater(m.t, r.GetEpoch(), m.epoch)
+		}
+		require.GreaterOrEqual(m.t, len(r.GetStages()), len(old.GetStages()))
+	}
+	m.epoch = after.GetNextEpoch()
+	if lease := c.GetLeaseWaiting(); lease != nil {
+		for i, r := range result.GetWaiting() {
+			require.LessOrEqual(m.t, r.GetDeadlineMs(), left, "a later deadline was handed out first")
+			require.True(m.t, i == 0 || result.GetWaiting()[i-1].GetDeadlineMs() <= r.GetDeadlineMs())
+		}
+		require.True(m.t, left == 1<<60 || len(result.GetWaiting()) == int(lease.GetMax()), "a request that could be leased was left")
+	}
+}
+
+// checkEffect guards against a refused or repeated command that changes
+// something, and against revisions and fences that fall.
+func (m *machine) checkEffect(c *wire.Command, result *wire.Result, before, after *wire.LedgerSnapshot) {
+	if result.GetRefusal() != "" || result.GetRepeated() {
+		require.NotEqual(m.t, "", result.GetDetail()+fmt.Sprint(result.GetRepeated()))
+		for _, s := range []*wire.LedgerSnapshot{before, after} {
+			s.Index, s.AtMs, s.Changes = 0, 0, nil
+		}
+		require.True(m.t, proto.Equal(before, after), "a command without effect changed the state")
+	}
+	revision := func(s *wire.LedgerSnapshot) (newest uint64) {
+		for i, r := range s.GetManifests() {
+			require.True(m.t, i == 0 || r.GetRevision() == newest+1)
+			newest = r.GetRevision()
+		}
+		return newest
+	}
+	grown := revision(after) - revision(before)
+	require.True(m.t, grown == 0 || grown == 1 && c.GetApplyManifest().GetBaseRevision() == revision(before))
+	for _, f := range after.GetFences() {
+		require.GreaterOrEqual(m.t, f.GetFence(), m.fences[f.GetScope()])
+		m.fences[f.GetScope()] = f.GetFence()
+	}
+	if fence := c.GetGrantFence(); fence != nil && result.GetRefusal() == "" {
+		require.Equal(m.t, m.fences[fence.GetScope()], result.GetFence())
+	}
+}
+
+// checkAnswer guards against a resend that gets another answer than the first.
+func (m *machine) checkAnswer(c *wire.Command, result *wire.Result) {
+	switch k := c.GetKind().(type) {
+	case *wire.Command_ApplyManifest:
+		id := k.ApplyManifest.GetChangeId()
+		first := m.answers[id]
+		if first == nil {
+			require.False(m.t, result.GetRepeated())
+			m.answers[id], m.changes[id] = proto.CloneOf(result), k.ApplyManifest
+			m.kept = append(m.kept, id)
+			if len(m.kept) > small.ChangeAnswers {
+				delete(m.answers, m.kept[0])
+				m.kept = m.kept[1:]
+			}
+			return
+		}
+		if string(m.changes[id].GetManifest()) != string(k.ApplyManifest.GetManifest()) {
+			require.Equal(m.t, ledger.RefusedChangeReused, result.GetRefusal())
+			return
+		}
+		again := proto.CloneOf(result)
+		require.True(m.t, again.GetRepeated())
+		again.Repeated = false
+		require.True(m.t, proto.Equal(first, again), "first %v, then %v", first, again)
+	case *wire.Command_SubmitWaiting:
+		s := k.SubmitWaiting
+		if result.GetRefusal() != "" {
+			return
+		}
+		key := s.GetCustomer() + "/" + s.GetSubmissionId()
+		id := result.GetWaiting()[0].GetId()
+		if _, ok := m.accepted[key]; !ok || !result.GetRepeated() {
+			m.accepted[key] = id
+		}
+		require.Equal(m.t, m.accepted[key], id)
+	case *wire.Command_ClaimOrder:
+		if result.GetRefusal() == "" {
+			require.Equal(m.t, k.ClaimOrder.GetAttempt(), result.GetOrder().GetAttempt())
+			require.Equal(m.t, claimed, result.GetOrder().GetState())
+		}
+	}
+}
+
+func pick(t *rapid.T, name string, n int) string {
+	return fmt.Sprintf("%s-%d", name, rapid.IntRange(1, n).Draw(t, name))
+}
+
+func (m *machine) command(t *rapid.T) *wire.Command {
+	customer, order, attempt := pick(t, "customer", 2), pick(t, "order", 2), pick(t, "attempt", 4)
+	outcome := rapid.SampledFrom([]wire.OrderState{done, notRun, unknown, failed}).Draw(t, "outcome")
+	small := []byte(pick(t, "bytes", 2))
+	waitingID, epoch := pick(t, "w", 6), uint64(max(0, int(m.epoch)-rapid.IntRange(0, 3).Draw(t, "stale")))
+	// Half of the outcomes belong to the recorded attempt.
+	if r, ok := m.ledger.Order(customer, order); ok && rapid.Bool().Draw(t, "recorded") {
+		attempt = r.GetAttempt()
+	}
+	if r, ok := m.ledger.Waiting(waitingID); ok && rapid.Bool().Draw(t, "held") {
+		epoch = r.GetEpoch()
+	}
+	kinds := []*wire.Command{
+		{Kind: &wire.Command_ApplyManifest{ApplyManifest: &wire.ApplyManifest{BaseRevision: uint64(max(0, int(m.ledger.Revision())-rapid.IntRange(-1, 2).Draw(t, "base"))), ChangeId: pick(t, "change", 12), Operator: pick(t, "operator", 2), Manifest: small}}},
+		{Kind: &wire.Command_ClaimOrder{ClaimOrder: &wire.ClaimOrder{Customer: customer, OrderId: order, BodyHash: small, Attempt: attempt, Agent: "agent-1", Incarnation: pick(t, "incarnation", 2), Entry: "entry-1", DeadlineMs: m.nowMS + 500}}},
+		{Kind: &wire.Command_RecordOutcome{RecordOutcome: &wire.RecordOutcome{Customer: customer, OrderId: order, Attempt: attempt, State: outcome, Result: small}}},
+		{Kind: &wire.Command_SettleOrder{SettleOrder: &wire.SettleOrder{Customer: customer, OrderId: order, State: outcome, Operator: pick(t, "operator", 2), Result: small}}},
+		{Kind: &wire.Command_SubmitWaiting{SubmitWaiting: &wire.SubmitWaiting{Id: waitingID, Customer: customer, Pipeline: "summary", Body: small, DeadlineMs: int64(rapid.IntRange(1, 5).Draw(t, "deadline")), SubmissionId: pick(t, "submission", 4)}}},
+		{Kind: &wire.Command_LeaseWaiting{LeaseWaiting: &wire.LeaseWaiting{Entry: pick(t, "entry", 2), Max: int32(rapid.IntRange(1, 3).Draw(t, "max")), LeaseMs: 300}}},
+		{Kind: &wire.Command_RecordStage{RecordStage: &wire.RecordStage{Id: waitingID, Epoch: epoch, Stage: pick(t, "stage", 2), Result: small, LeaseMs: 300}}},
+		{Kind: &wire.Command_CompleteWaiting{CompleteWaiting: &wire.CompleteWaiting{Id: waitingID, Epoch: epoch, State: finished, Result: small}}},
+		{Kind: &wire.Command_SetDrain{SetDrain: &wire.SetDrain{Target: pick(t, "target", 2), Draining: rapid.Bool().Draw(t, "draining")}}},
+		{Kind: &wire.Command_GrantFence{GrantFence: &wire.GrantFence{Scope: pick(t, "scope", 2), Holder: "agent-1"}}},
+		{Kind: &wire.Command_Expire{Expire: &wire.Expire{BeforeMs: m.nowMS - int64(rapid.IntRange(0, 400).Draw(t, "age")), Max: int32(rapid.IntRange(1, 2).Draw(t, "max"))}}},
+		{},
+	}
+	return kinds[rapid.IntRange(0, len(kinds)-1).Draw(t, "kind")]
+}
+
+// Guards the promises of the ledger under random commands, resends, restores
+// and clocks that step back.
+func TestRandomCommands(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(rt)
+		highest := m.nowMS
+		step := func(rt *rapid.T, c *wire.Command) {
+			m.commands = append(m.commands, proto.CloneOf(c))
+			m.run(c)
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"command":  func(rt *rapid.T) { step(rt, m.command(rt)) },
+			"command2": func(rt *rapid.T) { step(rt, m.command(rt)) },
+			"resend": func(rt *rapid.T) {
+				if len(m.commands) > 0 {
+					m.run(proto.CloneOf(rapid.SampledFrom(m.commands).Draw(rt, "resent")))
+				}
+			},
+			"time": func(rt *rapid.T) {
+				m.nowMS += int64(rapid.IntRange(1, 400).Draw(rt, "ms"))
+				highest = max(highest, m.nowMS)
+			},
+			"restore": func(rt *rapid.T) {
+				data, err := m.ledger.Snapshot()
+				require.NoError(rt, err)
+				m.twin = ledger.New(small)
+				require.NoError(rt, m.twin.Restore(m.index, data))
+			},
+			"": func(rt *rapid.T) {
+				original, err := m.ledger.Snapshot()
+				require.NoError(rt, err)
+				copied, err := m.twin.Snapshot()
+				require.NoError(rt, err)
+				require.Equal(rt, original, copied, "two replicas with the same log differ")
+			},
+		})
+	})
+}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -205,11 +204,8 @@
 }
 
 func (w *waiting) restoreSubmission(a *wire.ChangeAnswer) {
-	id := a.GetChangeId()
+	key := appendChangeID(nil, a.GetChangeId())
 	a.ChangeId = ""
-	b := protowire.AppendTag(nil, changeIDField, protowire.BytesType)
-	b = protowire.AppendString(b, id)
-	n := len(b)
-	record := string(appendMessage(b, a))
-	w.insertSubmission(strings.Clone(record[:n]), record)
+	record := string(appendMessage(key, a))
+	w.insertSubmission(record[:len(key)], record)
 }
--- a/internal/ledger/waiting.go
+++ b/internal/ledger/waiting.go
@@ -82,8 +82,12 @@
 	if field := missing("id", c.GetId(), "customer", c.GetCustomer(), "pipeline", c.GetPipeline()); field != "" {
 		return invalid(field)
 	}
-	if r := w.submitted(c); r != nil {
-		return repeatSubmission(r, c)
+	submission := submissionKey(c)
+	if slot, ok := w.submissions.find([]byte(submission)); ok {
+		return w.repeatSubmission(decodeWaiting(w.find(submissionTarget(w.submissions.at(slot)))), c)
+	}
+	if record := w.find(c.GetId()); record != "" {
+		return w.repeatSubmission(decodeWaiting(record), c)
 	}
 	r := &wire.WaitingRecord{
 		Id:         c.GetId(),
@@ -100,31 +104,17 @@
 	slot := w.table.insert(key, record)
 	w.unfinished++
 	w.ready.push(entry{atMS: deadlineOrder(r.GetDeadlineMs()), slot: slot})
-	if c.GetSubmissionId() != "" {
-		w.keepSubmission(at, c)
+	if submission != "" {
+		w.keepSubmission(at, submission, c.GetId())
 	}
 	return &wire.Result{Waiting: []*wire.WaitingRecord{r}}
 }
 
-// submitted returns the request that an earlier command with the same
-// submission id, or else with the same id, has submitted.
-func (w *waiting) submitted(c *wire.SubmitWaiting) *wire.WaitingRecord {
-	id := c.GetId()
-	if c.GetSubmissionId() != "" {
-		slot, ok := w.submissions.find(appendSubmissionKey(nil, c.GetCustomer(), c.GetSubmissionId()))
-		if ok {
-			id = submissionTarget(w.submissions.at(slot))
-		}
-	}
-	record := w.find(id)
-	if record == "" {
-		return nil
-	}
-	return decodeWaiting(record)
-}
-
-func repeatSubmission(r *wire.WaitingRecord, c *wire.SubmitWaiting) *wire.Result {
-	if r.GetCustomer() != c.GetCustomer() {
+// repeatSubmission answers a submission whose submission id or id is known. An
+// id alone identifies a request only when neither has a submission id.
+func (w *waiting) repeatSubmission(r *wire.WaitingRecord, c *wire.SubmitWaiting) *wire.Result {
+	first := w.submittedAs[r.GetId()]
+	if r.GetCustomer() != c.GetCustomer() || first != submissionKey(c) {
 		return refuse(RefusedWaitingTaken, "The id %s belongs to another request.", c.GetId())
 	}
 	if r.GetPipeline() != c.GetPipeline() || !bytes.Equal(r.GetBody(), c.GetBody()) {
@@ -137,25 +127,29 @@
 // hold only the id of the waiting request: the answer to a resend is built from
 // its present record.
 
-// submissionKey tells submissions from the ids of configuration changes.
-func submissionKey(customer, submissionID string) string {
-	return fmt.Sprintf("submission/%d/%s/%s", len(customer), customer, submissionID)
+// submissionKey returns the key of a submission, or "" when it has no submission
+// id. Its prefix tells submissions from the ids of configuration changes, and
+// the length keeps two customers' ids apart.
+func submissionKey(c *wire.SubmitWaiting) string {
+	if c.GetSubmissionId() == "" {
+		return ""
+	}
+	id := fmt.Sprintf("submission/%d/%s/%s", len(c.GetCustomer()), c.GetCustomer(), c.GetSubmissionId())
+	return string(appendChangeID(nil, id))
 }
 
-func appendSubmissionKey(b []byte, customer, submissionID string) []byte {
+func appendChangeID(b []byte, id string) []byte {
 	b = protowire.AppendTag(b, changeIDField, protowire.BytesType)
-	return protowire.AppendString(b, submissionKey(customer, submissionID))
+	return protowire.AppendString(b, id)
 }
 
-func (w *waiting) keepSubmission(at step, c *wire.SubmitWaiting) {
-	key := appendSubmissionKey(nil, c.GetCustomer(), c.GetSubmissionId())
-	n := len(key)
+func (w *waiting) keepSubmission(at step, key, id string) {
 	answer := &wire.ChangeAnswer{
 		AtMs:   at.nowMS,
-		Result: &wire.Result{Waiting: []*wire.WaitingRecord{{Id: c.GetId()}}},
+		Result: &wire.Result{Waiting: []*wire.WaitingRecord{{Id: id}}},
 	}
-	record := string(appendMessage(key, answer))
-	w.insertSubmission(record[:n], record)
+	record := string(appendMessage([]byte(key), answer))
+	w.insertSubmission(record[:len(key)], record)
 }
 
 func (w *waiting) insertSubmission(key, record string) {
