--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,8 @@
 	// Region and FailureDomain say where the VM is.
 	Region        string
 	FailureDomain string
+	// Dial replaces the network dialer towards the target in tests.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (o *Options) check() error {
@@ -118,7 +121,7 @@
 	return &Agent{
 		o:           o,
 		incarnation: attempt.NewID(),
-		target:      newTarget(o.TargetURL),
+		target:      newTarget(o.TargetURL, o.Dial),
 		table:       newTable(o.Timers.Now),
 		wake:        make(chan struct{}, 1),
 		done:        make(chan struct{}),
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -87,15 +87,20 @@
 	CachedTokens int64    `json:"cached_tokens"`
 }
 
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // target speaks the HTTP protocol of the target beside this agent.
 type target struct {
 	url  string
 	http *http.Client
 }
 
-func newTarget(url string) *target {
+func newTarget(url string, dial dialFunc) *target {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: targetDialBound}).DialContext
+	}
 	return &target{url: strings.TrimSuffix(url, "/"), http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: targetDialBound}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: targetIdleConns,
 		DisableCompression:  true,
 	}}}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,8 @@
 	Address string
 	// Seed makes target choice repeatable in tests.
 	Seed uint64
+	// Dial replaces the network dialer towards the agents in tests.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (o *Options) check() error {
@@ -106,7 +109,7 @@
 		o:           o,
 		incarnation: attempt.NewID(),
 		roster:      roster.New(roster.Options{Timer: o.Timers, Epoch: attempt.NewID(), Follow: true}),
-		attempts:    attempt.NewClient(attempt.ClientOptions{Timers: o.Timers}),
+		attempts:    attempt.NewClient(attempt.ClientOptions{Timers: o.Timers, Dial: o.Dial}),
 		customers:   admission.NewCustomers(),
 		estimator:   budget.NewEstimator(),
 		services:    make(map[string]*serviceState),
