--- a/internal/ledger/property_test.go
+++ b/internal/ledger/property_test.go
@@ -276,7 +276,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newMachine(rt)
 		highest := m.nowMS
-		step := func(rt *rapid.T, c *wire.Command) {
+		step := func(_ *rapid.T, c *wire.Command) {
 			m.commands = append(m.commands, proto.CloneOf(c))
 			m.run(c)
 		}
