attempt: Don't take a pause of this process for silence of the other end

Cause: in scripts/process-faults one request failed with connection_lost after entry-1 had been frozen for 5 s. On resume the silence timer and unread frames were both ready, and select chose the timer. A broken agent was ruled out: no agent had been stopped yet. Change: a timer that fires more than 250 ms late means that this process was paused, and the watch begins again.

--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -21,6 +21,10 @@
 	dialTimeout      = 500 * time.Millisecond
 	idleConnTimeout  = 30 * time.Second
 	maxIdlePerTarget = 64
+
+	// pauseMargin is how late a timer may be before this process counts as having
+	// been paused, which must not be taken for silence of the other end.
+	pauseMargin = 250 * time.Millisecond
 )
 
 // End is how an attempt ended as its client saw it: *Finished, *Refused,
@@ -226,6 +230,7 @@
 func (c *Client) follow(ctx context.Context, cancel func(), address string, req *wire.AttemptRequest, s *stream, onToken func(*wire.Token) error) End {
 	started := false
 	for {
+		armed := c.o.Timers.Now()
 		select {
 		case f := <-s.frames:
 			end, err := c.frame(f, req, &started, onToken)
@@ -241,6 +246,10 @@
 			}
 			return &Lost{err: err, started: started}
 		case <-c.o.Timers.After(c.o.Silence):
+			if c.o.Timers.Since(armed) > c.o.Silence+pauseMargin {
+				// This process itself was paused; frames may wait unread.
+				continue
+			}
 			cancel()
 			// Idle connections share the path that went silent, so none is used again.
 			c.HTTP(address).CloseIdleConnections()
--- /dev/null
+++ b/internal/attempt/client_test.go
@@ -0,0 +1,112 @@
+package attempt_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/attempt"
+	"github.com/cardamomline/cardamomline/internal/standin"
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// serve runs an agent's side of the data path and returns the end that a client sees.
+func serve(ctx context.Context, t *testing.T, handler func(w *attempt.FrameWriter, req *wire.AttemptRequest), onToken func(*wire.Token) error) (end attempt.End) {
+	network := standin.NewMemoryNetwork()
+	l, err := network.Listen("agent:1")
+	require.NoError(t, err)
+	quit := make(chan struct{})
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, err := attempt.DecodeRequest(r.Body)
+		if err != nil {
+			return
+		}
+		rc := http.NewResponseController(w)
+		handler(attempt.NewFrameWriter(w, func() { _ = rc.Flush() }), req)
+		if req.GetOperation() == "hang" {
+			<-quit
+		}
+	})}
+	go func() { _ = srv.Serve(l) }()
+	c := attempt.NewClient(attempt.ClientOptions{Timers: timer.NewService(), Dial: func(ctx context.Context, network2, address string) (net.Conn, error) {
+		return network.Dial(ctx, network2, address)
+	}})
+	end = c.Do(ctx, "agent:1", &wire.AttemptRequest{Attempt: "a", Request: "r", Operation: operation(ctx)}, onToken)
+	close(quit)
+	c.Close()
+	_ = srv.Close()
+	return end
+}
+
+type operationKey struct{}
+
+func operation(ctx context.Context) string {
+	s, _ := ctx.Value(operationKey{}).(string)
+	return s
+}
+
+func hanging(ctx context.Context) context.Context {
+	return context.WithValue(ctx, operationKey{}, "hang")
+}
+
+func started(id string) *wire.Frame {
+	return &wire.Frame{Kind: &wire.Frame_Started{Started: &wire.Started{Attempt: id}}}
+}
+
+func result(id, request string) *wire.Frame {
+	return &wire.Frame{Kind: &wire.Frame_Result{Result: &wire.AttemptResult{Attempt: id, Request: request, Output: []byte("out")}}}
+}
+
+// Guards P1: a result that names another attempt or request reaches this caller.
+func TestForeignResultsAreDropped(t *testing.T) {
+	for _, f := range []*wire.Frame{result("b", "r"), result("a", "other")} {
+		synctest.Test(t, func(t *testing.T) {
+			end := serve(t.Context(), t, func(w *attempt.FrameWriter, _ *wire.AttemptRequest) {
+				_ = w.Write(started("a"))
+				_ = w.Write(f)
+			}, nil)
+			lost, ok := end.(*attempt.Lost)
+			require.True(t, ok, "%T", end)
+			var foreign *attempt.ForeignError
+			require.ErrorAs(t, lost.Err(), &foreign)
+		})
+	}
+}
+
+// Guards against waiting for a connection that went silent, and against taking a
+// slow target for a silent connection.
+func TestSilenceIsToldFromSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		end := serve(hanging(t.Context()), t, func(w *attempt.FrameWriter, _ *wire.AttemptRequest) { _ = w.Write(started("a")) }, nil)
+		lost, ok := end.(*attempt.Lost)
+		require.True(t, ok, "%T", end)
+		require.True(t, lost.Silent())
+		require.True(t, lost.Started())
+		require.Equal(t, attempt.SilenceBound, time.Since(began))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		end := serve(t.Context(), t, func(w *attempt.FrameWriter, _ *wire.AttemptRequest) {
+			for range 40 {
+				_ = w.Write(&wire.Frame{Kind: &wire.Frame_KeepAlive{KeepAlive: &wire.KeepAlive{}}})
+				time.Sleep(attempt.KeepAlivePeriod)
+			}
+			_ = w.Write(result("a", "r"))
+		}, nil)
+		require.IsType(t, &attempt.Finished{}, end)
+	})
+}
+
+// Guards P3: an answer that broke off counts as not sent.
+func TestBrokenAnswerMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		end := serve(t.Context(), t, func(w *attempt.FrameWriter, _ *wire.AttemptRequest) { _ = w.Write(started("a")) }, nil)
+		require.IsType(t, &attempt.Lost{}, end)
+	})
+}
