quorum: Compare quorum systems by enumeration

Cause: the choice of majorities for three VMs, and for up to seven VMs in two regions, needs figures. The simulation of package replica also delivers several messages in one step, checks that member changes don't overlap, and has tests for two faults that random runs seldom reach. Unequal systems with small election quorums, and the grids, can elect two leaders in one term by votes alone; the rows say so.

--- /dev/null
+++ b/internal/quorum/system.go
@@ -0,0 +1,158 @@
+package quorum
+
+import (
+	"fmt"
+	"math/bits"
+)
+
+// System says which sets of VMs make a quorum. Each replication quorum has to
+// share a VM with each election quorum, or a new leader could miss entries.
+type System interface {
+	// Name describes the system for VMs of a number.
+	Name(vms int) string
+	// Fits returns a *SizeError when the system doesn't exist for a number of VMs.
+	Fits(vms int) error
+	replicates(vms int, alive set) bool
+	elects(vms int, alive set) bool
+}
+
+// SizeError reports a number of VMs that a system or layout can't have.
+type SizeError struct {
+	what string
+	vms  int
+}
+
+// VMs returns the number.
+func (e *SizeError) VMs() int { return e.vms }
+
+// Error implements error.
+func (e *SizeError) Error() string { return fmt.Sprintf("%s can't have %d VMs", e.what, e.vms) }
+
+func count(s set) int { return bits.OnesCount32(uint32(s)) }
+
+// Majority needs more than half of the VMs for replication and for election.
+type Majority struct{}
+
+// Name implements System.
+func (Majority) Name(vms int) string { return fmt.Sprintf("majority %d of %d", vms/2+1, vms) }
+
+// Fits implements System.
+func (Majority) Fits(int) error { return nil }
+
+func (Majority) replicates(vms int, alive set) bool { return count(alive) > vms/2 }
+
+func (Majority) elects(vms int, alive set) bool { return count(alive) > vms/2 }
+
+// Unequal needs Replication VMs to replicate and one more than the others to
+// elect, so that both numbers together exceed the number of VMs.
+type Unequal struct {
+	Replication int
+}
+
+func (u Unequal) election(vms int) int { return vms + 1 - u.Replication }
+
+// Name implements System.
+func (u Unequal) Name(vms int) string {
+	return fmt.Sprintf("replicate %d, elect %d of %d", u.Replication, u.election(vms), vms)
+}
+
+// Fits implements System.
+func (u Unequal) Fits(vms int) error {
+	if u.Replication < 1 || u.Replication > vms {
+		return &SizeError{what: fmt.Sprintf("replication quorum of %d", u.Replication), vms: vms}
+	}
+	return nil
+}
+
+func (u Unequal) replicates(_ int, alive set) bool { return count(alive) >= u.Replication }
+
+func (u Unequal) elects(vms int, alive set) bool { return count(alive) >= u.election(vms) }
+
+// Grid arranges the VMs in rows, in the order of the layout. One whole row
+// replicates and one whole column elects, or the other way round: each row
+// crosses each column.
+type Grid struct {
+	Rows int
+	// ByColumn exchanges the parts of rows and columns.
+	ByColumn bool
+}
+
+// Name implements System.
+func (g Grid) Name(vms int) string {
+	size := fmt.Sprintf("grid %d by %d", g.Rows, vms/g.Rows)
+	if g.ByColumn {
+		return size + ", replicate a column, elect a row"
+	}
+	return size + ", replicate a row, elect a column"
+}
+
+// Fits implements System.
+func (g Grid) Fits(vms int) error {
+	if g.Rows < 1 || vms%g.Rows != 0 {
+		return &SizeError{what: fmt.Sprintf("grid of %d rows", g.Rows), vms: vms}
+	}
+	return nil
+}
+
+func (g Grid) replicates(vms int, alive set) bool {
+	if g.ByColumn {
+		return g.hasColumn(vms, alive)
+	}
+	return g.hasRow(vms, alive)
+}
+
+func (g Grid) elects(vms int, alive set) bool {
+	if g.ByColumn {
+		return g.hasRow(vms, alive)
+	}
+	return g.hasColumn(vms, alive)
+}
+
+func (g Grid) hasRow(vms int, alive set) bool {
+	columns := vms / g.Rows
+	row := set(1<<columns - 1)
+	for range g.Rows {
+		if alive&row == row {
+			return true
+		}
+		row <<= columns
+	}
+	return false
+}
+
+func (g Grid) hasColumn(vms int, alive set) bool {
+	columns := vms / g.Rows
+	var column set
+	for r := range g.Rows {
+		column |= 1 << (r * columns)
+	}
+	for range columns {
+		if alive&column == column {
+			return true
+		}
+		column <<= 1
+	}
+	return false
+}
+
+// SafeElections says whether any two election quorums share a VM. Where they
+// don't, votes alone can't keep a term from having two leaders.
+func SafeElections(s System, l *Layout) bool {
+	return disjoint(l, func(a, b set) bool { return s.elects(l.Size(), a) && s.elects(l.Size(), b) })
+}
+
+// Intersects says whether each replication quorum shares a VM with each election quorum.
+func Intersects(s System, l *Layout) bool {
+	return disjoint(l, func(a, b set) bool { return s.replicates(l.Size(), a) && s.elects(l.Size(), b) })
+}
+
+// disjoint says whether no set and its complement are both what the function
+// says. Quorums only grow with the set, so complements are the worst case.
+func disjoint(l *Layout, both func(a, b set) bool) bool {
+	for a := range l.all() + 1 {
+		if both(a, l.all()&^a) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -44,7 +45,8 @@
 }
 
 func checkFaults(t *rapid.T) {
-	s := newSim(t, rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size"), rapid.SampledFrom([]int{4, 12}).Draw(t, "election ticks"), rapid.Uint64().Draw(t, "seed"))
+	oneOf := func(label string, values ...int) int { return rapid.SampledFrom(values).Draw(t, label) }
+	s := newSim(t, oneOf("size", 3, 3, 5), oneOf("election ticks", 4, 12), oneOf("message bytes", 1, 200), rapid.Uint64().Draw(t, "seed"))
 	pick := func(t *rapid.T) *simVM { return rapid.SampledFrom(s.vms).Draw(t, "vm") }
 	heal := func(*rapid.T) { s.heal() }
 	t.Repeat(map[string]func(*rapid.T){
@@ -106,7 +108,7 @@
 }
 
 func startedSim(t *testing.T) (*sim, *simVM, *simVM) {
-	s := newSim(t, 3, 12, 1)
+	s := newSim(t, 3, 12, 1<<20, 1)
 	s.rounds(60)
 	require.True(t, s.healthy())
 	l := s.leader()
@@ -155,6 +157,54 @@
 	s.settle()
 }
 
+// Guards against a commit that rests on an entry of an earlier term alone: a
+// later leader that never saw it could replace it.
+func TestEntryOfEarlierTermDoesNotCommitAlone(t *testing.T) {
+	s := newSim(t, 3, 12, 1, 1)
+	s.rounds(60)
+	first := s.leader()
+	at := first.core.Status().Commit + 1
+	others := slices.DeleteFunc(slices.Clone(s.vms), func(v *simVM) bool { return v == first })
+	// The first leader and then the second each store an entry that nobody else gets.
+	stop := func(v *simVM) {
+		s.sync(v, len(v.writes))
+		s.crash(v, 0)
+		s.bag = nil
+	}
+	s.propose(first)
+	stop(first)
+	s.until(func() bool { return others[0].leads() || others[1].leads() })
+	second := s.leader()
+	stop(second)
+	// The first leads again and gets only its old entry to the third VM.
+	s.restart(first)
+	third := others[(slices.Index(others, second)+1)%2]
+	s.until(first.leads)
+	s.until(func() bool { return s.holds(third.id, &wire.LogEntry{Index: at, Term: 2}) })
+	s.bag = slices.DeleteFunc(s.bag, func(m simMessage) bool { return m.to == third.address })
+	s.until(func() bool {
+		s.bag = slices.DeleteFunc(s.bag, func(m simMessage) bool { return m.to == third.address })
+		return slices.ContainsFunc(first.core.Status().Members, func(m replica.MemberStatus) bool { return m.Member.Id == third.id && m.Match == at })
+	})
+	stop(first)
+	// The second has the newer log of the two and replaces the entry.
+	s.restart(second)
+	s.until(second.leads)
+	s.settle()
+}
+
+// Guards against a cluster that others hear of before its forming is durable, so
+// that they would wait for a founder that forgot it.
+func TestClusterIsNotAnnouncedBeforeItIsDurable(t *testing.T) {
+	s := newSim(t, 3, 12, 1<<20, 1)
+	for range 30 {
+		s.step(s.vms[0], replica.Tick{})
+	}
+	require.Equal(t, replica.PreCandidate, s.vms[0].core.Status().Role)
+	require.Empty(t, s.bag)
+	s.settle()
+}
+
 // Guards against a VM that votes or acknowledges under the id it had before it
 // lost its disk, and against a repair in any other order than: learner added,
 // dead member removed, learner promoted.
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -37,6 +37,7 @@
 	accepted map[uint64]uint64 // index to term of proposals this process accepted
 	reads    map[uint64]uint64 // read id to the lowest index it may see
 	served   map[uint64]bool   // ids of confirmed reads
+	list     uint64            // index of the newest member list this leader appended
 }
 
 func (v *simVM) running() bool { return v.core != nil && !v.frozen }
@@ -48,7 +49,7 @@
 // has one leader and that reads see all acknowledged writes.
 type sim struct {
 	t       require.TestingT
-	ticks   int // election timeout
+	o       replica.CoreOptions
 	random  *rand.Rand
 	vms     []*simVM
 	disks   map[string]*journal.Contents // by member id; lost disks stay for the durability check
@@ -67,8 +68,8 @@
 	envelope *wire.Envelope
 }
 
-func newSim(t require.TestingT, size, electionTicks int, seed uint64) *sim {
-	s := &sim{t: t, ticks: electionTicks, random: rand.New(rand.NewPCG(seed, 0)), disks: map[string]*journal.Contents{}, cut: map[string]bool{}, log: map[uint64]committed{}, leaders: map[string]string{}}
+func newSim(t require.TestingT, size, electionTicks, messageBytes int, seed uint64) *sim {
+	s := &sim{t: t, o: replica.CoreOptions{ElectionTicks: electionTicks, MaxMessageBytes: messageBytes, Retain: 3, MaxInFlight: 8}, random: rand.New(rand.NewPCG(seed, 0)), disks: map[string]*journal.Contents{}, cut: map[string]bool{}, log: map[uint64]committed{}, leaders: map[string]string{}}
 	for i := range size {
 		s.vms = append(s.vms, &simVM{address: fmt.Sprintf("vm-%d", i+1)})
 		s.loseDisk(s.vms[i])
@@ -110,7 +111,8 @@
 
 func (s *sim) restart(v *simVM) {
 	contents := *s.disks[v.id]
-	core, err := replica.NewCore(contents, replica.CoreOptions{ElectionTicks: s.ticks, Seed: s.random.Uint64(), Retain: 3, MaxMessageBytes: 200, MaxInFlight: 8})
+	s.o.Seed = s.random.Uint64()
+	core, err := replica.NewCore(contents, s.o)
 	require.NoError(s.t, err)
 	*v = simVM{address: v.address, id: v.id, core: core, accepted: map[uint64]uint64{}, reads: map[uint64]uint64{}, served: map[uint64]bool{}}
 	if snap := contents.Snapshot; snap != nil {
@@ -125,6 +127,7 @@
 }
 
 func (s *sim) step(v *simVM, events ...replica.Event) {
+	before := v.core.Status().Commit
 	out, err := v.core.Step(events...)
 	require.NoError(s.t, err)
 	status := v.core.Status()
@@ -150,6 +153,12 @@
 		v.served[r.ID] = true
 	}
 	if out.Write != nil {
+		for _, e := range out.Write.Batch.Entries {
+			if status.Role == replica.Leader && e.Kind == wire.EntryKind_ENTRY_KIND_MEMBERS && e.Index > v.list {
+				require.LessOrEqual(s.t, v.list, before, "one member change at a time")
+				v.list = e.Index
+			}
+		}
 		v.writes = append(v.writes, out.Write)
 	}
 	for _, m := range out.Messages {
@@ -365,6 +374,26 @@
 	}
 }
 
+// until does one thing at a time, in a fixed order, until a condition holds.
+func (s *sim) until(condition func() bool) {
+	for i := 0; !condition(); i++ {
+		require.Less(s.t, i, 10_000, "condition never holds: %s", s)
+		busy := slices.IndexFunc(s.vms, func(v *simVM) bool { return v.running() && len(v.writes) > 0 })
+		switch {
+		case busy >= 0:
+			s.sync(s.vms[busy], 1)
+		case len(s.bag) > 0:
+			s.deliver(0, false)
+		default:
+			for _, v := range s.vms {
+				if v.running() {
+					s.step(v, replica.Tick{})
+				}
+			}
+		}
+	}
+}
+
 func (s *sim) leader() *simVM {
 	var newest *simVM
 	for _, v := range s.vms {
