--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -11,7 +11,6 @@
 
 import (
 	"fmt"
-	"io/fs"
 	"os"
 
 	"github.com/go-faster/errors"
@@ -57,6 +56,20 @@
 // ExitCode implements exitCoder.
 func (e *usageError) ExitCode() int { return ExitUsage }
 
+// inputError reports a file named by the operator that can't be used.
+type inputError struct {
+	err error
+}
+
+// Error implements error.
+func (e *inputError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *inputError) Unwrap() error { return e.err }
+
+// ExitCode implements exitCoder.
+func (e *inputError) ExitCode() int { return ExitUsage }
+
 // Execute runs the command line and returns the exit code.
 func Execute(args []string) int {
 	root := newRoot()
@@ -140,8 +153,7 @@
 		return coder.ExitCode()
 	}
 	var faults *strictyaml.Errors
-	var path *fs.PathError
-	if errors.As(err, &faults) || errors.As(err, &path) {
+	if errors.As(err, &faults) {
 		return ExitUsage
 	}
 	return ExitFailure
--- a/internal/commands/manifest_diff.go
+++ b/internal/commands/manifest_diff.go
@@ -45,11 +45,11 @@
 func (c *manifestDiffCommand) run(cmd *cobra.Command, args []string) error {
 	before, err := manifest.Load(args[0])
 	if err != nil {
-		return err
+		return &inputError{err: err}
 	}
 	after, err := manifest.Load(args[1])
 	if err != nil {
-		return err
+		return &inputError{err: err}
 	}
 	changes := manifest.Diff(before, after)
 	list := make([]manifestChange, 0, len(changes))
--- a/internal/strictyaml/reader_test.go
+++ b/internal/strictyaml/reader_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -27,6 +29,36 @@
 	}
 }
 
+// Guards against files whose structure a reader could take for another one.
+func TestReaderRefusesUnclearStructure(t *testing.T) {
+	tests := map[string]string{
+		"list: [1]\n---\nlist: [2]\n": "a second document",
+		"list:\n    - 1\n  - 2\n":     "a syntax error",
+		"list:\n  - 1\n- 2\n":         "a syntax error",
+		"list: [1]\n  - 2\n":          "a syntax error",
+	}
+	for data, want := range tests {
+		r := strictyaml.NewReader("file.yaml")
+		for item := range r.Read([]byte(data)).Mapping("list").Required("list").Items(1, 9) {
+			item.Value().Int(0, 9)
+		}
+		require.ErrorContains(t, r.Err(), want, data)
+	}
+}
+
+// Guards against a wrong path, such as a log, that fills the memory.
+func TestReadFileStopsAboveTheLimit(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "file.yaml")
+	require.NoError(t, os.WriteFile(path, make([]byte, 100), 0o600))
+	data, err := strictyaml.ReadFile(path, 10)
+	require.NoError(t, err)
+	require.Len(t, data, 11)
+	r := strictyaml.NewReader(path)
+	require.True(t, r.CheckSize(data[:10], 10))
+	require.False(t, r.CheckSize(data, 10))
+	require.ErrorContains(t, r.Err(), "a file larger than the limit")
+}
+
 // Guards against characters that look like others in an editor.
 func TestReaderRefusesUnprintableText(t *testing.T) {
 	for _, s := range []string{"a:\u00a0b\n", "a: \x00\n", "a: \xff\n", "a: \u2028\n", "a: b\rc: d\n", "\ufeffa: b\n"} {
--- a/internal/strictyaml/split.go
+++ b/internal/strictyaml/split.go
@@ -137,11 +137,7 @@
 
 // isBlank reports whether a line holds nothing but spaces and a comment.
 func isBlank(line []byte) bool {
-	text := bytes.TrimLeft(line, " ")
-	if len(text) == len(line) && len(text) > 0 && text[0] == '#' {
-		return true
-	}
-	text = bytes.TrimRight(text, "\r\n")
+	text := bytes.TrimRight(bytes.TrimLeft(line, " "), "\r\n")
 	return len(text) == 0 || text[0] == '#'
 }
 
