settings: Say that addresses need their shortest form

Addresses are compared as text, so another form of the same IPv6 address was refused with a message that didn't name the reason.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -201,11 +201,11 @@
 // ownAddress decodes an address that the process listens on. The system chooses
 // the port when it is 0.
 func ownAddress(v strictyaml.Value) string {
-	return v.Text(isOwnAddress, "an IP address and a port from 0 to 65535, such as 127.0.0.1:8080")
+	return v.Text(isOwnAddress, "an IP address in its shortest form and a port from 0 to 65535, such as 127.0.0.1:8080")
 }
 
 func address(v strictyaml.Value) string {
-	return v.Text(isAddress, "an IP address and a port from 1 to 65535, such as 127.0.0.1:8080")
+	return v.Text(isAddress, "an IP address in its shortest form and a port from 1 to 65535, such as 127.0.0.1:8080")
 }
 
 func itemName(v strictyaml.Value) string {
