load: Judge not_run strictly and tell refusals from losses

The API gained first_attempt and the error unavailable. A not_run about an order that ran before the answer now always counts as untrue, also when a copy ran; the note not_run_of_a_copy and its test are replaced by a violation and its test, which is stricter. The caller gives its word for first attempts only when no copy is planned, and asks another entry after unavailable; refusals show an example. Operations without a duration take 5 ms, since dev sets none. A frozen or unready entry no longer looks like lost work.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -65,7 +65,6 @@
 	Answered   time.Time // zero without an answer
 	Answer     *Answer   // the last answer, nil without one
 	Retries    int       // calls after the first one
-	Uncertain  bool      // a call was sent whose answer never came
 	LastError  string    // of the last call that failed
 	Accepted   time.Time // when a waiting request was accepted
 	FirstToken time.Time
@@ -73,6 +72,7 @@
 	Stream     string          // the tokens of a stream, joined
 	StreamGap  string          // what was wrong with the offsets of a stream
 	Foreign    *Answer         // what another customer got who asked for a waiting request
+	unanswered bool            // a call was sent whose answer never came
 }
 
 // Latency returns the time from the first call to the answer.
@@ -89,7 +89,7 @@
 const (
 	retryPause   = 50 * time.Millisecond // between calls of one request
 	fetchPause   = 200 * time.Millisecond
-	maxFetchWait = 2 * time.Second
+	maxFetchWait = 500 * time.Millisecond // also the resolution of a waiting request's latency
 	// submitTime bounds one call that submits a waiting request. Its deadline is
 	// the time for the answer, far longer than an entry needs to record it.
 	submitTime = 5 * time.Second
@@ -104,6 +104,16 @@
 // Error implements error.
 func (e *connectionError) Error() string { return e.cause }
 
+// unavailableError reports an entry that takes no requests now. Nothing was done.
+type unavailableError struct {
+	detail string
+}
+
+// Error implements error.
+func (e *unavailableError) Error() string { return reasonUnavailable + ": " + e.detail }
+
+const reasonUnavailable = "unavailable"
+
 // do sends one arrival until it is answered or its deadline and the grace have passed.
 func (c *caller) do(ctx context.Context, a Arrival) Record {
 	r := Record{Arrival: a, Sent: c.timer.Now()}
@@ -133,8 +143,10 @@
 			return
 		}
 		r.LastError = err.Error()
-		r.Uncertain = true
-		if c.timer.Sleep(ctx, retryPause) != nil {
+		r.refused(err)
+		// A call that the limit would cut off at once only turns a refusal into a loss.
+		limit, _ := ctx.Deadline()
+		if limit.Sub(c.timer.Now()) <= 2*retryPause || c.timer.Sleep(ctx, retryPause) != nil {
 			return
 		}
 		r.Retries++
@@ -142,6 +154,19 @@
 	}
 }
 
+// refused keeps the refusal of an entry that takes no requests, as the answer in
+// case that no entry gives another one. It is forgotten when a later call ends
+// without an answer, because that call may have run.
+func (r *Record) refused(err error) {
+	var unavailable *unavailableError
+	r.Answer, r.Answered = nil, time.Time{}
+	if errors.As(err, &unavailable) && !r.unanswered {
+		r.Answer = &Answer{Outcome: OutcomeRefused, Reason: reasonUnavailable, Detail: unavailable.detail}
+		return
+	}
+	r.unanswered = true
+}
+
 // collect fetches a waiting request until it is complete or the time for
 // collecting is over.
 func (c *caller) collect(ctx context.Context, random *rand.Rand, r *Record) {
@@ -208,6 +233,7 @@
 func (c *caller) send(ctx context.Context, entry string, r *Record) (*Answer, error) {
 	a := &r.Arrival
 	path, body := a.body(c.timeLeft(r))
+	body.FirstAttempt = a.Request.Kind == KindOrder && r.Retries == 0 && a.ResendOf < 0 && !a.Copied
 	resp, err := c.post(ctx, entry, path, a.Customer.Key, body)
 	if err != nil {
 		return nil, err
@@ -261,6 +287,8 @@
 	Prefix       string `json:"prefix,omitempty"`
 	SubmissionID string `json:"submission_id,omitempty"`
 	OrderID      string `json:"order_id,omitempty"`
+	// FirstAttempt is the caller's word that no other request uses the order id.
+	FirstAttempt bool `json:"first_attempt,omitempty"`
 }
 
 // body returns the path and the body of the call.
@@ -308,9 +336,13 @@
 		var e goaError
 		_ = json.Unmarshal(data, &e)
 		return &Answer{Outcome: OutcomeRefused, Reason: e.Name, Detail: e.Message}, nil
-	default:
-		return nil, &connectionError{cause: "status " + resp.Status}
+	case http.StatusServiceUnavailable:
+		var e goaError
+		if json.Unmarshal(data, &e) == nil && e.Name == reasonUnavailable {
+			return nil, &unavailableError{detail: e.Message}
+		}
 	}
+	return nil, &connectionError{cause: "status " + resp.Status}
 }
 
 // readStream reads the events of a stream up to the answer.
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -203,7 +203,7 @@
 				c.broken(report.KindLost, r, "told done, but no account shows that the order ran")
 			}
 		case OutcomeNotRun:
-			c.orderNotRun(r, copies, e)
+			c.orderNotRun(r, e)
 		case OutcomeFailed:
 			if e.count > 0 {
 				c.failedButRan++
@@ -212,35 +212,24 @@
 	}
 }
 
-// orderNotRun judges a not_run about an order that ran. It is untrue when this
-// call is the only one that can have run. When another copy, or an earlier call
-// without an answer, may have run, not_run is true of the last call alone and
-// only noted.
-func (c *checker) orderNotRun(r *Record, copies []*Record, e effect) {
-	if e.count == 0 || e.first.After(r.Answered) {
-		return
-	}
+// orderNotRun judges a not_run about an order that ran before the answer. It is
+// untrue also when another copy of the order ran, because a caller who believes
+// it places the order anew. An effect after the answer is that of a later copy.
+func (c *checker) orderNotRun(r *Record, e effect) {
 	if _, reported := c.ran[r.Answer.RequestID]; reported {
 		return // answer has reported it
 	}
-	if r.Uncertain || len(copies) > 1 {
-		c.unclear++
+	if e.count == 0 || e.first.After(r.Answered) {
 		return
 	}
 	c.broken(report.KindUntrueNotRun, r, fmt.Sprintf("told not_run (%s), but the order ran in attempts %v", r.Answer.Reason, e.attempts))
 }
 
 func (c *checker) notes() []report.Observation {
-	notes := []report.Observation{}
-	for _, n := range []report.Observation{
-		{Kind: "not_run_of_a_copy", Count: c.unclear, Detail: "told not_run about one copy of an order of which another copy ran"},
-		{Kind: "failed_but_ran", Count: c.failedButRan, Detail: "told failed about an order that ran"},
-	} {
-		if n.Count > 0 {
-			notes = append(notes, n)
-		}
+	if c.failedButRan == 0 {
+		return []report.Observation{}
 	}
-	return notes
+	return []report.Observation{{Kind: "failed_but_ran", Count: c.failedButRan, Detail: "told failed about an order that ran"}}
 }
 
 func offsetFault(want, got int) string {
--- a/internal/load/check_test.go
+++ b/internal/load/check_test.go
@@ -130,6 +130,11 @@
 		{"told not_run, but the order ran under another request id", func(*load.Evidence) load.Record {
 			return record(load.KindOrder, &load.Answer{RequestID: "r8", Outcome: load.OutcomeNotRun, Reason: "no_target"})
 		}, report.KindUntrueNotRun},
+		{"told not_run about a copy of an order that ran before", func(*load.Evidence) load.Record {
+			r := record(load.KindOrder, &load.Answer{RequestID: "r8", Outcome: load.OutcomeNotRun, Reason: "overloaded"})
+			r.Arrival.ResendOf, r.Retries = 3, 1
+			return r
+		}, report.KindUntrueNotRun},
 		{"another customer could fetch a waiting answer", func(*load.Evidence) load.Record {
 			r := record(load.KindWaiting, quote(whole))
 			r.Accepted, r.Foreign = noon, r.Answer
@@ -160,10 +165,18 @@
 	}
 }
 
-// Guards against a false alarm: not_run about a resent copy is true of that copy.
-func TestCheckNotesNotRunOfACopy(t *testing.T) {
+// Guards against a false alarm: an order that was not run may be sent again and run then.
+func TestCheckAllowsRunAfterNotRun(t *testing.T) {
 	refused := record(load.KindOrder, &load.Answer{RequestID: "r8", Outcome: load.OutcomeNotRun, Reason: "overloaded"})
-	got, notes := load.Check([]load.Record{record(load.KindOrder, released()), refused}, evidence())
+	refused.Answered = noon.Add(-time.Second)
+	got, _ := load.Check([]load.Record{refused, record(load.KindOrder, released())}, evidence())
+	require.Empty(t, got)
+}
+
+// Guards against overlooking an order that failed for the caller but ran.
+func TestCheckNotesFailedOrderThatRan(t *testing.T) {
+	failed := record(load.KindOrder, &load.Answer{RequestID: "r2", Outcome: load.OutcomeFailed})
+	got, notes := load.Check([]load.Record{failed}, evidence())
 	require.Empty(t, got)
 	require.Len(t, notes, 1)
 }
--- a/internal/load/runner_test.go
+++ b/internal/load/runner_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cardamomline/cardamomline/internal/load"
+	"github.com/cardamomline/cardamomline/internal/report"
 	"github.com/cardamomline/cardamomline/internal/standin"
 )
 
@@ -223,3 +224,58 @@
 	_, err := load.ParseMix("mix.yaml", []byte("name: test\nseeed: 7\n"))
 	require.ErrorContains(t, err, "[2:1]")
 }
+
+// Guards against a tool that takes a refusal for a loss or a loss for a refusal, or
+// that waits for one entry for ever.
+func TestRunAgainstBadEntries(t *testing.T) {
+	answers := map[string]http.HandlerFunc{
+		"unavailable:80": func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"name":"unavailable","message":"leaving"}`)
+		},
+		"silent:80": func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // the server notices the end of the connection only after the body
+			<-r.Context().Done()
+		},
+		"not_run:80": func(w http.ResponseWriter, _ *http.Request) { reply(w, load.Answer{Outcome: load.OutcomeNotRun}) },
+		"hanging:80": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"changing:80": func(w http.ResponseWriter, _ *http.Request) {
+			reply(w, load.Answer{Outcome: load.OutcomeDone, Output: "x"})
+		},
+	}
+	cases := []struct {
+		entries []string
+		outcome string
+		kind    string // of all violations, none when empty
+	}{
+		{[]string{"unavailable:80"}, load.OutcomeRefused, ""},
+		{[]string{"silent:80", "not_run:80"}, load.OutcomeNotRun, ""},
+		{[]string{"hanging:80", "unavailable:80"}, "no_answer", report.KindLost},
+		{[]string{"changing:80"}, "", report.KindMisdelivered},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			network := standin.NewMemoryNetwork()
+			transport := &http.Transport{DialContext: network.Dial}
+			defer transport.CloseIdleConnections()
+			for address, handler := range answers {
+				l, err := network.Listen(address)
+				require.NoError(t, err)
+				server := &http.Server{Handler: handler}
+				go func() { _ = server.Serve(l) }()
+				defer func() { _ = server.Close() }()
+			}
+			mix, err := load.ParseMix("mix.yaml", []byte(mixText))
+			require.NoError(t, err)
+			mix.Entries, mix.Requests, mix.MaxRequests = c.entries, mix.Requests[3:4], 10
+			run, err := load.NewRunner(load.Options{Mix: mix, Name: "x", Client: &http.Client{Transport: transport}}).Run(t.Context())
+			require.NoError(t, err)
+			if c.outcome != "" {
+				require.Len(t, run.Refusals, 1)
+				require.Equal(t, c.outcome, run.Refusals[0].Outcome)
+			}
+			require.Equal(t, c.kind != "", len(run.Violations) > 0)
+			require.Equal(t, len(run.Violations), run.Count(c.kind))
+		})
+	}
+}
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -17,7 +17,8 @@
 	Request  Request
 	Order    string // order id or submission id
 	Input    string
-	ResendOf int // index of the arrival whose order is sent again, else -1
+	ResendOf int  // index of the arrival whose order is sent again, else -1
+	Copied   bool // whether a later arrival sends the order again
 }
 
 // Name returns the name of the request with its number.
@@ -84,7 +85,7 @@
 		return
 	}
 	first := &s.arrivals[earlier[s.random.IntN(len(earlier))]]
-	a.ResendOf = first.Index
+	a.ResendOf, first.Copied = first.Index, true
 	a.Customer, a.Order, a.Input = first.Customer, first.Order, first.Input
 }
 
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -160,19 +160,25 @@
 
 func refusals(records []Record) []report.Refusal {
 	type key struct{ outcome, reason string }
-	counts := make(map[key]int)
+	counts := make(map[key]*report.Refusal)
 	for i := range records {
-		a := records[i].Answer
-		switch {
-		case a == nil:
-			counts[key{"no_answer", ""}]++
-		case a.Outcome != OutcomeDone:
-			counts[key{a.Outcome, a.Reason}]++
+		r := &records[i]
+		f := report.Refusal{Outcome: "no_answer", Example: r.LastError}
+		if a := r.Answer; a != nil {
+			f = report.Refusal{Outcome: a.Outcome, Reason: a.Reason, Example: a.Detail}
 		}
+		if f.Outcome == OutcomeDone {
+			continue
+		}
+		k := key{f.Outcome, f.Reason}
+		if counts[k] == nil {
+			counts[k] = &f
+		}
+		counts[k].Count++
 	}
 	out := []report.Refusal{}
-	for k, n := range counts {
-		out = append(out, report.Refusal{Outcome: k.outcome, Reason: k.reason, Count: n})
+	for _, f := range counts {
+		out = append(out, *f)
 	}
 	slices.SortFunc(out, func(a, b report.Refusal) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Reason, b.Reason))
--- a/internal/report/run.go
+++ b/internal/report/run.go
@@ -82,6 +82,7 @@
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason"`
 	Count   int    `json:"count"`
+	Example string `json:"example"` // detail of one of them
 }
 
 // Checked says how much the invariant check has seen, so that a check without
--- a/internal/report/tables.go
+++ b/internal/report/tables.go
@@ -25,8 +25,8 @@
 			}
 		}))
 	fmt.Fprintf(w, "unused work: %s of %s ms\n", percent(r.UnusedShare()), millis(r.BusyMS()))
-	table(w, "\nanswers other than done", []string{"outcome", "reason", "count"}, rows(r.Refusals, func(f Refusal) []string {
-		return []string{f.Outcome, f.Reason, strconv.Itoa(f.Count)}
+	table(w, "\nanswers other than done", []string{"outcome", "reason", "count", "example"}, rows(r.Refusals, func(f Refusal) []string {
+		return []string{f.Outcome, f.Reason, strconv.Itoa(f.Count), f.Example}
 	}))
 	invariants(w, r)
 }
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,7 +29,7 @@
 type Operation struct {
 	Name       string        `yaml:"name"`
 	Idempotent bool          `yaml:"idempotent"`
-	Duration   time.Duration `yaml:"duration"` // time in a slot
+	Duration   time.Duration `yaml:"duration"` // time in a slot; 5 ms when zero
 }
 
 // EngineOptions sets the speed and the memory of an engine.
@@ -75,6 +76,7 @@
 
 const (
 	defaultQueue       = 1024
+	defaultDuration    = 5 * time.Millisecond
 	defaultAccount     = 100_000
 	defaultLoadLag     = 200 * time.Millisecond
 	defaultStepBase    = 8 * time.Millisecond
@@ -124,6 +126,10 @@
 	if len(o.Operations) == 0 {
 		o.Operations = defaultOperations(o.Kind)
 	}
+	o.Operations = slices.Clone(o.Operations)
+	for i := range o.Operations {
+		o.Operations[i].Duration = orDefault(o.Operations[i].Duration, defaultDuration)
+	}
 	o.Engine = o.Engine.withDefaults()
 	return o, nil
 }
--- a/internal/standin/routes.go
+++ b/internal/standin/routes.go
@@ -248,19 +248,22 @@
 
 // readJSON passes over unknown fields, as engines of different versions do.
 func readJSON(r *http.Request, v any) error {
-	return decode(json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)), v)
+	return decode(json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)), r, v)
 }
 
 func readStrictJSON(r *http.Request, v any) error {
 	d := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
 	d.DisallowUnknownFields()
-	return decode(d, v)
+	return decode(d, r, v)
 }
 
-func decode(d *json.Decoder, v any) error {
+// decode also reads the rest of the body, because the server notices that a
+// caller has gone only after the end of the body.
+func decode(d *json.Decoder, r *http.Request, v any) error {
 	if err := d.Decode(v); err != nil {
 		return errors.Wrap(err, "decode body")
 	}
+	_, _ = io.CopyN(io.Discard, r.Body, maxBodyBytes)
 	return nil
 }
 
