delta: Send a changed manifest as the part that changed

Change: internal/delta (common beginning and end, checksum), used by control VMs and agents; the refusal names the revision and the entry fetches the delta from that agent; watchers parse with manifest.ParseNext. Conclusion: a one-customer change now costs about the length of its line.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -61,7 +61,7 @@
 	case cfg == nil:
 		return &wire.Refused{Reason: attempt.ReasonNotReady, Retryable: true, Detail: "the agent knows no configuration yet"}
 	case req.GetRevision() < cfg.Revision():
-		return &wire.Refused{Reason: attempt.ReasonStaleRevision, Retryable: true, Manifest: cfg.Record(), Detail: "the entry's configuration is older than the one in force"}
+		return &wire.Refused{Reason: attempt.ReasonStaleRevision, Retryable: true, Detail: "the entry's configuration is older than the one in force"}
 	case a.table.inFlight() >= a.acceptLimit():
 		return &wire.Refused{Reason: attempt.ReasonOverloaded, Retryable: true, Detail: "too many attempts wait at the target"}
 	}
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -34,6 +34,11 @@
 	return resp, nil
 }
 
+// Config implements wire.Agent.
+func (s *service) Config(_ context.Context, r *wire.ConfigRequest) (*wire.ConfigResponse, error) {
+	return &wire.ConfigResponse{Manifest: s.a.o.Config.RecordFor(r.GetKnownRevision()), Revision: s.a.o.Config.Revision()}, nil
+}
+
 // Cancel implements wire.Agent.
 func (s *service) Cancel(_ context.Context, r *wire.CancelRequest) (*wire.CancelResponse, error) {
 	if r.GetIncarnation() != s.a.incarnation {
--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -21,8 +21,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomline/cardamomline/internal/delta"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
@@ -62,7 +64,38 @@
 func (c *Config) Manifest() *manifest.Manifest { return c.manifest }
 
 // Record returns the manifest as the control VMs hold it.
-func (c *Config) Record() *wire.ManifestRecord { return c.record }
+func (c *Config) Record() *wire.ManifestRecord {
+	if c == nil {
+		return nil
+	}
+	return c.record
+}
+
+// newConfig parses a record on top of the configuration in force.
+func newConfig(old *Config, record *wire.ManifestRecord) (*Config, error) {
+	if d := record.GetDelta(); d != nil {
+		if d.GetBaseRevision() != old.Revision() {
+			return nil, errors.Errorf("delta on revision %d, but revision %d is in force", d.GetBaseRevision(), old.Revision())
+		}
+		whole, err := delta.Apply(old.Record().GetManifest(), d)
+		if err != nil {
+			return nil, err
+		}
+		record = proto.CloneOf(record)
+		record.Manifest, record.Delta = whole, nil
+	}
+	var m *manifest.Manifest
+	var err error
+	if old == nil {
+		m, err = manifest.Parse("manifest", record.GetManifest())
+	} else {
+		m, err = manifest.ParseNext(old.Manifest(), "manifest", record.GetManifest())
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Config{record: record, manifest: m}, nil
+}
 
 // Options holds what a Watcher needs.
 type Options struct {
@@ -82,9 +115,11 @@
 	current atomic.Pointer[Config]
 	// confirmed is when a control VM last vouched for the revision.
 	confirmed atomic.Pointer[time.Time]
-	mu        sync.Mutex
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// mu guards changes of current, and previous.
+	mu       sync.Mutex
+	previous *Config
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 // New returns a Watcher; Start begins to poll.
@@ -116,6 +151,18 @@
 // Revision returns the revision in force, or 0.
 func (w *Watcher) Revision() uint64 { return w.Current().Revision() }
 
+// RecordFor returns the configuration in force for a reader that has the known
+// revision: as a delta when that is the previous one, and nil when it's current.
+func (w *Watcher) RecordFor(known uint64) *wire.ManifestRecord {
+	w.mu.Lock()
+	current, previous := w.Current(), w.previous
+	w.mu.Unlock()
+	if current.Revision() <= known {
+		return nil
+	}
+	return delta.Record(previous.Record(), current.Record(), known)
+}
+
 // Confirmed reports whether a control VM that is in touch with a quorum vouched
 // for the revision within ConfirmBound.
 func (w *Watcher) Confirmed() bool {
@@ -134,21 +181,25 @@
 }
 
 // Offer puts a configuration into force when it is newer. It reports an error
-// when the manifest doesn't parse; the configuration in force then stays.
+// when the manifest doesn't parse or is a delta on another base; the
+// configuration in force then stays.
 func (w *Watcher) Offer(record *wire.ManifestRecord) error {
 	if record == nil || record.GetRevision() <= w.Revision() {
 		return nil
 	}
-	m, err := manifest.Parse("manifest", record.GetManifest())
-	if err != nil {
-		return errors.Wrapf(err, "manifest revision %d", record.GetRevision())
-	}
+	// One at a time: parsing a large manifest is the most expensive work of a
+	// process, and several agents may offer the same one.
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if record.GetRevision() <= w.Revision() {
+	old := w.Current()
+	if record.GetRevision() <= old.Revision() {
 		return nil
 	}
-	cfg := &Config{record: record, manifest: m}
+	cfg, err := newConfig(old, record)
+	if err != nil {
+		return errors.Wrapf(err, "manifest revision %d", record.GetRevision())
+	}
+	w.previous = old
 	w.current.Store(cfg)
 	klog.InfoS("Configuration in force", "process", w.o.Process, "revision", record.GetRevision())
 	if w.o.OnChange != nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -98,6 +98,8 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	leaders map[string]wire.Control
+	// lastDelta is the newest manifest as a delta on the revision asked for last.
+	lastDelta *wire.ManifestRecord
 
 	cancel context.CancelFunc
 	done   chan struct{}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
 
+	"github.com/cardamomline/cardamomline/internal/delta"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
@@ -199,11 +200,31 @@
 	}
 	resp.Revision = newest.GetRevision()
 	if newest.GetRevision() > known {
-		resp.Manifest = newest
+		resp.Manifest = c.recordFor(newest, known)
 	}
 	return resp
 }
 
+// recordFor returns the newest manifest for a reader that has the known revision.
+// Nearly all readers have the same one, so the last delta is kept.
+func (c *Control) recordFor(newest *wire.ManifestRecord, known uint64) *wire.ManifestRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.lastDelta
+	if last != nil && last.GetRevision() == newest.GetRevision() && last.GetDelta().GetBaseRevision() == known {
+		return last
+	}
+	base, ok := c.o.Ledger.Manifest(known)
+	if known == 0 || !ok {
+		return newest
+	}
+	r := delta.Record(base, newest, known)
+	if r.GetDelta() != nil {
+		c.lastDelta = r
+	}
+	return r
+}
+
 // Status implements wire.Control.
 func (s *service) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
 	return s.c.status(), nil
--- /dev/null
+++ b/internal/delta/delta_test.go
@@ -0,0 +1,37 @@
+package delta_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cardamomline/cardamomline/internal/delta"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// Guards P7: a delta makes another manifest than the accepted one, or is applied
+// to a base that it doesn't fit.
+func TestApplyRestoresTheManifest(t *testing.T) {
+	text := rapid.SliceOfN(rapid.SampledFrom([]byte("ab\n")), 0, 30)
+	rapid.Check(t, func(rt *rapid.T) {
+		base, next, other := text.Draw(rt, "base"), text.Draw(rt, "next"), text.Draw(rt, "other")
+		d := delta.Make(base, next)
+		got, err := delta.Apply(base, d)
+		require.NoError(rt, err)
+		require.Equal(rt, string(next), string(got))
+		if wrong, err := delta.Apply(other, d); err == nil {
+			require.Equal(rt, string(next), string(wrong))
+		}
+	})
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -311,7 +311,7 @@
 	case *attempt.Finished:
 		return t.judgeResult(choice, end.Result(), latency, finish)
 	case *attempt.Refused:
-		return t.judgeRefusal(choice, end.Refusal(), finish)
+		return t.judgeRefusal(ctx, choice, end.Refusal(), finish)
 	case *attempt.NotSent:
 		finish(routing.Failure{})
 		return tryAgain{reason: reasonConnectionLost, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.RefusedCall{Retryable: true}}
@@ -352,7 +352,7 @@
 	return out
 }
 
-func (t *tries) judgeRefusal(choice routing.Choice, r *wire.Refused, finish func(routing.Outcome)) verdict {
+func (t *tries) judgeRefusal(ctx context.Context, choice routing.Choice, r *wire.Refused, finish func(routing.Outcome)) verdict {
 	t.e.report(t.s, choice.Target, r.GetLoad())
 	t.e.o.Metrics.CountReason("entry_agent_refusals", r.GetReason())
 	again := tryAgain{reason: r.GetReason(), detail: r.GetDetail(), outcome: admission.Dropped{}, cause: budget.RefusedCall{Retryable: r.GetRetryable()}}
@@ -366,7 +366,7 @@
 	case attempt.ReasonStaleRevision:
 		again.cause = budget.LeavingCall{}
 		finish(routing.Canceled{})
-		t.e.learn(r.GetManifest())
+		t.e.learnFrom(ctx, choice.Address)
 		t.tried = t.tried[:len(t.tried)-1]
 	default:
 		finish(routing.Failure{})
@@ -411,9 +411,16 @@
 	}, e.o.Timers.Now())
 }
 
-// learn takes a newer configuration from an agent's refusal.
-func (e *Entry) learn(record *wire.ManifestRecord) {
-	if err := e.o.Config.Offer(record); err != nil {
-		e.o.Metrics.Count("entry_bad_manifests", 1)
+// learnFrom takes a newer configuration from the agent that refused this one.
+func (e *Entry) learnFrom(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, settleCall)
+	defer cancel()
+	client := wire.NewAgentProtobufClient("http://"+address, e.attempts.HTTP(address))
+	resp, err := client.Config(ctx, &wire.ConfigRequest{KnownRevision: e.o.Config.Revision(), Process: e.o.Name})
+	if err == nil {
+		err = e.o.Config.Offer(resp.GetManifest())
+	}
+	if err != nil {
+		e.o.Metrics.Count("entry_config_from_agent_failures", 1)
 	}
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -229,7 +229,10 @@
 	case *attempt.Refused:
 		r := end.Refusal()
 		o.s.pool.Finish(choice, refusalOutcome(r), now)
-		o.e.learn(r.GetManifest())
+		if r.GetReason() == attempt.ReasonStaleRevision {
+			o.e.learnFrom(ctx, choice.Address)
+			o.tried = o.tried[:len(o.tried)-1]
+		}
 		return o.notRun(claim, &callError{reason: r.GetReason(), detail: r.GetDetail()})
 	case *attempt.NotSent:
 		o.s.pool.Finish(choice, routing.Failure{}, now)
