--- a/internal/admission/idle.go
+++ b/internal/admission/idle.go
@@ -9,6 +9,9 @@
 	// sweepsPerCall bounds the work of one call; two removals for each addition
 	// keep the list from growing.
 	sweepsPerCall = 2
+	// sweepsPerTick is the same for periodic calls, so that state goes away when
+	// there are no other calls.
+	sweepsPerTick = 256
 )
 
 // idleList remembers which customers became idle when, in order. A customer
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -6,25 +6,31 @@
 )
 
 const (
-	// limitWindow and limitSamples end a measurement of the limit.
+	// limitWindow and limitSamples must both be reached to end a measurement.
+	// The median of 32 samples varies by less than latencyTolerance even when
+	// durations are distributed exponentially.
 	limitWindow  = 250 * time.Millisecond
-	limitSamples = 64
-	// minLimitSamples keeps single calls from moving the limit.
-	minLimitSamples = 5
+	limitSamples = 32
+	// maxSamples bounds the memory of a measurement; later samples are left out.
+	maxSamples = 512
 	// latencyTolerance is how far the median latency may rise above the base
 	// before the limit falls.
-	latencyTolerance = 1.25
-	// maxDecrease bounds one fall of the limit.
-	maxDecrease = 0.7
+	latencyTolerance = 1.5
+	// maxDecrease bounds one fall of the limit, so that one burst or one slow
+	// moment doesn't close the service.
+	maxDecrease = 0.8
+	// overloadDecrease is the fall after a target refused a call as overloaded.
+	overloadDecrease = 0.9
 	// baseRise is how fast the base follows a rise of latency. A service that
-	// stays slower is accepted as the new base after some 100 windows.
+	// stays slower is accepted as the new base after some 100 measurements.
 	baseRise = 0.01
 	// baseFall is how fast the base follows a fall of latency.
-	baseFall = 0.5
-	// minimumLimit keeps latency samples coming.
-	minimumLimit = 1
-	// limitPerSlot bounds the limit by the known slots.
-	limitPerSlot = 2
+	baseFall = 0.1
+	// leastPerSlot bounds the limit from below by the known slots: less in flight
+	// than the targets work on at once can't be what makes them queue.
+	leastPerSlot = 0.5
+	// mostPerSlot bounds the limit from above.
+	mostPerSlot = 2
 	// unknownSlots is the first limit of a service whose slots aren't known.
 	unknownSlots = 16
 	// maximumLimit bounds the limit of a service whose slots aren't known.
@@ -36,6 +42,7 @@
 // rises above the base. The median ignores a minority of slow targets.
 type limiter struct {
 	limit   float64
+	minimum float64
 	maximum float64
 	base    float64 // latency over expected latency when nothing queues
 	ratios  []float64
@@ -45,7 +52,7 @@
 }
 
 func newLimiter(slots int) limiter {
-	l := limiter{limit: unknownSlots, maximum: maximumLimit, ratios: make([]float64, 0, limitSamples)}
+	l := limiter{limit: unknownSlots, minimum: 1, maximum: maximumLimit}
 	l.setSlots(slots)
 	return l
 }
@@ -58,15 +65,18 @@
 	if l.base == 0 {
 		l.limit = float64(slots)
 	}
-	l.maximum = float64(slots * limitPerSlot)
-	l.limit = min(l.limit, l.maximum)
+	l.minimum = max(leastPerSlot*float64(slots), 1)
+	l.maximum = mostPerSlot * float64(slots)
+	l.limit = max(l.minimum, min(l.limit, l.maximum))
 }
 
 func (l *limiter) value() int { return int(l.limit) }
 
 func (l *limiter) observe(ratio float64, inFlight int, now time.Time) {
 	l.peak = max(l.peak, inFlight)
-	l.ratios = append(l.ratios, ratio)
+	if len(l.ratios) < maxSamples {
+		l.ratios = append(l.ratios, ratio)
+	}
 	l.advance(now)
 }
 
@@ -79,8 +89,7 @@
 	if l.started.IsZero() {
 		l.started = now
 	}
-	full := len(l.ratios) >= limitSamples
-	if !full && (now.Sub(l.started) < limitWindow || len(l.ratios) < minLimitSamples) {
+	if len(l.ratios) < limitSamples || now.Sub(l.started) < limitWindow {
 		return
 	}
 	l.adapt()
@@ -95,15 +104,15 @@
 	median := l.ratios[len(l.ratios)/2]
 	l.follow(median)
 	gradient := min(latencyTolerance*l.base/max(median, l.base), 1)
-	if l.refused {
-		gradient = min(gradient, 0.9)
-	}
 	increase := 0.0
-	if l.peak >= l.value()-1 && !l.refused {
+	switch {
+	case l.refused:
+		gradient = min(gradient, overloadDecrease)
+	case l.peak >= l.value()-1:
 		increase = 1
 	}
 	l.limit = l.limit*max(gradient, maxDecrease) + increase
-	l.limit = max(minimumLimit, min(l.limit, l.maximum))
+	l.limit = max(l.minimum, min(l.limit, l.maximum))
 }
 
 func (l *limiter) follow(median float64) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -26,6 +26,10 @@
 	reserveMost = 0.8
 	// reserveHalfLife is how fast the reserve falls without urgent calls.
 	reserveHalfLife = 10 * time.Second
+	// waitMargin scales the expected wait of urgent calls. Without it, an
+	// overloaded queue starts every call at the last moment, and those that take
+	// longer than expected run in vain.
+	waitMargin = 2
 	// stretchWeight is the weight of one call in the average of actual over
 	// expected time.
 	stretchWeight = 0.05
@@ -119,7 +123,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r = r.normalized()
-	q.sweep(now)
+	q.sweep(sweepsPerCall, now)
 	if _, ok := q.policy.(Baseline); ok {
 		return q.admit(q.ticket(r, now), now)
 	}
@@ -139,10 +143,14 @@
 	if q.deadlines.Len() >= q.maxQueued {
 		return Refused{Reason: ReasonQueueFull, ExpectedWait: wait, RetryAfter: wait}, true
 	}
-	if r.Started {
-		wait = 0
+	counted := wait
+	switch {
+	case r.Started:
+		counted = 0
+	case r.Priority < deferrable:
+		counted *= waitMargin
 	}
-	late := now.Add(wait + r.Needs).Sub(r.Deadline)
+	late := now.Add(counted + r.Needs).Sub(r.Deadline)
 	if late <= 0 {
 		return Refused{}, false
 	}
@@ -264,6 +272,16 @@
 	return priority < deferrable || q.deferred < limit-q.reserve(now)
 }
 
+// spareUse is the share of the limit below which a service has spare capacity.
+const spareUse = 0.8
+
+// Spare reports whether the service has capacity that no call waits for.
+func (q *Queue) Spare() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.deadlines.Len() == 0 && float64(q.inFlight) < spareUse*q.limiter.limit
+}
+
 // ExpectedWait returns how long a call would wait for its slot.
 func (q *Queue) ExpectedWait(r Request, now time.Time) time.Duration {
 	q.mu.Lock()
@@ -274,30 +292,67 @@
 	return q.expectedWait(r.normalized(), now)
 }
 
-// expectedWait is zero when the call can start now. Otherwise it is the smaller
-// of two bounds: the work of all calls that are as urgent, and the customer's
-// own work at its fair share. The second keeps one customer's backlog from
-// refusing another's calls.
+// expectedWait is zero when the call can start now. Otherwise the work that is
+// served before the call is divided by the rate of service. The work is bounded
+// by the customer's own at its fair share, so that one customer's backlog never
+// refuses another's calls.
 func (q *Queue) expectedWait(r Request, now time.Time) time.Duration {
-	ahead, own := 0.0, 0.0
-	c := q.customers[r.Customer]
+	ahead := 0.0
 	for p := range r.Priority + 1 {
 		ahead += q.levels[p].cost
-		if c != nil {
-			own += c.cost[p]
-		}
 	}
 	if ahead == 0 && q.free(r.Priority, now) {
 		return 0
 	}
+	l := &q.levels[r.Priority]
+	l.measure(now)
+	guaranteed := q.guaranteed(r.Priority) / q.stretch
+	inLevel := min(l.cost+cost(r), q.fairWork(r))
+	seconds := inLevel / max(l.rate, guaranteed)
+	if l.rate == 0 {
+		all := float64(q.limiter.value()) / q.stretch
+		seconds = min(seconds, min(ahead+cost(r), q.fairWork(r))/all)
+	}
+	return max(time.Duration(seconds*float64(time.Second)), 1)
+}
+
+// guaranteed returns the slot time for each second that a level gets at least
+// beside others, for calls of the expected time.
+func (q *Queue) guaranteed(priority int) float64 {
 	limit := float64(q.limiter.value())
+	others := 0
+	urgent := true
+	for i := range q.levels {
+		if i == priority || len(q.levels[i].customers) == 0 {
+			continue
+		}
+		others++
+		urgent = urgent && i > priority
+	}
+	if urgent {
+		return (1 - lowerShare) * limit
+	}
+	return lowerShare / float64(others) * limit
+}
+
+// fairWork returns the work that is served until a call of the customer starts,
+// if the customer gets just its share: the virtual time until then, for all
+// customers that wait.
+func (q *Queue) fairWork(r Request) float64 {
 	weights := q.weights
-	if c == nil || c.waiting == 0 {
+	ahead := 0.0
+	c, ok := q.customers[r.Customer]
+	if !ok || c.waiting == 0 {
 		weights += r.Weight
 	}
-	fair := (own + cost(r)) * weights / r.Weight
-	seconds := min(ahead+cost(r), fair) / limit * q.stretch
-	return max(time.Duration(seconds*float64(time.Second)), 1)
+	if ok {
+		own := 0.0
+		for p := range r.Priority + 1 {
+			own += c.cost[p]
+		}
+		ahead = max(c.virtual-q.virtual, 0) + own/r.Weight
+	}
+	return ahead*weights + cost(r)
 }
 
 // Finish ends an admitted call and returns decisions on waiting ones.
@@ -362,7 +417,7 @@
 func (q *Queue) Expire(now time.Time) []Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.sweep(now)
+	q.sweep(sweepsPerTick, now)
 	return q.dispatch(now)
 }
 
@@ -382,6 +437,7 @@
 		}
 		t := l.customers[0].waits[l.priority].first()
 		q.charge(l, t, now)
+		l.drained += t.cost()
 		q.dequeue(t)
 		decisions = append(decisions, q.admit(t, now))
 	}
@@ -438,8 +494,9 @@
 	return &q.levels[t.request.Priority]
 }
 
-func (q *Queue) sweep(now time.Time) {
-	for range sweepsPerCall {
+// sweep forgets customers that have been idle.
+func (q *Queue) sweep(most int, now time.Time) {
+	for range most {
 		name, mark, ok := q.idle.next(now)
 		if !ok {
 			return
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -136,8 +136,14 @@
 			"finish":   m.finish,
 			"withdraw": m.withdraw,
 			"expire": func(t *rapid.T) {
-				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "late tick") {
+					return
+				}
 				m.decideAll(t, m.queue.Expire(m.now))
+				for ticket := range m.waiting {
+					require.False(t, m.now.After(ticket.latestStart), "a call that can't finish still waits")
+				}
 			},
 			"": m.check,
 		})
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -162,6 +162,33 @@
 	customers []*customer
 	cost      float64 // of the waiting calls
 	credit    float64 // slot time owed to the level while more urgent ones are served
+
+	// The rate at which the level's waiting calls were started lately, as slot
+	// time for each second, while it never ran empty. It is 0 until known.
+	rate     float64
+	drained  float64
+	measured time.Time
+}
+
+const (
+	rateWindow = time.Second
+	// rateWeight is the weight of one window in the rate.
+	rateWeight = 0.5
+)
+
+// measure ends a window of the rate when it is over.
+func (l *level) measure(now time.Time) {
+	elapsed := now.Sub(l.measured)
+	if len(l.customers) == 0 || elapsed < rateWindow {
+		return
+	}
+	rate := l.drained / elapsed.Seconds()
+	if l.rate > 0 {
+		rate = l.rate + rateWeight*(rate-l.rate)
+	}
+	l.rate = rate
+	l.drained = 0
+	l.measured = now
 }
 
 // Len implements heap.Interface.
@@ -196,6 +223,11 @@
 // add queues a ticket of a customer.
 func (l *level) add(t *Ticket) {
 	c := t.customer
+	if len(l.customers) == 0 {
+		l.measured = t.offered
+		l.drained = 0
+		l.rate = 0
+	}
 	heap.Push(&c.waits[l.priority], t)
 	l.cost += t.cost()
 	c.cost[l.priority] += t.cost()
