entry: Hedge slow idempotent calls and count expected waits before the first stage

Cause: the budget and admission packages decide on hedges, spare capacity and expected waits, but the entry didn't ask them. A pipeline whose stages and their queues can't finish in time is refused on arrival. Retries see whether the service has spare capacity.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -233,5 +233,5 @@
 func (e *Entry) estimate(c *call) {
 	c.key = c.stage
 	c.expected = e.estimator.Estimate(c.key, 0, e.o.Timers.Now()).Mean
-	c.needs = c.expected
+	c.typical, c.needs = c.expected, c.expected
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -45,11 +45,15 @@
 	deadline  time.Time
 	// key names the call in the estimator.
 	key string
-	// expected is how long the call takes, needs the time from its start to the
-	// end of the whole request, and limit the longest time to give it.
+	// expected is how long the call takes on average, typical the same to the end
+	// of the whole request, and needs the 90th percentile of that.
 	expected time.Duration
+	typical  time.Duration
 	needs    time.Duration
-	limit    time.Duration
+	// limit is the longest time to give the call; hedgeAfter is when a second
+	// attempt may start beside the first. Neither applies when zero.
+	limit      time.Duration
+	hedgeAfter time.Duration
 	// started tells that earlier stages of the request have run.
 	started bool
 	policy  manifest.Policy
@@ -196,8 +200,9 @@
 		}
 		t.attempts++
 		t.tried = append(t.tried, choice.Target)
-		end, latency := t.send(ctx, choice)
-		next := t.judge(ctx, choice, end, latency)
+		tried := t.sendHedged(ctx, choice)
+		choice, latency := tried.choice, tried.latency
+		next := t.judge(ctx, choice, tried.end, latency)
 		switch next := next.(type) {
 		case answered:
 			return next.reply, admission.Completed{Latency: latency}, nil
@@ -245,7 +250,7 @@
 	}
 	d := t.e.retries.Load().Retry(budget.Attempt{
 		Service: t.c.service.Name(), Idempotent: true, Tried: t.attempts,
-		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Needs: t.c.needs, Cause: v.cause,
+		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Typical: t.c.typical, Cause: v.cause, Spare: t.s.queue.Spare(),
 	})
 	if d.Allowed {
 		return nil
@@ -254,6 +259,80 @@
 	return t.fail(v.reason, fmt.Sprintf("%s; not tried again: %s", v.detail, d.Reason))
 }
 
+// ended is one attempt that came to its end.
+type ended struct {
+	choice  routing.Choice
+	end     attempt.End
+	latency time.Duration
+}
+
+func (d ended) answered() bool {
+	f, ok := d.end.(*attempt.Finished)
+	return ok && f.Result().GetError() == ""
+}
+
+// sendHedged makes an attempt and, when it takes unusually long and the hedge
+// budget allows, a second one at another target. The first answer wins, and the
+// other attempt is canceled. A stream isn't hedged: its tokens come from one target.
+func (t *tries) sendHedged(ctx context.Context, choice routing.Choice) ended {
+	if t.c.hedgeAfter <= 0 || t.c.onToken != nil {
+		end, latency := t.send(ctx, choice)
+		return ended{choice: choice, end: end, latency: latency}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan ended, 2)
+	start := func(choice routing.Choice) {
+		end, latency := t.send(ctx, choice)
+		results <- ended{choice: choice, end: end, latency: latency}
+	}
+	go start(choice)
+	select {
+	case first := <-results:
+		cancel()
+		return first
+	case <-t.e.o.Timers.After(t.c.hedgeAfter):
+	}
+	second, ok := t.pickHedge()
+	if !ok {
+		defer cancel()
+		return <-results
+	}
+	go start(second)
+	first := <-results
+	if first.answered() {
+		t.e.background.Go(func() { t.dropLoser(<-results) })
+		cancel()
+		return first
+	}
+	defer cancel()
+	t.judge(ctx, first.choice, first.end, first.latency)
+	return <-results
+}
+
+func (t *tries) pickHedge() (routing.Choice, bool) {
+	d := t.e.retries.Load().Hedge(budget.Attempt{
+		Service: t.c.service.Name(), Idempotent: true, Tried: t.attempts,
+		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Typical: t.c.typical, Spare: t.s.queue.Spare(),
+	})
+	if !d.Allowed {
+		return routing.Choice{}, false
+	}
+	choice, err := t.s.pool.Pick(routing.Request{Model: t.c.model, Prefix: t.c.prefix, Exclude: t.tried}, t.e.o.Timers.Now())
+	if err != nil {
+		return routing.Choice{}, false
+	}
+	t.attempts++
+	t.tried = append(t.tried, choice.Target)
+	t.e.o.Metrics.Count("entry_hedges", 1)
+	t.c.story.retried(t.c.stage, choice.Target, "hedge")
+	return choice, true
+}
+
+// dropLoser reports the attempt that was canceled because the other one answered first.
+func (t *tries) dropLoser(d ended) {
+	t.s.pool.Finish(d.choice, routing.Canceled{}, t.e.o.Timers.Now())
+}
+
 // send makes one attempt at the chosen target.
 func (t *tries) send(ctx context.Context, choice routing.Choice) (attempt.End, time.Duration) {
 	c := t.c
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/cardamomline/cardamomline/internal/admission"
 	"github.com/cardamomline/cardamomline/internal/budget"
 	"github.com/cardamomline/cardamomline/internal/wire"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
@@ -88,18 +89,29 @@
 	}
 	now := p.e.o.Timers.Now()
 	var done []string
+	var wait time.Duration
 	for _, stage := range stages {
 		if _, ok := p.outputs[stage.Name()]; ok {
 			done = append(done, stage.Name())
+			continue
 		}
+		wait += p.expectedWait(stage, now)
 	}
-	v := plan.CanFinish(p.e.estimator, done, p.deadline.Sub(now), 0, now)
+	v := plan.CanFinish(p.e.estimator, done, p.deadline.Sub(now), wait, now)
 	if v.Fits {
 		return nil
 	}
 	return &callError{reason: string(v.Reason), detail: fmt.Sprintf("the stages need %v and %v is left", v.Needed.Round(time.Millisecond), v.Left.Round(time.Millisecond))}
 }
 
+// expectedWait is how long a call of the stage would wait for a slot now.
+func (p *pipelineRun) expectedWait(stage *manifest.Stage, now time.Time) time.Duration {
+	service, _ := p.manifest.Service(stage.Service())
+	return p.e.service(service, p.manifest.Policy()).queue.ExpectedWait(admission.Request{
+		Customer: p.customer.Name(), Weight: float64(p.customer.Weight()), Priority: p.class.Priority(), Deadline: p.deadline,
+	}, now)
+}
+
 func newPlan(pl *manifest.Pipeline) (*budget.Plan, error) {
 	stages := make([]budget.Stage, 0, len(pl.Stages()))
 	for _, s := range pl.Stages() {
@@ -117,7 +129,8 @@
 	c := &call{
 		request: p.request, customer: p.customer, class: p.class, service: service, operation: operation,
 		stage: stage.Name(), model: stage.Model(), input: p.stageInput(stage), deadline: p.deadline,
-		key: p.plan.Key(stage.Name()), expected: allot.Expected, needs: allot.Needs, limit: allot.Limit, started: p.ran,
+		key: p.plan.Key(stage.Name()), expected: allot.Expected, typical: allot.Typical, needs: allot.Needs,
+		limit: allot.Limit, hedgeAfter: allot.HedgeAfter, started: p.ran,
 		policy: p.manifest.Policy(), story: p.story,
 	}
 	if service.Kind() == manifest.KindEngine {
