--- a/examples/examples.go
+++ b/examples/examples.go
@@ -1,4 +1,5 @@
-// Package examples holds the example manifests, embedded for the dev command.
+// Package examples holds the example manifests and load mixes, embedded for the
+// dev and experiment commands.
 //
 // # Usage
 //
@@ -11,7 +12,7 @@
 	"github.com/go-faster/errors"
 )
 
-//go:embed *.yaml
+//go:embed *.yaml load/*.yaml
 var files embed.FS
 
 // Manifest returns the example manifest with the name, for instance harbwr.
@@ -22,3 +23,12 @@
 	}
 	return data, nil
 }
+
+// Mix returns the example load mix with the name, for instance harbwr.
+func Mix(name string) ([]byte, error) {
+	data, err := files.ReadFile("load/" + name + ".yaml")
+	if err != nil {
+		return nil, errors.Wrapf(err, "example mix %s", name)
+	}
+	return data, nil
+}
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -106,6 +106,7 @@
 		&devCommand{},
 		&standinCommand{},
 		&loadCommand{out: out},
+		&experimentCommand{out: out},
 		&manifestCommand{out: out},
 		&settingsCommand{out: out},
 		&statusCommand{out: out},
--- a/internal/commands/dev.go
+++ b/internal/commands/dev.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -65,7 +66,8 @@
 		_ = d.Stop(context.WithoutCancel(ctx))
 		return err
 	}
-	_, _ = fmt.Fprintf(w, "cardamomline is ready: callers at http://%s, control VMs at %v\n", d.EntryAddress(), d.ControlAddresses())
+	_, _ = fmt.Fprintf(w, "cardamomline is ready: callers at http://%s, control VMs at %s, accounts at %s\n",
+		d.Entries()[0], strings.Join(d.ControlAddresses(), ","), d.Accounts())
 	<-ctx.Done()
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), defaultStopTimeout)
 	defer cancelStop()
--- a/internal/process/dev.go
+++ b/internal/process/dev.go
@@ -13,7 +13,6 @@
 
 	"github.com/cardamomline/cardamomline/internal/attempt"
 	"github.com/cardamomline/cardamomline/internal/controlclient"
-	"github.com/cardamomline/cardamomline/internal/kernel"
 	"github.com/cardamomline/cardamomline/internal/settings"
 	"github.com/cardamomline/cardamomline/internal/standin"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -23,8 +22,10 @@
 
 const (
 	devControls     = 3
+	devEntries      = 1
 	devServiceCount = 3
 	devSlots        = 8
+	devAccount      = 200_000
 	// unusedAdmin fills the required key; dev runs no admin servers.
 	unusedAdmin = "127.0.0.1:1"
 )
@@ -44,10 +45,14 @@
 type DevOptions struct {
 	// Manifest is the manifest to apply, as YAML; required.
 	Manifest []byte
-	// Listen is the IP:port of the caller API; port 0 takes a free one.
+	// Listen is the IP:port of the first entry; port 0 takes a free one.
 	Listen string
 	// DataFolder holds the folders of the control VMs; required.
 	DataFolder string
+	// Entries is the number of entries; 1 when zero.
+	Entries int
+	// Targets overrides the number of stand-ins by service.
+	Targets map[string]int
 }
 
 // Dev runs all roles and stand-ins in one process on loopback. Each role has a
@@ -55,10 +60,9 @@
 type Dev struct {
 	o        DevOptions
 	manifest *manifest.Manifest
-	kernels  []*kernel.Kernel
+	members  []*Member
 	controls []string
-	entry    string
-	standins map[string]string
+	accounts *standin.Accounts
 }
 
 // NewDev returns a Dev, or an error that names what is wrong with the options.
@@ -70,19 +74,47 @@
 	if o.DataFolder == "" {
 		return nil, errors.New("dev: no data folder")
 	}
-	return &Dev{o: o, manifest: m, standins: make(map[string]string)}, nil
+	if o.Entries == 0 {
+		o.Entries = devEntries
+	}
+	return &Dev{o: o, manifest: m}, nil
 }
 
-// EntryAddress returns the address of the caller API.
-func (d *Dev) EntryAddress() string { return d.entry }
+// Members returns all processes: control VMs, agents, entries.
+func (d *Dev) Members() []*Member { return d.members }
+
+// Entries returns the addresses of the entries.
+func (d *Dev) Entries() []string {
+	var addresses []string
+	for _, m := range d.members {
+		if m.Role() == settings.RoleEntry {
+			addresses = append(addresses, m.Address())
+		}
+	}
+	return addresses
+}
 
 // ControlAddresses returns the addresses of the control VMs.
 func (d *Dev) ControlAddresses() []string { return d.controls }
 
-// Standins returns the addresses of the stand-ins by target name.
-func (d *Dev) Standins() map[string]string { return d.standins }
+// Accounts returns the URL that serves the accounts of all stand-ins.
+func (d *Dev) Accounts() string { return "http://" + d.accounts.Address() }
+
+// Leader returns the address of the leading control VM.
+func (d *Dev) Leader(ctx context.Context) (string, error) {
+	c, err := controlclient.New(controlclient.Options{Timers: timer.NewService(), Addresses: d.controls, Process: "dev"})
+	if err != nil {
+		return "", err
+	}
+	for i, s := range c.StatusAll(ctx) {
+		if s != nil && s.GetConfirmed() && s.GetLeaderId() == s.GetMemberId() {
+			return d.controls[i], nil
+		}
+	}
+	return "", errors.New("no control VM leads")
+}
 
-// Start starts everything, applies the manifest and returns when the entry is ready.
+// Start starts everything, applies the manifest and returns when it is in force.
 func (d *Dev) Start(ctx context.Context) error {
 	if err := d.startControls(ctx); err != nil {
 		return err
@@ -90,31 +122,42 @@
 	if err := d.startTargets(ctx); err != nil {
 		return err
 	}
-	if err := d.startEntry(ctx); err != nil {
+	if err := d.startEntries(ctx); err != nil {
 		return err
 	}
 	return d.apply(ctx)
 }
 
-// Stop stops the entry, which lets its requests end, then all others at once. It
-// returns the first error.
+// Stop stops the entries, which lets their requests end, then all others at once.
+// It returns the first error.
 func (d *Dev) Stop(ctx context.Context) error {
-	n := len(d.kernels)
-	if n == 0 {
-		return nil
+	first := d.stopAll(ctx, func(m *Member) bool { return m.Role() == settings.RoleEntry })
+	if err := d.stopAll(ctx, func(*Member) bool { return true }); first == nil {
+		first = err
 	}
-	first := d.kernels[n-1].Stop(ctx)
-	var g errgroup.Group
-	for _, k := range d.kernels[:n-1] {
-		g.Go(func() error { return k.Stop(ctx) })
+	for _, m := range d.members {
+		if m.standin != nil {
+			m.standin.Die()
+		}
 	}
-	d.kernels = nil
-	if err := g.Wait(); first == nil {
-		first = err
+	if d.accounts != nil {
+		if err := d.accounts.Stop(ctx); first == nil {
+			first = err
+		}
 	}
 	return first
 }
 
+func (d *Dev) stopAll(ctx context.Context, which func(*Member) bool) error {
+	var g errgroup.Group
+	for _, m := range d.members {
+		if which(m) {
+			g.Go(func() error { return m.Stop(ctx) })
+		}
+	}
+	return g.Wait()
+}
+
 func (d *Dev) startControls(ctx context.Context) error {
 	listeners := make([]net.Listener, 0, devControls)
 	for range devControls {
@@ -128,7 +171,7 @@
 	for i, l := range listeners {
 		name := fmt.Sprintf("control-%d", i+1)
 		own := map[string]any{"data_folder": filepath.Join(d.o.DataFolder, name), "peers": d.controls}
-		if err := d.start(ctx, settings.RoleControl, name, i, own, l); err != nil {
+		if err := d.start(ctx, settings.RoleControl, name, i, own, l, nil); err != nil {
 			return err
 		}
 	}
@@ -136,71 +179,84 @@
 }
 
 func (d *Dev) startTargets(ctx context.Context) error {
+	var all []*standin.Standin
 	for _, s := range d.manifest.Services() {
-		n, ok := devTargets[s.Kind()]
-		if !ok {
-			n = devServiceCount
-		}
-		for i := range n {
-			if err := d.startTarget(ctx, s, i); err != nil {
+		for i := range d.targetCount(s) {
+			target, err := d.startTarget(ctx, s, i)
+			if err != nil {
 				return err
 			}
+			all = append(all, target)
 		}
 	}
-	return nil
+	d.accounts = standin.NewAccounts("127.0.0.1:0", all...)
+	return d.accounts.Start(ctx)
+}
+
+func (d *Dev) targetCount(s *manifest.Service) int {
+	if n, ok := d.o.Targets[s.Name()]; ok {
+		return n
+	}
+	if n, ok := devTargets[s.Kind()]; ok {
+		return n
+	}
+	return devServiceCount
 }
 
-func (d *Dev) startTarget(ctx context.Context, s *manifest.Service, i int) error {
+func (d *Dev) startTarget(ctx context.Context, s *manifest.Service, i int) (*standin.Standin, error) {
 	name := fmt.Sprintf("%s-%d", s.Name(), i+1)
 	target, err := standin.New(d.standin(s, name))
 	if err != nil {
-		return errors.Wrapf(err, "stand-in %s", name)
+		return nil, errors.Wrapf(err, "stand-in %s", name)
 	}
-	k := kernel.New()
-	k.Register("standin", target)
-	if err := k.Start(ctx); err != nil {
-		return err
+	if err := target.Start(ctx); err != nil {
+		return nil, err
 	}
-	d.kernels = append(d.kernels, k)
-	d.standins[name] = target.Address()
 	l, err := listen(ctx, "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	own := map[string]any{"target": map[string]any{"name": name, "service": s.Name(), "url": "http://" + target.Address()}}
-	return d.start(ctx, settings.RoleAgent, "agent-"+name, i, own, l)
+	return target, d.start(ctx, settings.RoleAgent, "agent-"+name, i, own, l, target)
 }
 
 func (d *Dev) standin(s *manifest.Service, name string) standin.Options {
 	o := standin.Options{
-		Name: name, Service: s.Name(), Kind: standin.Kind(s.Kind()), Listen: "127.0.0.1:0", Slots: devSlots,
-	}
-	o.Engine.ChecksFencing = s.ChecksFencing()
-	for _, m := range d.manifest.Models() {
-		o.Engine.Models = append(o.Engine.Models, m.Name())
+		Name: name, Service: s.Name(), Kind: standin.Kind(s.Kind()), Listen: "127.0.0.1:0", Slots: devSlots, Account: devAccount,
 	}
 	if s.Kind() == manifest.KindEngine {
+		o.Engine.ChecksFencing = s.ChecksFencing()
+		for _, m := range d.manifest.Models() {
+			o.Engine.Models = append(o.Engine.Models, m.Name())
+		}
 		return o
 	}
-	o.Engine = standin.EngineOptions{}
 	for _, op := range s.Operations() {
 		o.Operations = append(o.Operations, standin.Operation{Name: op.Name(), Idempotent: op.Idempotent()})
 	}
 	return o
 }
 
-func (d *Dev) startEntry(ctx context.Context) error {
-	l, err := listen(ctx, d.o.Listen)
-	if err != nil {
-		return err
+func (d *Dev) startEntries(ctx context.Context) error {
+	for i := range d.o.Entries {
+		address := "127.0.0.1:0"
+		if i == 0 {
+			address = d.o.Listen
+		}
+		l, err := listen(ctx, address)
+		if err != nil {
+			return err
+		}
+		if err := d.start(ctx, settings.RoleEntry, fmt.Sprintf("entry-%d", i+1), i, nil, l, nil); err != nil {
+			return err
+		}
 	}
-	d.entry = l.Addr().String()
-	return d.start(ctx, settings.RoleEntry, "entry-1", 0, nil, l)
+	return nil
 }
 
 // start runs one process. It goes through the settings' own format, so that dev
 // runs under the same checks as the separate processes.
-func (d *Dev) start(ctx context.Context, role settings.Role, name string, i int, own map[string]any, l net.Listener) error {
+func (d *Dev) start(ctx context.Context, role settings.Role, name string, i int, own map[string]any, l net.Listener, target *standin.Standin) error {
 	fields := map[string]any{
 		"role": string(role), "name": name, "region": "dev", "failure_domain": devDomains[i%len(devDomains)],
 		"listen": l.Addr().String(), "admin": unusedAdmin, "control": d.controls,
@@ -214,14 +270,11 @@
 	if err != nil {
 		return err
 	}
-	k, err := New(s, Options{Listener: l, NoAdmin: true})
-	if err != nil {
-		return err
-	}
-	if err := k.Start(ctx); err != nil {
+	m := &Member{settings: s, standin: target}
+	if err := m.startOn(ctx, l); err != nil {
 		return err
 	}
-	d.kernels = append(d.kernels, k)
+	d.members = append(d.members, m)
 	return nil
 }
 
--- /dev/null
+++ b/internal/process/member.go
@@ -0,0 +1,82 @@
+package process
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/cardamomline/cardamomline/internal/kernel"
+	"github.com/cardamomline/cardamomline/internal/settings"
+	"github.com/cardamomline/cardamomline/internal/standin"
+)
+
+// Member is one process of a Dev: an entry, an agent with its stand-in, or a
+// control VM. It can be stopped, crashed and started again on the same address.
+type Member struct {
+	settings *settings.Settings
+	standin  *standin.Standin
+
+	mu     sync.Mutex
+	kernel *kernel.Kernel
+}
+
+// Name returns the name of the process.
+func (m *Member) Name() string { return m.settings.Name() }
+
+// Role returns the role of the process.
+func (m *Member) Role() settings.Role { return m.settings.Role() }
+
+// FailureDomain returns where the process runs.
+func (m *Member) FailureDomain() string { return m.settings.FailureDomain() }
+
+// Address returns the IP:port of the process.
+func (m *Member) Address() string { return m.settings.Listen() }
+
+// Service returns the service of an agent's target; it is empty for other roles.
+func (m *Member) Service() string { return m.settings.Target().Service() }
+
+// Standin returns the stand-in behind an agent; it is nil for other roles.
+func (m *Member) Standin() *standin.Standin { return m.standin }
+
+// Start starts the process on its address.
+func (m *Member) Start(ctx context.Context) error {
+	return m.startOn(ctx, nil)
+}
+
+func (m *Member) startOn(ctx context.Context, l net.Listener) error {
+	k, err := New(m.settings, Options{Listener: l, NoAdmin: true})
+	if err != nil {
+		return err
+	}
+	if err := k.Start(ctx); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.kernel = k
+	m.mu.Unlock()
+	return nil
+}
+
+// Stop stops the process gracefully. Stopping a stopped process does nothing.
+func (m *Member) Stop(ctx context.Context) error {
+	m.mu.Lock()
+	k := m.kernel
+	m.kernel = nil
+	m.mu.Unlock()
+	if k == nil {
+		return nil
+	}
+	if err := k.Stop(ctx); err != nil {
+		return errors.Wrapf(err, "stop %s", m.Name())
+	}
+	return nil
+}
+
+// Crash ends the process without any grace, as a kill does.
+func (m *Member) Crash() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = m.Stop(ctx)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -199,6 +199,9 @@
 // Service returns the service that the stand-in belongs to.
 func (s *Standin) Service() string { return s.options.Service }
 
+// Kind returns what the stand-in stands for.
+func (s *Standin) Kind() Kind { return s.options.Kind }
+
 // Account returns the account with the attempts from a sequence number on.
 func (s *Standin) Account(from uint64) Account {
 	a := s.book.account(from)
