routing, admission, budget: Take turns among owed classes, believe refusals shortly

Cause: with a larger number of drawn cases (400 instead of 25) one less urgent class waited 3.4 s of its 6 s, because few free slots all went to the first class that was owed slot time. A target whose drain was taken back stayed unused until it restarted. Change: of several owed classes the one served longest ago goes first; at most 3 hedges are saved up; a refusal as leaving that membership doesn't confirm is believed for 5 s.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -58,13 +58,14 @@
 	reserveAt   time.Time
 	stretch     float64 // actual over expected time
 
-	levels    [priorities]level
-	deadlines ticketHeap
-	customers map[string]*customer
-	weights   float64 // of the customers with waiting calls
-	virtual   float64
-	sequence  uint64
-	idle      idleList
+	levels     [priorities]level
+	deadlines  ticketHeap
+	customers  map[string]*customer
+	weights    float64 // of the customers with waiting calls
+	virtual    float64
+	sequence   uint64
+	dispatched uint64
+	idle       idleList
 }
 
 // NewQueue returns an empty Queue.
@@ -438,15 +439,18 @@
 		t := l.customers[0].waits[l.priority].first()
 		q.charge(l, t, now)
 		l.drained += t.cost()
+		q.dispatched++
+		l.served = q.dispatched
 		q.dequeue(t)
 		decisions = append(decisions, q.admit(t, now))
 	}
 }
 
 // nextLevel returns the most urgent level that may start a call, or a less
-// urgent one that is owed slot time.
+// urgent one that is owed slot time. Of several it takes the one that was served
+// longest ago, because few slots could otherwise all go to the first of them.
 func (q *Queue) nextLevel(now time.Time) *level {
-	var urgent *level
+	var urgent, owed *level
 	for i := range q.levels {
 		l := &q.levels[i]
 		if len(l.customers) == 0 || !q.free(i, now) {
@@ -456,10 +460,14 @@
 			urgent = l
 			continue
 		}
-		if l.credit >= l.customers[0].waits[i].first().cost() {
-			return l
+		enough := l.credit >= l.customers[0].waits[i].first().cost()
+		if enough && (owed == nil || l.served < owed.served) {
+			owed = l
 		}
 	}
+	if owed != nil {
+		return owed
+	}
 	return urgent
 }
 
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -162,6 +162,7 @@
 	customers []*customer
 	cost      float64 // of the waiting calls
 	credit    float64 // slot time owed to the level while more urgent ones are served
+	served    uint64  // number of the queue's dispatch that last served it
 
 	// The rate at which the level's waiting calls were started lately, as slot
 	// time for each second, while it never ran empty. It is 0 until known.
--- a/internal/budget/retries.go
+++ b/internal/budget/retries.go
@@ -46,6 +46,9 @@
 	// maxAttempts bounds the attempts of one call, the first included. With half
 	// of all calls failing, 6 attempts leave fewer than 2% without an answer.
 	maxAttempts = 6
+	// hedgeBurst bounds the hedges that may be saved up, as hedges are meant for
+	// single slow calls.
+	hedgeBurst = 3
 )
 
 // RetryOptions configures Retries. Zero fields take the defaults.
@@ -145,7 +148,7 @@
 		s = &serviceBudget{
 			always: newBucket(r.options.Share, r.options.Burst),
 			spare:  newBucket(r.options.SpareShare, r.options.Burst),
-			hedges: newBucket(r.options.HedgeShare, r.options.Burst),
+			hedges: newBucket(r.options.HedgeShare, min(r.options.Burst, hedgeBurst)),
 		}
 		r.services[name] = s
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -260,6 +260,7 @@
 func (p *Pool) Tick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forgetRefusals(now)
 	p.refreshMeans()
 	if _, ok := p.policy.(Adaptive); !ok {
 		return
@@ -270,6 +271,21 @@
 	}
 }
 
+// forgetRefusals lets targets return whose refusal as leaving was not confirmed
+// by membership, for instance because a drain was taken back at once.
+func (p *Pool) forgetRefusals(now time.Time) {
+	forgot := false
+	for _, t := range p.order {
+		if t.leaving && !t.Leaving && now.Sub(t.refused) >= leavingTime {
+			t.leaving = false
+			forgot = true
+		}
+	}
+	if forgot {
+		p.changed(now)
+	}
+}
+
 func (p *Pool) refreshMeans() {
 	p.meanOthers = 0
 	for _, t := range p.order {
@@ -525,6 +541,7 @@
 		p.probeOpen(t, probe, now)
 	case Leaving:
 		t.leaving = true
+		t.refused = now
 		p.changed(now)
 	case Canceled:
 		outlier := t.observeAtLeast(o.Ran, o.Expected) > p.health.Outlier*p.median
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -43,6 +43,9 @@
 	relaxRate = 0.035
 	// reportHalfLife is the age at which a load report counts half.
 	reportHalfLife = 500 * time.Millisecond
+	// leavingTime is how long a refusal as leaving is believed when membership
+	// doesn't confirm it. Membership takes at most 3 s.
+	leavingTime = 5 * time.Second
 	// historyStep and historySize bound the record of own in-flight counts that
 	// is used to find how many of a report's calls are this entry's own.
 	historyStep = 50 * time.Millisecond
@@ -65,6 +68,7 @@
 
 	health  health
 	leaving bool // learnt from a refusal, before membership says so
+	refused time.Time
 
 	cacheNext uint64    // sequence number of the next cache event
 	cacheGap  time.Time // when cache events were last lost
@@ -81,6 +85,10 @@
 }
 
 func (t *target) describe(d Target) {
+	if t.Leaving && !d.Leaving {
+		// A drain was taken back.
+		t.leaving = false
+	}
 	d.Models = slices.Clone(d.Models)
 	t.Target = d
 	if d.Slots > 0 {
