standin: Answer a fault call before its fault takes the connection

A call to silence or kill a stand-in lost its own answer with the connection, as a trial with faults over HTTP showed. The whole answer now leaves first and the connection is not used again. Silence and death can be set from outside without an error.

--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -75,7 +75,7 @@
 	defaultMaxRequests = 10_000
 	defaultMaxInFlight = 4096
 	defaultGrace       = 2 * time.Second
-	defaultCollect     = 60 * time.Second
+	defaultCollect     = 5 * time.Minute
 	defaultTokens      = 32
 	defaultInput       = 200
 	maxDuration        = time.Hour
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -47,9 +47,8 @@
 	return len(f.Operations) == 0 || slices.Contains(f.Operations, operation)
 }
 
-// apply puts a FaultCall in force.
-func (s *Standin) apply(f FaultCall) {
-	s.faults.set(f.Faults)
+// strike lets happen what a FaultCall does at once.
+func (s *Standin) strike(f FaultCall) {
 	if f.Silence {
 		s.Silence()
 	}
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -114,7 +114,10 @@
 		s := b.orders(standin.Options{})
 		_, _, err := b.lookup(t.Context(), s, 1)
 		require.NoError(t, err)
-		s.Silence()
+		// Another client, so that the first one keeps its connection.
+		other := &bench{t: t, network: b.network, client: &http.Client{Transport: &http.Transport{DialContext: b.network.Dial}}}
+		other.fault(s, standin.FaultCall{Silence: true})
+		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		_, _, err = b.lookup(ctx, s, 2)
--- a/internal/standin/lifetime.go
+++ b/internal/standin/lifetime.go
@@ -76,6 +76,7 @@
 		if l.standin.timer.Sleep(l.ctx, f.After-l.standin.timer.Since(start)) != nil {
 			return
 		}
-		l.standin.apply(f.FaultCall)
+		l.standin.faults.set(f.Faults)
+		l.standin.strike(f.FaultCall)
 	}
 }
--- a/internal/standin/routes.go
+++ b/internal/standin/routes.go
@@ -77,8 +77,14 @@
 		writeRefusal(w, badRequest(err))
 		return
 	}
-	l.standin.apply(f)
-	writeJSON(w, http.StatusOK, f)
+	l.standin.faults.set(f.Faults)
+	// The whole answer leaves before this connection goes silent or is closed. The
+	// caller must not use the connection again.
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	l.standin.strike(f)
 }
 
 func (l *lifetime) serveCancel(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,7 +23,7 @@
 //	POST /v1/kv-export {prefix} -> {prefix, tokens, proof}
 //	POST /v1/kv-import {prefix, tokens, proof} -> {prefix, tokens, proof}
 //	POST /v1/weights/{model} {reader, bytes} -> {model, bytes, busy_ms}  (weight store)
-//	POST /v1/faults {slow, errors, freeze, operations, calls, seed, silence, die, revive_ms}
+//	POST /v1/faults {slow, errors, freeze, operations, calls, seed, silence, die, revive_ms} -> no body
 //	GET  /v1/account?from=SEQUENCE
 //
 // # Usage
