load: Check the length of texts and test unused work

A text with fewer tokens than asked for, but whole in itself, passed as complete. It now counts as cut. Unused work was only tested as zero; hedged, resumed, repeated and unanswered attempts are tested now.

--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -156,7 +156,7 @@
 	case KindOrder:
 		return standin.CheckOutput(r.Answer.Output, a.Input, request, a.Request.Operation, a.Order)
 	default:
-		return standin.CheckText(r.Answer.Output, a.Input, request)
+		return standin.CheckText(r.Answer.Output, a.Input, request, a.Request.Tokens)
 	}
 }
 
--- a/internal/load/check_test.go
+++ b/internal/load/check_test.go
@@ -36,7 +36,7 @@
 func record(kind load.Kind, answer *load.Answer) load.Record {
 	r := load.Record{
 		Arrival: load.Arrival{
-			Request:  load.Request{Name: string(kind), Kind: kind, Operation: "release_fuel", Deadline: time.Second},
+			Request:  load.Request{Name: string(kind), Kind: kind, Operation: "release_fuel", Deadline: time.Second, Tokens: 8},
 			Customer: load.Customer{Name: "depot-milford"}, Input: quoteInput, Order: "o1", ResendOf: -1,
 		},
 		Sent: noon, Answered: noon.Add(time.Second / 2), Answer: answer,
@@ -140,6 +140,9 @@
 			r.Accepted, r.Foreign = noon, r.Answer
 			return r
 		}, report.KindMisdelivered},
+		{"text shorter than asked for", func(*load.Evidence) load.Record {
+			return record(load.KindPipeline, quote(standin.Text(standin.Origin(quoteInput), "r1", 0, 7)))
+		}, report.KindCut},
 		{"last token missing", func(*load.Evidence) load.Record {
 			return record(load.KindPipeline, quote(whole[:len(whole)-len(" 7:abcd")]))
 		}, report.KindCut},
@@ -180,3 +183,36 @@
 	require.Empty(t, got)
 	require.Len(t, notes, 1)
 }
+
+// Guards against unused work that is overlooked, and against used work that is
+// called unused: hedged, resumed and repeated attempts.
+func TestUnusedWork(t *testing.T) {
+	at := func(attempt, request, state string, from, tokens int, end int64) standin.AttemptRecord {
+		return standin.AttemptRecord{
+			Attempt: attempt, Request: request, Operation: "generate", State: state, Ran: true,
+			BusyMS: 10, FromOffset: from, Tokens: tokens, EndMS: end,
+		}
+	}
+	accounts := []standin.Account{{Name: "engine-1", Service: "generators", Attempts: []standin.AttemptRecord{
+		at("hedge-loser", "r1", standin.StateCanceled, 0, 3, 20),
+		at("hedge-winner", "r1", standin.StateFinished, 0, 8, 20),
+		at("head", "r2", standin.StateFailed, 0, 4, 10),
+		at("stillborn", "r2", standin.StateFailed, 0, 0, 10),
+		at("tail", "r2", standin.StateFinished, 4, 4, 20),
+		at("repeated", "r3", standin.StateFinished, 0, 8, 20),
+		at("unanswered", "r4", standin.StateFinished, 0, 8, 20),
+	}}}
+	repeated := record(load.KindPipeline, quote(text(quoteInput, "r3")))
+	repeated.Answer.RequestID, repeated.Answer.Repeated = "r9", true
+	resumed := record(load.KindPipeline, quote(text(quoteInput, "r2")))
+	resumed.Answer.RequestID = "r2"
+	failed := record(load.KindPipeline, &load.Answer{RequestID: "r4", Outcome: load.OutcomeFailed})
+	late := record(load.KindPipeline, quote(text(quoteInput, "r1")))
+	late.Answered = noon.Add(time.Minute)
+	run := load.Summarize(&load.Mix{}, []load.Record{late, resumed, repeated, failed}, load.Evidence{Accounts: accounts})
+	require.Empty(t, run.Violations)
+	require.Len(t, run.Stages, 1)
+	require.InDelta(t, 30, run.Stages[0].UnusedMS, 0.001, "hedge-loser, stillborn and unanswered")
+	require.InDelta(t, 70, run.Stages[0].BusyMS, 0.001)
+	require.Equal(t, report.Attainment{Group: "all", Name: "all", Sent: 4, Attained: 2, Late: 1, Share: 0.5}, run.Attainment[0])
+}
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -134,7 +134,7 @@
 		tail := b.generate(second, r, 0)
 		require.Equal(t, 10, tail.done.Tokens)
 		require.Equal(t, tail.done.Output, head.text+tail.text)
-		require.NoError(t, standin.CheckText(head.text+tail.text, "stem 1", "r1"))
+		require.NoError(t, standin.CheckText(head.text+tail.text, "stem 1", "r1", 10))
 		synctest.Wait()
 		require.Equal(t, standin.StateCanceled, first.Account(0).Attempts[0].State)
 		require.Equal(t, 6, second.Account(0).Attempts[0].Tokens)
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -217,6 +217,9 @@
 	require.Equal(t, 5*time.Millisecond, s.Standins[0].Engine.StepBase)
 	require.Equal(t, int64(500), s.Standins[0].Schedule[0].ReviveMS)
 	require.InDelta(t, 3, s.Standins[0].Schedule[0].Slow, 0)
+	example, err := standin.LoadSettings("../../examples/standins/harbwr.yaml")
+	require.NoError(t, err)
+	require.Len(t, example.Standins, 6)
 	for text, want := range map[string]string{
 		"standins:\n  - {name: a, kind: engine, slotz: 3}":             "[2:29]",
 		"standins:\n  - {name: a, kind: printer}":                      "kind: want engine",
--- a/internal/standin/proof.go
+++ b/internal/standin/proof.go
@@ -85,9 +85,9 @@
 }
 
 // CheckText checks that a generated text was made from input, for the request
-// when that isn't empty, and that each of its tokens is there once and in order.
-// It returns nil, a *ForeignError or a *CutError.
-func CheckText(text, input, request string) error {
+// when that isn't empty, with the tokens asked for, and that each token is there
+// once and in order. It returns nil, a *ForeignError or a *CutError.
+func CheckText(text, input, request string, tokens int) error {
 	m := textPattern.FindStringSubmatch(text)
 	if m == nil {
 		if text == "" {
@@ -106,6 +106,9 @@
 	if err != nil || n > maxCheckedTokens {
 		return &ForeignError{what: "the number of tokens", want: "a number", got: m[3]}
 	}
+	if want := max(tokens, MinTokens); n < want {
+		return &CutError{want: want, got: n}
+	}
 	return checkTokens(text, Text(m[1], madeFor, 0, n), n)
 }
 
--- a/internal/standin/proof_test.go
+++ b/internal/standin/proof_test.go
@@ -35,10 +35,11 @@
 		origin := standin.Origin(input)
 		n := rapid.IntRange(standin.MinTokens, 60).Draw(t, "tokens")
 		whole := tokens(origin, request, n)
-		require.NoError(t, standin.CheckText(join(whole), input, request))
+		require.NoError(t, standin.CheckText(join(whole), input, request, n))
 		i := rapid.IntRange(0, n-1).Draw(t, "at")
 		var cut *standin.CutError
-		require.ErrorAs(t, standin.CheckText(join(whole[:i]), input, request), &cut)
+		require.ErrorAs(t, standin.CheckText(join(whole[:i]), input, request, n), &cut)
+		require.ErrorAs(t, standin.CheckText(join(tokens(origin, request, n)), input, request, n+1), &cut)
 		damaged := map[string][]string{
 			"lost":     slices.Delete(slices.Clone(whole), i, i+1),
 			"repeated": slices.Insert(slices.Clone(whole), i, whole[i]),
@@ -46,7 +47,7 @@
 			"request":  tokens(origin, request+"x", n),
 		}
 		for name, list := range damaged {
-			require.Error(t, standin.CheckText(join(list), input, request), name)
+			require.Error(t, standin.CheckText(join(list), input, request, n), name)
 		}
 	})
 }
