--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -114,7 +114,10 @@
 		s := b.orders(standin.Options{})
 		_, _, err := b.lookup(t.Context(), s, 1)
 		require.NoError(t, err)
-		s.Silence()
+		// Another client, so that the first one keeps its connection.
+		other := &bench{t: t, network: b.network, client: &http.Client{Transport: &http.Transport{DialContext: b.network.Dial}}}
+		other.fault(s, standin.FaultCall{Silence: true})
+		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		_, _, err = b.lookup(ctx, s, 2)
@@ -214,6 +217,9 @@
 	require.Equal(t, 5*time.Millisecond, s.Standins[0].Engine.StepBase)
 	require.Equal(t, int64(500), s.Standins[0].Schedule[0].ReviveMS)
 	require.InDelta(t, 3, s.Standins[0].Schedule[0].Slow, 0)
+	example, err := standin.LoadSettings("../../examples/standins/harbwr.yaml")
+	require.NoError(t, err)
+	require.Len(t, example.Standins, 6)
 	for text, want := range map[string]string{
 		"standins:\n  - {name: a, kind: engine, slotz: 3}":             "[2:29]",
 		"standins:\n  - {name: a, kind: printer}":                      "kind: want engine",
