agent: Pass cache events on with results

Cause: the pool can follow prompt-prefix caches, but got no events. Change: the agent reads its engine's cache events and puts those that the entry has not seen on each result, so that they cost no message of their own; a gap in their numbers reaches the pool as a gap.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,6 +37,7 @@
 	heartbeatPeriod = time.Second
 	loadPeriod      = 100 * time.Millisecond
 	infoPeriod      = 2 * time.Second
+	cachePeriod     = 500 * time.Millisecond
 
 	// leaveNotice is how long a leaving agent goes on answering refusals, so that
 	// entries which have not heard of it yet are told the true reason.
@@ -98,6 +99,7 @@
 	leaving     atomic.Bool
 	draining    atomic.Bool
 	load        atomic.Pointer[loadSample]
+	cache       *cacheLog
 	info        atomic.Pointer[targetInfo]
 	infoVersion atomic.Uint64
 	fence       fenceGuard
@@ -123,6 +125,7 @@
 		incarnation: attempt.NewID(),
 		target:      newTarget(o.TargetURL, o.Dial),
 		table:       newTable(o.Timers.Now),
+		cache:       &cacheLog{},
 		wake:        make(chan struct{}, 1),
 		done:        make(chan struct{}),
 	}, nil
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -97,13 +97,17 @@
 func (a *Agent) watchTarget(ctx context.Context) {
 	ticker := a.o.Timers.Subscribe(loadPeriod)
 	defer ticker.Stop()
-	var described time.Time
+	var described, cached time.Time
 	for {
 		if a.o.Timers.Since(described) >= infoPeriod || a.info.Load() == nil {
 			a.describe(ctx)
 			described = a.o.Timers.Now()
 		}
 		a.sampleLoad(ctx)
+		if a.o.Timers.Since(cached) >= cachePeriod {
+			a.readCacheEvents(ctx)
+			cached = a.o.Timers.Now()
+		}
 		select {
 		case <-ticker.C():
 		case <-ctx.Done():
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -111,6 +111,7 @@
 	}
 	result.Revision = a.o.Config.Revision()
 	result.Load = a.loadReport()
+	result.Load.CacheFirst, result.Load.CacheEvents = a.cache.since(req.GetCacheSeen(), a.o.Timers.Now())
 	a.table.finish(rec, result)
 	a.o.Metrics.CountReason("agent_results", resultKind(result))
 	out.write(&wire.Frame{Kind: &wire.Frame_Result{Result: result}})
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -291,6 +291,7 @@
 		cancel()
 		return first
 	case <-t.e.o.Timers.After(t.c.hedgeAfter):
+		t.s.pool.Overdue(choice, t.c.hedgeAfter, t.c.expected)
 	}
 	second, ok := t.pickHedge()
 	if !ok {
@@ -346,6 +347,7 @@
 	req.FromOffset = int32(len(t.tokens))
 	req.Idempotent = true
 	req.Stream = c.onToken != nil
+	req.CacheSeen = t.s.seen(choice.Target)
 	c.story.dispatched(c.stage, choice)
 	began := t.e.o.Timers.Now()
 	end := t.e.attempts.Do(ctx, choice.Address, req, t.onToken)
@@ -481,6 +483,7 @@
 	if load == nil {
 		return
 	}
+	s.learnCache(target, load, e.o.Timers.Now())
 	s.pool.Report(target, routing.Load{
 		Queued:   int(load.GetQueued()),
 		Running:  int(load.GetRunning()),
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cardamomline/cardamomline/internal/admission"
@@ -31,6 +32,42 @@
 	name  string
 	pool  *routing.Pool
 	queue *admission.Queue
+
+	mu sync.Mutex
+	// cacheSeen is the number of the last cache event by target.
+	cacheSeen map[string]uint64
+}
+
+func (s *serviceState) seen(target string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cacheSeen[target]
+}
+
+// learnCache hands the cache events of a report to the pool, each once.
+func (s *serviceState) learnCache(target string, load *wire.LoadReport, now time.Time) {
+	events := load.GetCacheEvents()
+	if len(events) == 0 {
+		return
+	}
+	first := load.GetCacheFirst()
+	last := first + uint64(len(events)) - 1
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.cacheSeen[target]
+	if last <= seen {
+		return
+	}
+	if first <= seen {
+		events = events[seen+1-first:]
+		first = seen + 1
+	}
+	s.cacheSeen[target] = last
+	list := make([]routing.CacheEvent, 0, len(events))
+	for _, e := range events {
+		list = append(list, routing.CacheEvent{Prefix: e.GetPrefix(), Evicted: e.GetEvicted(), Age: time.Duration(e.GetAgeMs()) * time.Millisecond})
+	}
+	s.pool.CacheEvents(target, first, list, now)
 }
 
 // service returns the state of a service and makes it on first use.
@@ -46,7 +83,7 @@
 		o.Policy = routing.Baseline{}
 		ao.Policy = admission.Baseline{}
 	}
-	state := &serviceState{name: s.Name(), pool: routing.NewPool(o), queue: admission.NewQueue(ao)}
+	state := &serviceState{name: s.Name(), pool: routing.NewPool(o), queue: admission.NewQueue(ao), cacheSeen: make(map[string]uint64)}
 	e.services[s.Name()] = state
 	e.syncService(state)
 	return state
