--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+)
+
+// CostRow is what one stage cost for one customer at this entry since its start.
+type CostRow struct {
+	Customer    string  `json:"customer"`
+	Stage       string  `json:"stage"`
+	BusySeconds float64 `json:"busy_seconds"`
+	Tokens      int64   `json:"tokens"`
+	// WastedSeconds is the part of the time at targets that led to no answer, as
+	// this entry saw it.
+	WastedSeconds float64 `json:"wasted_seconds"`
+}
+
+// Names of the cost counters.
+const (
+	busyCounter   = "busy_microseconds"
+	tokenCounter  = "tokens"
+	wastedCounter = "wasted_microseconds"
+)
+
+const microsPerSecond = 1e6
+
+// HandleAdmin adds the operators' pages of this entry to its admin server.
+func (e *Entry) HandleAdmin(mux *http.ServeMux) {
+	mux.HandleFunc("GET /costs", e.serveCosts)
+}
+
+func (e *Entry) serveCosts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Costs())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Costs returns what each stage cost for each customer at this entry.
+func (e *Entry) Costs() []*CostRow {
+	rows := make(map[string]*CostRow)
+	var list []*CostRow
+	for key, n := range e.o.Metrics.Totals() {
+		name, labels, _ := strings.Cut(key, "/")
+		if name != busyCounter && name != tokenCounter && name != wastedCounter {
+			continue
+		}
+		row, ok := rows[labels]
+		if !ok {
+			customer, stage, _ := strings.Cut(labels, "/")
+			row = &CostRow{Customer: customer, Stage: stage}
+			rows[labels] = row
+			list = append(list, row)
+		}
+		switch name {
+		case busyCounter:
+			row.BusySeconds = float64(n) / microsPerSecond
+		case tokenCounter:
+			row.Tokens = n
+		case wastedCounter:
+			row.WastedSeconds = float64(n) / microsPerSecond
+		}
+	}
+	return list
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -172,8 +172,8 @@
 	r.took = e.o.Timers.Since(began)
 	e.estimator.Observe(c.key, r.took, e.o.Timers.Now())
 	e.o.Metrics.ObserveStage("stage_seconds", c.stage, c.class.Name(), r.took)
-	e.o.Metrics.CountCost("busy_microseconds", c.customer.Name(), c.stage, r.busy.Microseconds())
-	e.o.Metrics.CountCost("tokens", c.customer.Name(), c.stage, int64(r.tokens))
+	e.o.Metrics.CountCost(busyCounter, c.customer.Name(), c.stage, r.busy.Microseconds())
+	e.o.Metrics.CountCost(tokenCounter, c.customer.Name(), c.stage, int64(r.tokens))
 	return r, nil
 }
 
@@ -203,6 +203,9 @@
 		tried := t.sendHedged(ctx, choice)
 		choice, latency := tried.choice, tried.latency
 		next := t.judge(ctx, choice, tried.end, latency)
+		if _, ok := next.(answered); !ok && t.ran {
+			t.e.o.Metrics.CountCost(wastedCounter, t.c.customer.Name(), t.c.stage, latency.Microseconds())
+		}
 		switch next := next.(type) {
 		case answered:
 			return next.reply, admission.Completed{Latency: latency}, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,8 +55,9 @@
 	Name          string
 	Region        string
 	FailureDomain string
-	// Address is the IP:port of the caller API.
+	// Address is the IP:port of the caller API, Admin that of the operators' pages.
 	Address string
+	Admin   string
 	// Seed makes target choice repeatable in tests.
 	Seed uint64
 	// Dial replaces the network dialer towards the agents in tests.
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -222,7 +222,7 @@
 	for {
 		ready, _ := e.Ready()
 		resp, err := e.o.Control.Heartbeat(ctx, &wire.HeartbeatRequest{Process: &wire.ProcessInfo{
-			Name: e.o.Name, Role: "entry", Incarnation: e.incarnation, Address: e.o.Address,
+			Name: e.o.Name, Role: "entry", Incarnation: e.incarnation, Address: e.o.Address, Admin: e.o.Admin,
 			FailureDomain: e.o.FailureDomain, Region: e.o.Region,
 			Revision: e.o.Config.Revision(), Leaving: e.leaving.Load(), Ready: ready,
 		}})
--- a/internal/process/dev.go
+++ b/internal/process/dev.go
@@ -26,7 +26,7 @@
 	devServiceCount = 3
 	devSlots        = 8
 	devAccount      = 200_000
-	// unusedAdmin fills the required key; dev runs no admin servers.
+	// unusedAdmin fills the required key of processes without an admin server.
 	unusedAdmin = "127.0.0.1:1"
 )
 
@@ -257,9 +257,20 @@
 // start runs one process. It goes through the settings' own format, so that dev
 // runs under the same checks as the separate processes.
 func (d *Dev) start(ctx context.Context, role settings.Role, name string, i int, own map[string]any, l net.Listener, target *standin.Standin) error {
+	o := Options{Listener: l, NoAdmin: true}
+	admin := unusedAdmin
+	if role == settings.RoleEntry {
+		// Operators' commands ask entries at their admin address.
+		var err error
+		if o.Admin, err = listen(ctx, "127.0.0.1:0"); err != nil {
+			return err
+		}
+		o.NoAdmin = false
+		admin = o.Admin.Addr().String()
+	}
 	fields := map[string]any{
 		"role": string(role), "name": name, "region": "dev", "failure_domain": devDomains[i%len(devDomains)],
-		"listen": l.Addr().String(), "admin": unusedAdmin, "control": d.controls,
+		"listen": l.Addr().String(), "admin": admin, "control": d.controls,
 	}
 	maps.Copy(fields, own)
 	data, err := yaml.Marshal(fields)
@@ -271,7 +282,7 @@
 		return err
 	}
 	m := &Member{settings: s, standin: target}
-	if err := m.startOn(ctx, l); err != nil {
+	if err := m.startOn(ctx, o); err != nil {
 		return err
 	}
 	d.members = append(d.members, m)
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -42,11 +41,11 @@
 
 // Start starts the process on its address.
 func (m *Member) Start(ctx context.Context) error {
-	return m.startOn(ctx, nil)
+	return m.startOn(ctx, Options{NoAdmin: m.settings.Admin() == unusedAdmin})
 }
 
-func (m *Member) startOn(ctx context.Context, l net.Listener) error {
-	k, err := New(m.settings, Options{Listener: l, NoAdmin: true})
+func (m *Member) startOn(ctx context.Context, o Options) error {
+	k, err := New(m.settings, o)
 	if err != nil {
 		return err
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -13,6 +13,7 @@
 	"context"
 	"hash/maphash"
 	"net"
+	"net/http"
 	"path/filepath"
 	"time"
 
@@ -56,6 +57,8 @@
 	// Listener replaces listening on the address of the settings, so that a
 	// process can run on a free port that its peers know already.
 	Listener net.Listener
+	// Admin replaces listening on the admin address.
+	Admin net.Listener
 	// NoAdmin leaves out the admin server.
 	NoAdmin bool
 }
@@ -113,11 +116,12 @@
 
 // admin and server are registered before the part that they serve: they stop
 // after it, so that callers are told why while it ends its work.
-func (b *builder) admin(ready listener.ReadyFunc) {
-	if b.s.Admin() == "" || b.o.NoAdmin {
-		return
+func (b *builder) admin(ready listener.ReadyFunc) *http.ServeMux {
+	mux := listener.Admin(b.m, ready)
+	if !b.o.NoAdmin {
+		b.k.Register(AdminPart, listener.New(listener.Options{Address: b.s.Admin(), Listener: b.o.Admin, Handler: mux}))
 	}
-	b.k.Register(AdminPart, listener.New(listener.Options{Address: b.s.Admin(), Handler: listener.Admin(b.m, ready)}))
+	return mux
 }
 
 func (b *builder) entry() error {
@@ -132,12 +136,12 @@
 	})
 	e, err = entry.New(entry.Options{
 		Timers: b.t, Control: client, Config: watcher, Metrics: b.m, Name: b.s.Name(), Region: b.s.Region(),
-		FailureDomain: b.s.FailureDomain(), Address: b.s.Listen(), Seed: seed(b.s.Name()),
+		FailureDomain: b.s.FailureDomain(), Address: b.s.Listen(), Admin: b.s.Admin(), Seed: seed(b.s.Name()),
 	})
 	if err != nil {
 		return err
 	}
-	b.admin(e.Ready)
+	e.HandleAdmin(b.admin(e.Ready))
 	b.k.Register(ServerPart, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: e.Handler()}))
 	b.k.Register(ConfigPart, watcher)
 	b.k.Register(EntryPart, e)
