ledger, roster: Deepen the property tests and add merge scripts

Cause: in a trial with single rules switched off, 100 short random runs missed the claim of an unknown order, the expiry of an order that was claimed again, ties in the schedule, a clock that steps back, and five rules of merging. Change: the random commands are drawn by group and run 200 times 60 steps; the log's time is checked; five scripts cover moves between control VMs and late heartbeats.

--- a/internal/ledger/property_test.go
+++ b/internal/ledger/property_test.go
@@ -14,8 +14,11 @@
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
-// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+// TestMain fixes the seed and the number of the property tests; flags override
+// them. With 100 short runs some of the switched-off rules went unnoticed.
 func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "200")
+	_ = flag.Set("rapid.steps", "60")
 	_ = flag.Set("rapid.seed", "20261204")
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
@@ -48,6 +51,7 @@
 	accepted map[string]string              // submission to waiting id
 	fences   map[string]uint64
 	epoch    uint64
+	last     *wire.LedgerSnapshot // state after the last command
 }
 
 func newMachine(t *rapid.T) *machine {
@@ -59,6 +63,7 @@
 		answers:  map[string]*wire.Result{},
 		accepted: map[string]string{},
 		fences:   map[string]uint64{},
+		last:     &wire.LedgerSnapshot{},
 	}
 }
 
@@ -72,12 +77,14 @@
 
 // run applies a command to both ledgers and checks what it changed.
 func (m *machine) run(c *wire.Command) {
-	before := m.state(m.ledger)
+	before := m.last
 	result := m.apply(c)
 	data, err := proto.Marshal(c)
 	require.NoError(m.t, err)
 	require.True(m.t, proto.Equal(result, m.twin.Apply(m.index, data).(*wire.Result)), "two replicas answer differently")
 	after := m.state(m.ledger)
+	m.last = after
+	require.GreaterOrEqual(m.t, after.GetAtMs(), before.GetAtMs(), "the log's time stepped back")
 	m.checkOrders(c, before, after)
 	m.checkWaiting(c, result, before, after)
 	m.checkEffect(c, result, before, after)
@@ -135,7 +142,7 @@
 	left := int64(1 << 60)
 	for _, r := range after.GetWaiting() {
 		now[r.GetId()] = r
-		if r.GetState() == accepted || r.GetState() == leased && r.GetLeaseUntilMs() <= m.nowMS {
+		if r.GetState() == accepted || r.GetState() == leased && r.GetLeaseUntilMs() <= after.GetAtMs() {
 			left = min(left, r.GetDeadlineMs())
 		}
 	}
@@ -151,7 +158,7 @@
 			require.True(m.t, proto.Equal(old, r), "a stale epoch changed %v to %v", old, r)
 		}
 		if r.GetEpoch() != old.GetEpoch() {
-			require.True(m.t, old.GetState() == accepted || old.GetLeaseUntilMs() <= m.nowMS, "a lease was taken away")
+			require.True(m.t, old.GetState() == accepted || old.GetLeaseUntilMs() <= after.GetAtMs(), "a lease was taken away")
 			require.Greater(m.t, r.GetEpoch(), m.epoch)
 		}
 		require.GreaterOrEqual(m.t, len(r.GetStages()), len(old.GetStages()))
@@ -171,9 +178,7 @@
 func (m *machine) checkEffect(c *wire.Command, result *wire.Result, before, after *wire.LedgerSnapshot) {
 	if result.GetRefusal() != "" || result.GetRepeated() {
 		require.NotEqual(m.t, "", result.GetDetail()+fmt.Sprint(result.GetRepeated()))
-		for _, s := range []*wire.LedgerSnapshot{before, after} {
-			s.Index, s.AtMs, s.Changes = 0, 0, nil
-		}
+		before.Index, before.AtMs, before.Changes = after.Index, after.AtMs, after.Changes
 		require.True(m.t, proto.Equal(before, after), "a command without effect changed the state")
 	}
 	revision := func(s *wire.LedgerSnapshot) (newest uint64) {
@@ -241,33 +246,58 @@
 	return fmt.Sprintf("%s-%d", name, rapid.IntRange(1, n).Draw(t, name))
 }
 
-func (m *machine) command(t *rapid.T) *wire.Command {
+func content(t *rapid.T) []byte { return []byte(pick(t, "content", 2)) }
+
+func (m *machine) orderCommand(t *rapid.T) *wire.Command {
 	customer, order, attempt := pick(t, "customer", 2), pick(t, "order", 2), pick(t, "attempt", 4)
 	outcome := rapid.SampledFrom([]wire.OrderState{done, notRun, unknown, failed}).Draw(t, "outcome")
-	small := []byte(pick(t, "bytes", 2))
-	waitingID, epoch := pick(t, "w", 6), uint64(max(0, int(m.epoch)-rapid.IntRange(0, 3).Draw(t, "stale")))
+	kind := rapid.IntRange(0, 3).Draw(t, "kind")
+	if kind == 0 {
+		return &wire.Command{Kind: &wire.Command_ClaimOrder{ClaimOrder: &wire.ClaimOrder{Customer: customer, OrderId: order, BodyHash: content(t), Attempt: attempt, Agent: "agent-1", Incarnation: pick(t, "incarnation", 2), Entry: "entry-1", DeadlineMs: m.nowMS + 500}}}
+	}
+	if kind == 1 {
+		return &wire.Command{Kind: &wire.Command_SettleOrder{SettleOrder: &wire.SettleOrder{Customer: customer, OrderId: order, State: outcome, Operator: pick(t, "operator", 2), Result: content(t)}}}
+	}
 	// Half of the outcomes belong to the recorded attempt.
 	if r, ok := m.ledger.Order(customer, order); ok && rapid.Bool().Draw(t, "recorded") {
 		attempt = r.GetAttempt()
 	}
-	if r, ok := m.ledger.Waiting(waitingID); ok && rapid.Bool().Draw(t, "held") {
+	return &wire.Command{Kind: &wire.Command_RecordOutcome{RecordOutcome: &wire.RecordOutcome{Customer: customer, OrderId: order, Attempt: attempt, State: outcome, Result: content(t)}}}
+}
+
+func (m *machine) waitingCommand(t *rapid.T) *wire.Command {
+	id, epoch := pick(t, "w", 6), uint64(max(0, int(m.epoch)-rapid.IntRange(0, 3).Draw(t, "stale")))
+	if r, ok := m.ledger.Waiting(id); ok && rapid.Bool().Draw(t, "held") {
 		epoch = r.GetEpoch()
 	}
-	kinds := []*wire.Command{
-		{Kind: &wire.Command_ApplyManifest{ApplyManifest: &wire.ApplyManifest{BaseRevision: uint64(max(0, int(m.ledger.Revision())-rapid.IntRange(-1, 2).Draw(t, "base"))), ChangeId: pick(t, "change", 12), Operator: pick(t, "operator", 2), Manifest: small}}},
-		{Kind: &wire.Command_ClaimOrder{ClaimOrder: &wire.ClaimOrder{Customer: customer, OrderId: order, BodyHash: small, Attempt: attempt, Agent: "agent-1", Incarnation: pick(t, "incarnation", 2), Entry: "entry-1", DeadlineMs: m.nowMS + 500}}},
-		{Kind: &wire.Command_RecordOutcome{RecordOutcome: &wire.RecordOutcome{Customer: customer, OrderId: order, Attempt: attempt, State: outcome, Result: small}}},
-		{Kind: &wire.Command_SettleOrder{SettleOrder: &wire.SettleOrder{Customer: customer, OrderId: order, State: outcome, Operator: pick(t, "operator", 2), Result: small}}},
-		{Kind: &wire.Command_SubmitWaiting{SubmitWaiting: &wire.SubmitWaiting{Id: waitingID, Customer: customer, Pipeline: "summary", Body: small, DeadlineMs: int64(rapid.IntRange(1, 5).Draw(t, "deadline")), SubmissionId: pick(t, "submission", 4)}}},
-		{Kind: &wire.Command_LeaseWaiting{LeaseWaiting: &wire.LeaseWaiting{Entry: pick(t, "entry", 2), Max: int32(rapid.IntRange(1, 3).Draw(t, "max")), LeaseMs: 300}}},
-		{Kind: &wire.Command_RecordStage{RecordStage: &wire.RecordStage{Id: waitingID, Epoch: epoch, Stage: pick(t, "stage", 2), Result: small, LeaseMs: 300}}},
-		{Kind: &wire.Command_CompleteWaiting{CompleteWaiting: &wire.CompleteWaiting{Id: waitingID, Epoch: epoch, State: finished, Result: small}}},
-		{Kind: &wire.Command_SetDrain{SetDrain: &wire.SetDrain{Target: pick(t, "target", 2), Draining: rapid.Bool().Draw(t, "draining")}}},
-		{Kind: &wire.Command_GrantFence{GrantFence: &wire.GrantFence{Scope: pick(t, "scope", 2), Holder: "agent-1"}}},
-		{Kind: &wire.Command_Expire{Expire: &wire.Expire{BeforeMs: m.nowMS - int64(rapid.IntRange(0, 400).Draw(t, "age")), Max: int32(rapid.IntRange(1, 2).Draw(t, "max"))}}},
-		{},
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		return &wire.Command{Kind: &wire.Command_SubmitWaiting{SubmitWaiting: &wire.SubmitWaiting{Id: id, Customer: pick(t, "customer", 2), Pipeline: "summary", Body: content(t), DeadlineMs: int64(rapid.IntRange(1, 5).Draw(t, "deadline")), SubmissionId: pick(t, "submission", 4)}}}
+	case 1:
+		return &wire.Command{Kind: &wire.Command_LeaseWaiting{LeaseWaiting: &wire.LeaseWaiting{Entry: pick(t, "entry", 2), Max: int32(rapid.IntRange(1, 3).Draw(t, "max")), LeaseMs: 300}}}
+	case 2:
+		return &wire.Command{Kind: &wire.Command_RecordStage{RecordStage: &wire.RecordStage{Id: id, Epoch: epoch, Stage: pick(t, "stage", 2), Result: content(t), LeaseMs: 300}}}
+	default:
+		return &wire.Command{Kind: &wire.Command_CompleteWaiting{CompleteWaiting: &wire.CompleteWaiting{Id: id, Epoch: epoch, State: finished, Result: content(t)}}}
 	}
-	return kinds[rapid.IntRange(0, len(kinds)-1).Draw(t, "kind")]
+}
+
+func (m *machine) otherCommand(t *rapid.T) *wire.Command {
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0, 1:
+		base := uint64(max(0, int(m.ledger.Revision())-rapid.IntRange(-1, 2).Draw(t, "base")))
+		return &wire.Command{Kind: &wire.Command_ApplyManifest{ApplyManifest: &wire.ApplyManifest{BaseRevision: base, ChangeId: pick(t, "change", 12), Operator: pick(t, "operator", 2), Manifest: content(t)}}}
+	case 2:
+		return &wire.Command{Kind: &wire.Command_SetDrain{SetDrain: &wire.SetDrain{Target: pick(t, "target", 2), Draining: rapid.Bool().Draw(t, "draining")}}}
+	case 3:
+		return &wire.Command{Kind: &wire.Command_GrantFence{GrantFence: &wire.GrantFence{Scope: pick(t, "scope", 2), Holder: "agent-1"}}}
+	default:
+		return &wire.Command{}
+	}
+}
+
+func (m *machine) expireCommand(t *rapid.T) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{BeforeMs: m.nowMS - int64(rapid.IntRange(-50, 200).Draw(t, "age")), Max: int32(rapid.IntRange(1, 2).Draw(t, "max"))}}}
 }
 
 // Guards the promises of the ledger under random commands, resends, restores
@@ -280,8 +310,12 @@
 			m.run(c)
 		}
 		rt.Repeat(map[string]func(*rapid.T){
-			"command":  func(rt *rapid.T) { step(m.command(rt)) },
-			"command2": func(rt *rapid.T) { step(m.command(rt)) },
+			"order":    func(rt *rapid.T) { step(m.orderCommand(rt)) },
+			"order2":   func(rt *rapid.T) { step(m.orderCommand(rt)) },
+			"waiting":  func(rt *rapid.T) { step(m.waitingCommand(rt)) },
+			"waiting2": func(rt *rapid.T) { step(m.waitingCommand(rt)) },
+			"other":    func(rt *rapid.T) { step(m.otherCommand(rt)) },
+			"expire":   func(rt *rapid.T) { step(m.expireCommand(rt)) },
 			"resend": func(rt *rapid.T) {
 				if len(m.commands) > 0 {
 					m.run(proto.CloneOf(rapid.SampledFrom(m.commands).Draw(rt, "resent")))
--- a/internal/roster/property_test.go
+++ b/internal/roster/property_test.go
@@ -15,8 +15,11 @@
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
-// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+// TestMain fixes the seed and the number of the property tests; flags override
+// them. With 100 short runs some of the switched-off rules went unnoticed.
 func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "800")
+	_ = flag.Set("rapid.steps", "50")
 	_ = flag.Set("rapid.seed", "20261204")
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
@@ -35,7 +38,6 @@
 // cluster is three control VMs that pull each other's changes, an entry that
 // follows one of them, and one process that restarts now and then.
 type cluster struct {
-	t        *rapid.T
 	vms      [controlVMs]*roster.Roster
 	entry    *roster.Roster
 	followed *wire.RosterResponse                         // last answer to the entry
@@ -48,8 +50,8 @@
 	epochs   int
 }
 
-func newCluster(t *rapid.T) *cluster {
-	c := &cluster{t: t, lives: 1, late: map[string]bool{}, entry: newRoster("entry", true), followed: &wire.RosterResponse{}}
+func newCluster() *cluster {
+	c := &cluster{lives: 1, late: map[string]bool{}, entry: newRoster("entry", true), followed: &wire.RosterResponse{}}
 	for vm := range controlVMs {
 		c.restart(vm)
 	}
@@ -109,6 +111,18 @@
 	}
 }
 
+// stay lets the process announce itself to one VM for a while.
+func (c *cluster) stay(t *testing.T, vm int) {
+	for range 10 {
+		c.converge()
+		time.Sleep(time.Second)
+		c.beat(vm, c.incarnation(), false)
+		for _, r := range c.vms {
+			require.False(t, r.Targets("generators")[0].GetSilent(), "a live process is silent")
+		}
+	}
+}
+
 func (c *cluster) actions() map[string]func(*rapid.T) {
 	vm := rapid.IntRange(0, controlVMs-1)
 	return map[string]func(*rapid.T){
@@ -153,7 +167,7 @@
 // restarts of the process and merges.
 func TestMergesConvergeToTheFreshest(t *testing.T) {
 	checkInBubble(t, func(rt *rapid.T) {
-		c := newCluster(rt)
+		c := newCluster()
 		rt.Repeat(c.actions())
 		if c.changes == 0 {
 			c.beat(0, c.incarnation(), true)
@@ -174,7 +188,7 @@
 // and against a live one that's marked silent at the VMs that don't hear it.
 func TestSilenceIsToldByTheOriginOnly(t *testing.T) {
 	checkInBubble(t, func(rt *rapid.T) {
-		c := newCluster(rt)
+		c := newCluster()
 		hears := rapid.IntRange(0, controlVMs-1).Draw(rt, "vm")
 		silent := func(r *roster.Roster) bool { return r.Targets("generators")[0].GetSilent() }
 		follow := func() { c.follow((hears + 1) % controlVMs) }
@@ -200,3 +214,63 @@
 		require.True(rt, silent(c.entry))
 	})
 }
+
+// Guards against the loss of the newest announcement in orders of events that
+// random runs seldom produce.
+func TestMergesAfterMovesAndDelays(t *testing.T) {
+	tests := []struct {
+		name string
+		run  func(t *testing.T, c *cluster)
+	}{
+		{"a sequence is given out once", func(_ *testing.T, c *cluster) {
+			c.beat(2, "i1", false)
+			c.beat(2, "i1", true)
+			c.beat(0, "i1", false)
+			c.pull(1, 2)
+			c.pull(2, 0)
+			c.beat(2, "i1", true)
+		}},
+		{"a late heartbeat at a VM that doesn't know of the replacement", func(_ *testing.T, c *cluster) {
+			c.beat(0, "i1", false)
+			c.pull(2, 0)
+			c.lives++
+			c.beat(0, c.incarnation(), false)
+			c.beat(2, "i1", false)
+		}},
+		{"a late heartbeat of that kind, seen by the VM that knows", func(_ *testing.T, c *cluster) {
+			c.beat(0, "i1", false)
+			c.pull(2, 0)
+			c.lives++
+			c.beat(0, c.incarnation(), false)
+			c.beat(2, "i1", false)
+			c.pull(0, 2)
+		}},
+		{"a process that moves to another VM and back", func(t *testing.T, c *cluster) {
+			c.beat(0, "i1", false)
+			c.pull(1, 0)
+			c.pull(2, 0)
+			c.beat(1, "i1", false)
+			c.beat(0, "i1", false)
+			c.stay(t, 0)
+		}},
+		{"a process that moves to another VM without a change", func(t *testing.T, c *cluster) {
+			c.beat(0, "i1", false)
+			c.stay(t, 1)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster()
+				test.run(t, c)
+				c.converge()
+				for _, r := range c.vms {
+					target := r.Targets("generators")[0]
+					require.Equal(t, c.incarnation(), target.GetIncarnation())
+					require.Equal(t, fmt.Sprintf("10.0.0.%d:7000", c.changes), target.GetAgentAddress())
+					require.False(t, target.GetSilent())
+				}
+			})
+		})
+	}
+}
