standin: Hide the close of silent connections from the peer

A silent connection still delivered the close of its server, so a caller learnt what a dead path would not tell it; the new test of an answer in flight found it. The connection now stays open until the stand-in ends. Tests are added for the pool's queue, the caller's word for first attempts, requests that aren't sent, and accounts that hold an earlier run.

--- a/internal/load/check_test.go
+++ b/internal/load/check_test.go
@@ -130,6 +130,9 @@
 		{"told not_run, but the order ran under another request id", func(*load.Evidence) load.Record {
 			return record(load.KindOrder, &load.Answer{RequestID: "r8", Outcome: load.OutcomeNotRun, Reason: "no_target"})
 		}, report.KindUntrueNotRun},
+		{"told not_run, but the order ran under the same request id", func(*load.Evidence) load.Record {
+			return record(load.KindOrder, &load.Answer{RequestID: "r2", Outcome: load.OutcomeNotRun, Reason: "no_target"})
+		}, report.KindUntrueNotRun},
 		{"told not_run about a copy of an order that ran before", func(*load.Evidence) load.Record {
 			r := record(load.KindOrder, &load.Answer{RequestID: "r8", Outcome: load.OutcomeNotRun, Reason: "overloaded"})
 			r.Arrival.ResendOf, r.Retries = 3, 1
@@ -151,6 +154,11 @@
 			r.Stream = whole[:30]
 			return r
 		}, report.KindCut},
+		{"stream differs from its answer", func(*load.Evidence) load.Record {
+			r := record(load.KindStream, quote(whole))
+			r.Stream = whole[:30]
+			return r
+		}, report.KindCut},
 		{"stream passes over a token", func(*load.Evidence) load.Record {
 			r := record(load.KindStream, quote(whole))
 			r.Stream, r.StreamGap = whole, "token 5 came where token 4 was due"
--- a/internal/load/runner_test.go
+++ b/internal/load/runner_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,7 +26,7 @@
 name: test
 seed: 7
 entries: ["127.0.0.1:9", "entry:80"]
-max_requests: 60
+max_requests: 90
 customers:
   - {name: depot-milford, key: depot-milford-key, weight: 2}
   - {name: ship-agents, key: ship-agents-key, weight: 2}
@@ -33,7 +35,7 @@
   - {name: quote-live, kind: stream, pipeline: quote-answer, deadline: 6s, tokens: 12}
   - {name: summary, kind: waiting, pipeline: stem-summary, deadline: 10m, tokens: 20}
   - {name: stock, kind: call, service: orders-core, operation: stock_lookup, deadline: 1s}
-  - {name: release, kind: order, service: orders-core, operation: release_fuel, deadline: 2s, resend: 0.5}
+  - {name: release, kind: order, service: orders-core, operation: release_fuel, deadline: 2s, resend: 0.3}
 phases:
   - {name: steady, duration: 2s, rate: 10}
   - {name: burst, duration: 1s, rate: 40, burst: 8}
@@ -48,6 +50,8 @@
 	orders map[string]load.Answer
 	parked map[string]load.Answer
 	owner  map[string]string
+	alone  map[string]bool // orders of which the caller said that no other request uses them
+	broken []string        // those that came again all the same
 }
 
 func (e *testEntry) routes() http.Handler {
@@ -71,6 +75,7 @@
 	Input   string `json:"input"`
 	Tokens  int    `json:"max_tokens"`
 	OrderID string `json:"order_id"`
+	First   bool   `json:"first_attempt"`
 }
 
 func (e *testEntry) run(r *http.Request, operation string) (load.Answer, []byte) {
@@ -128,6 +133,10 @@
 	r.Body = io.NopCloser(bytes.NewReader(data))
 	e.mu.Lock()
 	old, known := e.orders[b.OrderID]
+	if e.alone[b.OrderID] {
+		e.broken = append(e.broken, b.OrderID)
+	}
+	e.alone[b.OrderID] = b.First
 	e.mu.Unlock()
 	if known {
 		old.Repeated = true
@@ -153,7 +162,7 @@
 		transport := &http.Transport{DialContext: network.Dial}
 		defer transport.CloseIdleConnections()
 		client := &http.Client{Transport: transport}
-		entry := &testEntry{client: client, stage: map[string]string{}, orders: map[string]load.Answer{}, parked: map[string]load.Answer{}, owner: map[string]string{}}
+		entry := &testEntry{client: client, stage: map[string]string{}, orders: map[string]load.Answer{}, parked: map[string]load.Answer{}, owner: map[string]string{}, alone: map[string]bool{}}
 		var all []*standin.Standin
 		for _, o := range []standin.Options{
 			{Name: "engine-1", Kind: standin.KindEngine, Listen: "engine:80"},
@@ -190,6 +199,16 @@
 		require.True(t, run.Checked.Complete)
 		require.Equal(t, run.Checked.Orders, run.Checked.Effects)
 		require.NotEmpty(t, run.FirstToken)
+		require.Empty(t, entry.broken)
+		require.Contains(t, slices.Collect(maps.Values(entry.alone)), true)
+
+		mix.MaxInFlight = 1
+		again, err := load.NewRunner(load.Options{Mix: mix, Name: "y", Client: client}).Run(t.Context())
+		require.NoError(t, err)
+		require.Positive(t, again.NotSent)
+		require.Equal(t, len(load.Schedule(mix, "y")), again.Sent+again.NotSent)
+		// Each call makes at most one attempt; those of the first run don't count.
+		require.LessOrEqual(t, again.Checked.Attempts, again.Sent)
 		transport.CloseIdleConnections()
 	})
 }
--- a/internal/standin/bench_test.go
+++ b/internal/standin/bench_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +34,11 @@
 	})
 }
 
+// twin returns a bench whose client has connections of its own.
+func (b *bench) twin() *bench {
+	return &bench{t: b.t, network: b.network, client: &http.Client{Transport: &http.Transport{DialContext: b.network.Dial, DisableKeepAlives: true}}}
+}
+
 func (b *bench) start(o standin.Options) *standin.Standin {
 	b.t.Helper()
 	o.Open, o.Client = b.network.Listen, b.client
@@ -130,6 +136,27 @@
 	return 0
 }
 
+// finishOrder makes one call for each priority, one after the other, and returns
+// the order in which they end.
+func finishOrder(priorities []int, call func(standin.StageRequest)) []int {
+	var mu sync.Mutex
+	var order []int
+	var wg sync.WaitGroup
+	for n, priority := range priorities {
+		wg.Go(func() {
+			r := request(n)
+			r.Priority = priority
+			call(r)
+			mu.Lock()
+			defer mu.Unlock()
+			order = append(order, n)
+		})
+		time.Sleep(time.Millisecond)
+	}
+	wg.Wait()
+	return order
+}
+
 func request(n int) standin.StageRequest {
 	return standin.StageRequest{
 		Attempt: fmt.Sprintf("a%d", n), Request: fmt.Sprintf("r%d", n), Customer: "depot-milford",
--- a/internal/standin/connections.go
+++ b/internal/standin/connections.go
@@ -21,6 +21,16 @@
 	return &trackedListener{Listener: l, connections: c}
 }
 
+// closeAll closes the connections that are open, also silent ones.
+func (c *connections) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		_ = conn.Conn.Close()
+	}
+	clear(c.open)
+}
+
 func (c *connections) silence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -73,8 +83,11 @@
 	return c.Conn.Write(b)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The peer of a silent connection doesn't learn of it.
 func (c *trackedConn) Close() error {
+	if c.silent.Load() {
+		return nil
+	}
 	c.connections.mu.Lock()
 	delete(c.connections.open, c)
 	c.connections.mu.Unlock()
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -104,21 +104,7 @@
 func TestUrgentRequestOvertakesQueue(t *testing.T) {
 	onBench(t, func(t *testing.T, b *bench) {
 		e := b.start(standin.Options{Name: "engine-1", Kind: standin.KindEngine, Slots: 1, Engine: steps})
-		var mu sync.Mutex
-		var order []int
-		var wg sync.WaitGroup
-		for n, priority := range []int{5, 5, 0} {
-			wg.Go(func() {
-				r := request(n)
-				r.Priority = priority
-				b.generate(e, r, 0)
-				mu.Lock()
-				defer mu.Unlock()
-				order = append(order, n)
-			})
-			time.Sleep(time.Millisecond)
-		}
-		wg.Wait()
+		order := finishOrder([]int{5, 5, 0}, func(r standin.StageRequest) { b.generate(e, r, 0) })
 		require.Equal(t, []int{0, 2, 1}, order)
 	})
 }
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -89,7 +89,7 @@
 func TestDieAndRevive(t *testing.T) {
 	onBench(t, func(t *testing.T, b *bench) {
 		s := b.orders(standin.Options{Schedule: []standin.ScheduledFault{
-			{After: time.Second, FaultCall: standin.FaultCall{Die: true, ReviveMS: 3000}},
+			{After: time.Second, FaultCall: standin.FaultCall{Faults: standin.Faults{Slow: 3}, Die: true, ReviveMS: 3000}},
 		}})
 		time.Sleep(950 * time.Millisecond)
 		_, err := b.call(t.Context(), s, "/v1/stage/release_fuel", request(1), nil)
@@ -100,35 +100,70 @@
 		require.Empty(t, s.Account(0).Effects)
 		require.Equal(t, standin.StateCanceled, s.Account(0).Attempts[0].State)
 		time.Sleep(3100 * time.Millisecond)
-		status, _, err := b.lookup(t.Context(), s, 3)
+		status, took, err := b.lookup(t.Context(), s, 3)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, 10*time.Millisecond, took, "the faults of its former life are over")
 		s.Die()
 		<-s.Done()
 	})
 }
 
-// Guards against silence that also takes new connections, or that old ones survive.
+// Guards against silence that also takes new connections, or that old ones survive
+// in either direction.
 func TestSilenceTakesOnlyOpenConnections(t *testing.T) {
 	onBench(t, func(t *testing.T, b *bench) {
 		s := b.orders(standin.Options{})
 		_, _, err := b.lookup(t.Context(), s, 1)
 		require.NoError(t, err)
-		// Another client, so that the first one keeps its connection.
-		other := &bench{t: t, network: b.network, client: &http.Client{Transport: &http.Transport{DialContext: b.network.Dial}}}
-		other.fault(s, standin.FaultCall{Silence: true})
-		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		_, _, err = b.lookup(ctx, s, 2)
+		// The first client keeps an idle connection; two others have one in use.
+		working, other := b.twin(), b.twin()
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			_, err := working.call(ctx, s, "/v1/stage/release_fuel", request(2), nil)
+			require.ErrorIs(t, err, context.DeadlineExceeded, "the answer doesn't arrive")
+		})
+		time.Sleep(50 * time.Millisecond)
+		other.fault(s, standin.FaultCall{Silence: true})
+		synctest.Wait()
+		_, _, err = b.lookup(ctx, s, 3)
 		require.ErrorIs(t, err, context.DeadlineExceeded)
-		b.client.CloseIdleConnections()
-		status, _, err := b.lookup(t.Context(), s, 3)
+		wg.Wait()
+		require.Len(t, s.Account(0).Attempts, 2, "the call on the idle connection doesn't arrive")
+		require.Len(t, s.Account(0).Effects, 1)
+		status, _, err := b.twin().lookup(t.Context(), s, 4)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status)
 	})
 }
 
+// Guards against a pool that ignores priorities, and against a slot that is lost
+// when a caller gives up at the moment it gets one.
+func TestPoolQueue(t *testing.T) {
+	onBench(t, func(t *testing.T, b *bench) {
+		s := b.orders(standin.Options{Slots: 1})
+		order := finishOrder([]int{5, 5, 0}, func(r standin.StageRequest) {
+			_, err := b.call(t.Context(), s, "/v1/stage/stock_lookup", r, nil)
+			require.NoError(t, err)
+		})
+		require.Equal(t, []int{0, 2, 1}, order)
+		var wg sync.WaitGroup
+		for n := range 50 {
+			wg.Go(func() { _, _, _ = b.lookup(t.Context(), s, 100+2*n) })
+			synctest.Wait()
+			r := request(101 + 2*n)
+			r.DeadlineMS = 10 // ends when the slot becomes free
+			_, _ = b.call(t.Context(), s, "/v1/stage/stock_lookup", r, nil)
+			wg.Wait()
+		}
+		_, took, err := b.lookup(t.Context(), s, 300)
+		require.NoError(t, err)
+		require.Equal(t, 10*time.Millisecond, took)
+	})
+}
+
 // Guards against an effect that is undone, unrecorded or stopped because the
 // caller has gone: such services finish what they have started.
 func TestEffectOutlivesCaller(t *testing.T) {
--- a/internal/standin/lifetime.go
+++ b/internal/standin/lifetime.go
@@ -52,6 +52,7 @@
 // kill ends all work and waits for the goroutines of the lifetime.
 func (l *lifetime) kill() {
 	_ = l.server.Close()
+	l.connections.closeAll()
 	l.end()
 	l.routines.Wait()
 }
--- a/internal/standin/routes.go
+++ b/internal/standin/routes.go
@@ -180,7 +180,7 @@
 	}
 	// The record ends before the answer, so that whoever has the answer finds it.
 	l.standin.book.end(seq, op.Name, a.request, used, stateOf(err), l.standin.timer.Now())
-	if l.standin.faults.wait(l.ctx) != nil || l.ctx.Err() != nil {
+	if l.standin.faults.wait(l.ctx) != nil {
 		// A process that has died answers nothing, not even an empty success.
 		panic(http.ErrAbortHandler)
 	}
