entry: Tell the admission queue the target's own time

Cause: admission needs the busy time to tell queueing from slowness. Change: Completed carries the held time, the attempt's time and the busy time. Conclusion: as asked for by the admission package.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -165,6 +165,10 @@
 	e.retries.Load().Request(c.service.Name())
 	t := &tries{e: e, s: s, c: c}
 	r, outcome, err := t.run(ctx)
+	if done, ok := outcome.(admission.Completed); ok {
+		done.Latency = e.o.Timers.Since(began)
+		outcome = done
+	}
 	deliver(s.queue.Finish(ticket, outcome, e.o.Timers.Now()))
 	if err != nil {
 		return nil, err
@@ -208,7 +212,7 @@
 		}
 		switch next := next.(type) {
 		case answered:
-			return next.reply, admission.Completed{Latency: latency}, nil
+			return next.reply, admission.Completed{Attempt: latency, Busy: next.reply.busy}, nil
 		case gaveUp:
 			return nil, next.outcome, next.err
 		case tryAgain:
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -264,7 +264,7 @@
 	switch {
 	case r.GetError() == "":
 		o.s.pool.Finish(choice, routing.Success{Latency: latency, Expected: o.c.expected}, now)
-		return sent{answer: o.recordResult(ctx, claimRecord(claim), r), outcome: admission.Completed{Latency: latency}}
+		return sent{answer: o.recordResult(ctx, claimRecord(claim), r), outcome: admission.Completed{Latency: latency, Attempt: latency, Busy: time.Duration(r.GetBusyUs()) * time.Microsecond}}
 	case r.GetError() == agent.ErrorOverloaded:
 		o.s.pool.Finish(choice, routing.Overloaded{}, now)
 		return o.notRun(claim, &callError{reason: agent.ErrorOverloaded, detail: "the target's queue is full"})
