control: Prove that an isolated leader loses its rights and changes never revert

Cause: P7 and the isolated control VM had proofs at the log and ledger only. Change: three control VMs on virtual time over a network in memory: racing operators and resent changes across a leader change and a restart; an isolated leader that believes it leads; polls woken by changes and drains.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -68,6 +67,8 @@
 	Peers []string
 	// Retention is how long final outcomes are kept; 7 days when zero.
 	Retention time.Duration
+	// Dial replaces the network dialer towards the other control VMs in tests.
+	Dial Dialer
 }
 
 func (o *Options) check() error {
@@ -111,12 +112,8 @@
 		return nil, err
 	}
 	return &Control{
-		o: o,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: idlePerHost,
-			DisableCompression:  true,
-		}},
+		o:       o,
+		http:    newHTTP(o.Dial),
 		changed: make(chan struct{}),
 		leaders: make(map[string]wire.Control),
 		done:    make(chan struct{}),
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,342 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/spf13/afero"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/control"
+	"github.com/cardamomline/cardamomline/internal/controlclient"
+	"github.com/cardamomline/cardamomline/internal/journal"
+	"github.com/cardamomline/cardamomline/internal/kernel"
+	"github.com/cardamomline/cardamomline/internal/ledger"
+	"github.com/cardamomline/cardamomline/internal/listener"
+	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/roster"
+	"github.com/cardamomline/cardamomline/internal/standin"
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// vm is one control VM with its disk, which outlives a crash.
+type vm struct {
+	address string
+	files   afero.Fs
+	kernel  *kernel.Kernel
+	node    *replica.Node
+	ledger  *ledger.Ledger
+	// cut isolates the VM from the other control VMs, but not from its clients.
+	cut atomic.Bool
+}
+
+// cluster is three control VMs on virtual time over a network in memory.
+type cluster struct {
+	t       *testing.T
+	network *standin.MemoryNetwork
+	timers  *timer.Service
+	vms     []*vm
+}
+
+func onCluster(t *testing.T, test func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, network: standin.NewMemoryNetwork(), timers: timer.NewService()}
+		for i := range 3 {
+			c.vms = append(c.vms, &vm{address: fmt.Sprintf("control-%d:1", i+1), files: afero.NewMemMapFs()})
+		}
+		for _, v := range c.vms {
+			c.start(v)
+		}
+		test(c)
+		for _, v := range c.vms {
+			c.crash(v)
+		}
+	})
+}
+
+var errCut = errors.New("no route")
+
+func (c *cluster) start(v *vm) {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		for _, other := range c.vms {
+			if other.address == address && (v.cut.Load() || other.cut.Load()) {
+				return nil, errCut
+			}
+		}
+		conn, err := c.network.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &cutConn{Conn: conn, c: c, from: v, to: address}, nil
+	}
+	var peers []string
+	for _, p := range c.vms {
+		peers = append(peers, p.address)
+	}
+	j, err := journal.Open(journal.Options{Folder: "journal", Files: v.files})
+	require.NoError(c.t, err)
+	m := metrics.New("control")
+	link := control.NewTransport(dial)
+	v.ledger = ledger.New(ledger.Options{})
+	v.node, err = replica.NewNode(replica.NodeOptions{
+		Timer: c.timers, Journal: j, Transport: link, Greeter: link, StateMachine: v.ledger, Address: v.address, Peers: peers, Seed: uint64(len(v.address)) + uint64(v.address[8]),
+	})
+	require.NoError(c.t, err)
+	ros := roster.New(roster.Options{Timer: c.timers, Epoch: v.address + time.Now().String()})
+	ctl, err := control.New(control.Options{Timers: c.timers, Node: v.node, Ledger: v.ledger, Roster: ros, Metrics: m, Name: v.address, Address: v.address, Peers: peers, Dial: dial})
+	require.NoError(c.t, err)
+	l, err := c.network.Listen(v.address)
+	require.NoError(c.t, err)
+	v.kernel = kernel.New()
+	v.kernel.Register("metrics", closer{m})
+	v.kernel.Register("link", link)
+	v.kernel.Register("node", v.node)
+	v.kernel.Register("roster", ros)
+	v.kernel.Register("server", listener.New(listener.Options{Listener: l, Handler: ctl.Handler()}))
+	v.kernel.Register("control", ctl)
+	require.NoError(c.t, v.kernel.Start(context.Background()))
+}
+
+// crash ends the VM without grace; its files stay.
+func (c *cluster) crash(v *vm) {
+	if v.kernel == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = v.kernel.Stop(ctx)
+	v.kernel = nil
+}
+
+type closer struct{ m *metrics.Metrics }
+
+func (c closer) Stop(context.Context) error { return c.m.Close() }
+func (c closer) Done() <-chan struct{}      { return nil }
+
+// cutConn breaks when one of its ends is cut off.
+type cutConn struct {
+	net.Conn
+	c    *cluster
+	from *vm
+	to   string
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	for _, v := range c.c.vms {
+		if (v == c.from || v.address == c.to) && v.cut.Load() {
+			_ = c.Conn.Close()
+			return 0, errCut
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// client talks to the given VMs only, over a path that is never cut.
+func (c *cluster) client(name string, vms ...*vm) *controlclient.Client {
+	var addresses []string
+	for _, v := range vms {
+		addresses = append(addresses, v.address)
+	}
+	client, err := controlclient.New(controlclient.Options{Timers: c.timers, Addresses: addresses, Process: name, HTTP: &http.Client{Transport: &direct{c: c}}})
+	require.NoError(c.t, err)
+	return client
+}
+
+// direct carries one request over a connection of its own.
+type direct struct{ c *cluster }
+
+func (d *direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	t := &http.Transport{DialContext: d.c.network.Dial, DisableKeepAlives: true}
+	resp, err := t.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	_ = resp.Body.Close()
+	w := httptest.NewRecorder()
+	w.Code = resp.StatusCode
+	for k, v := range resp.Header {
+		w.Header()[k] = v
+	}
+	w.Body = bytes.NewBuffer(body)
+	return w.Result(), nil
+}
+
+func (c *cluster) context(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	time.AfterFunc(d, cancel)
+	return ctx
+}
+
+func (c *cluster) leader() *vm {
+	for range 200 {
+		for _, v := range c.vms {
+			if v.kernel != nil && !v.cut.Load() && v.node.Status().Role == replica.Leader && v.node.Barrier(c.context(300*time.Millisecond)) == nil {
+				return v
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Fail(c.t, "no control VM leads after 10 s")
+	return nil
+}
+
+func (c *cluster) others(v *vm) []*vm {
+	var list []*vm
+	for _, o := range c.vms {
+		if o != v {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func manifestChange(change, operator string, base uint64) *wire.Command {
+	return &wire.Command{Kind: &wire.Command_ApplyManifest{ApplyManifest: &wire.ApplyManifest{
+		BaseRevision: base, ChangeId: change, Operator: operator, Manifest: []byte("manifest of " + change),
+	}}}
+}
+
+// Guards P7: of two operators with the same base revision both win, or a change
+// that is sent again, also after newer changes and a new leader, is applied twice.
+func TestRacingOperatorsAndResentChanges(t *testing.T) {
+	onCluster(t, func(c *cluster) {
+		first := c.leader()
+		client := c.client("operator", c.vms...)
+		results := make([]*wire.Result, 2)
+		var wg sync.WaitGroup
+		for i, name := range []string{"ann", "bob"} {
+			wg.Go(func() {
+				r, err := c.client(name, c.vms[i+1]).Execute(c.context(5*time.Second), manifestChange(name+"-1", name, 0))
+				require.NoError(c.t, err)
+				results[i] = r
+			})
+		}
+		wg.Wait()
+		winner, loser := 0, 1
+		if results[0].GetRefusal() != "" {
+			winner, loser = 1, 0
+		}
+		names := []string{"ann", "bob"}
+		require.Empty(c.t, results[winner].GetRefusal())
+		require.Equal(c.t, ledger.RefusedConflict, results[loser].GetRefusal())
+		require.Contains(c.t, results[loser].GetDetail(), names[winner])
+
+		c.crash(first)
+		second := c.leader()
+		require.NotEqual(c.t, first, second)
+		r, err := client.Execute(c.context(5*time.Second), manifestChange("later", "cid", 1))
+		require.NoError(c.t, err)
+		require.Equal(c.t, uint64(2), r.GetRevision())
+		r, err = client.Execute(c.context(5*time.Second), manifestChange(names[winner]+"-1", names[winner], 0))
+		require.NoError(c.t, err)
+		require.True(c.t, r.GetRepeated())
+		require.Equal(c.t, uint64(1), r.GetRevision())
+		resp, err := client.Query(c.context(5*time.Second), &wire.QueryRequest{Kind: &wire.QueryRequest_Manifest{Manifest: &wire.ManifestQuery{}}})
+		require.NoError(c.t, err)
+		require.Equal(c.t, "manifest of later", string(resp.GetManifest().GetManifest()))
+
+		c.start(first)
+		time.Sleep(3 * time.Second)
+		r, err = c.client("operator", first).Execute(c.context(5*time.Second), manifestChange("later", "cid", 1))
+		require.NoError(c.t, err)
+		require.True(c.t, r.GetRepeated())
+		require.Equal(c.t, uint64(2), first.ledger.Revision())
+	})
+}
+
+// Guards P7 and P4: a control VM that is cut off and believes it leads answers
+// reads, vouches for its revision, or accepts commands.
+func TestIsolatedLeaderLosesItsRights(t *testing.T) {
+	onCluster(t, func(c *cluster) {
+		old := c.leader()
+		_, err := c.client("operator", c.vms...).Execute(c.context(5*time.Second), manifestChange("one", "ann", 0))
+		require.NoError(c.t, err)
+		time.Sleep(time.Second)
+
+		old.cut.Store(true)
+		isolated, majority := c.client("entry", old), c.client("operator", c.others(old)...)
+		_, err = isolated.Query(c.context(500*time.Millisecond), &wire.QueryRequest{Kind: &wire.QueryRequest_Manifest{Manifest: &wire.ManifestQuery{}}})
+		require.Error(c.t, err, "the isolated leader answered a read")
+		_, err = isolated.Execute(c.context(500*time.Millisecond), manifestChange("stale", "bob", 1))
+		require.Error(c.t, err, "the isolated leader accepted a change")
+
+		r, err := majority.Execute(c.context(5*time.Second), manifestChange("two", "ann", 1))
+		require.NoError(c.t, err)
+		require.Equal(c.t, uint64(2), r.GetRevision())
+		time.Sleep(2500 * time.Millisecond)
+		beat, err := isolated.Heartbeat(c.context(time.Second), &wire.HeartbeatRequest{Process: &wire.ProcessInfo{Name: "entry-1", Incarnation: "a"}})
+		require.NoError(c.t, err)
+		require.False(c.t, beat.GetConfirmed(), "the isolated VM vouches for its revision")
+		cfg, err := isolated.Config(c.context(time.Second), &wire.ConfigRequest{})
+		require.NoError(c.t, err)
+		require.Nil(c.t, cfg.GetManifest(), "the isolated VM hands out an old configuration")
+
+		old.cut.Store(false)
+		time.Sleep(3 * time.Second)
+		require.Equal(c.t, uint64(2), old.ledger.Revision())
+		cfg, err = isolated.Config(c.context(time.Second), &wire.ConfigRequest{KnownRevision: 1})
+		require.NoError(c.t, err)
+		require.True(c.t, cfg.GetConfirmed())
+		require.Equal(c.t, uint64(2), cfg.GetRevision())
+		for _, v := range c.vms {
+			require.Equal(c.t, "manifest of two", string(newest(v)))
+		}
+	})
+}
+
+func newest(v *vm) []byte {
+	m, _ := v.ledger.Manifest(0)
+	return m.GetManifest()
+}
+
+// Guards P7: a change or drain that was accepted is not pushed to waiting polls.
+func TestChangesWakePolls(t *testing.T) {
+	onCluster(t, func(c *cluster) {
+		c.leader()
+		client := c.client("operator", c.vms...)
+		_, err := client.Execute(c.context(5*time.Second), manifestChange("one", "ann", 0))
+		require.NoError(c.t, err)
+		time.Sleep(time.Second)
+		var wg sync.WaitGroup
+		for _, v := range c.vms {
+			wg.Go(func() {
+				cfg, err := c.client("entry", v).Config(c.context(20*time.Second), &wire.ConfigRequest{KnownRevision: 1, WaitMs: 10_000})
+				require.NoError(c.t, err)
+				require.Equal(c.t, uint64(2), cfg.GetRevision())
+			})
+			wg.Go(func() {
+				seen, err := c.client("entry", v).Roster(c.context(20*time.Second), &wire.RosterRequest{})
+				require.NoError(c.t, err)
+				for len(seen.GetDrains()) == 0 {
+					seen, err = c.client("entry", v).Roster(c.context(20*time.Second), &wire.RosterRequest{Since: seen.GetVersion(), Epoch: seen.GetEpoch(), WaitMs: 10_000})
+					require.NoError(c.t, err)
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		_, err = client.Execute(c.context(5*time.Second), manifestChange("two", "ann", 1))
+		require.NoError(c.t, err)
+		_, err = client.Execute(c.context(5*time.Second), &wire.Command{Kind: &wire.Command_SetDrain{SetDrain: &wire.SetDrain{Target: "core-1", Draining: true}}})
+		require.NoError(c.t, err)
+		wg.Wait()
+		require.Less(c.t, time.Since(began), time.Second)
+	})
+}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -29,14 +29,26 @@
 	done   chan struct{}
 }
 
-// NewTransport returns a Transport.
-func NewTransport() *Transport {
+// Dialer opens a connection to another control VM.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newHTTP returns an HTTP client on the dialer, or on the network when it is nil.
+func newHTTP(dial Dialer) *http.Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: idlePerHost,
+		DisableCompression:  true,
+	}}
+}
+
+// NewTransport returns a Transport; dial is nil but in tests.
+func NewTransport(dial Dialer) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableCompression: true,
-		}},
+		http:   newHTTP(dial),
 		peers:  make(map[string]chan *wire.Envelope),
 		ctx:    ctx,
 		cancel: cancel,
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -180,7 +180,7 @@
 		return errors.Wrapf(err, "data folder %s", b.s.DataFolder())
 	}
 	led := ledger.New(ledger.Options{})
-	link := control.NewTransport()
+	link := control.NewTransport(nil)
 	node, err := replica.NewNode(replica.NodeOptions{
 		Timer: b.t, Journal: j, Transport: link, Greeter: link, StateMachine: led, Address: b.s.Listen(),
 		Peers: b.s.Peers(), FailureDomain: b.s.FailureDomain(), Seed: seed(b.s.Name()),
