admission, routing: Keep places in a full queue for each customer

Cause: a customer with a backlog of calls with long deadlines could fill the queue and have the calls of all others refused as queue_full. The queue's own wait margin and the lower bound of the limit had no test. Change: in a full queue each customer still has its share of the places; calls of requests that have started always have room. Conclusion: no customer's backlog shuts out another's calls.

--- a/internal/admission/fairness_test.go
+++ b/internal/admission/fairness_test.go
@@ -162,6 +162,23 @@
 	})
 }
 
+// TestFullQueueKeepsPlaces guards against a backlog of one customer that leaves
+// no place for others.
+func TestFullQueueKeepsPlaces(t *testing.T) {
+	q := NewQueue(Options{Slots: 1, MaxQueued: 10})
+	offer := func(customer string) Decision {
+		return q.Offer(Request{Customer: customer, Deadline: testStart.Add(time.Hour), Expected: serviceTime}, testStart)
+	}
+	for range 11 {
+		require.IsNotType(t, Refused{}, offer("large"))
+	}
+	require.Equal(t, ReasonQueueFull, offer("large").(Refused).Reason)
+	for range 5 {
+		require.IsType(t, Queued{}, offer("small"))
+	}
+	require.Equal(t, ReasonQueueFull, offer("small").(Refused).Reason)
+}
+
 // TestNoClassStarves guards against urgent calls that keep others from ever
 // running, against less urgent calls that delay urgent ones, and against one
 // class that takes all that the others are owed.
--- a/internal/admission/limit_test.go
+++ b/internal/admission/limit_test.go
@@ -54,4 +54,9 @@
 	l = newLimiter(8)
 	l.setSlots(64)
 	require.Equal(t, 64, l.value())
+	for range 20 {
+		now = now.Add(limitWindow)
+		l.overloaded(now)
+	}
+	require.Equal(t, 32, l.value(), "half of the known slots stay in use")
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -42,12 +42,13 @@
 	Service   string
 	Policy    Policy // Adaptive when nil
 	Slots     int    // calls that the targets can work on together, for this entry; 0 is unknown
-	MaxQueued int    // 10000
+	MaxQueued int    // 10000; see full
 }
 
 // Queue admits the calls of one entry to one service.
 type Queue struct {
 	mu        sync.Mutex
+	service   string
 	policy    Policy
 	maxQueued int
 	limiter   limiter
@@ -77,6 +78,7 @@
 		o.MaxQueued = defaultMaxQueued
 	}
 	q := &Queue{
+		service:   o.Service,
 		policy:    o.Policy,
 		maxQueued: o.MaxQueued,
 		limiter:   newLimiter(o.Slots),
@@ -99,6 +101,7 @@
 
 // Status is a Queue's state for metrics and explanations.
 type Status struct {
+	Service   string
 	Limit     int
 	InFlight  int
 	Waiting   int
@@ -111,6 +114,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return Status{
+		Service:   q.service,
 		Limit:     q.limiter.value(),
 		InFlight:  q.inFlight,
 		Waiting:   q.deadlines.Len(),
@@ -141,7 +145,7 @@
 }
 
 func (q *Queue) refusal(r Request, wait time.Duration, now time.Time) (Refused, bool) {
-	if q.deadlines.Len() >= q.maxQueued {
+	if q.full(r) {
 		return Refused{Reason: ReasonQueueFull, ExpectedWait: wait, RetryAfter: wait}, true
 	}
 	counted := wait
@@ -162,6 +166,21 @@
 	return refused, true
 }
 
+// full reports whether the queue has no room for a call. When it is full, each
+// customer still has its share of the places, so that one customer's backlog
+// doesn't shut out others; the queue holds at most twice its size and one call
+// of each customer. Calls of requests that have started always have room.
+func (q *Queue) full(r Request) bool {
+	if r.Started || q.deadlines.Len() < q.maxQueued {
+		return false
+	}
+	c, ok := q.customers[r.Customer]
+	if !ok || c.waiting == 0 {
+		return false
+	}
+	return float64(c.waiting+1) > float64(q.maxQueued)*c.weight/q.weights
+}
+
 func (q *Queue) ticket(r Request, now time.Time) *Ticket {
 	q.sequence++
 	return &Ticket{
@@ -283,79 +302,6 @@
 	return q.deadlines.Len() == 0 && float64(q.inFlight) < spareUse*q.limiter.limit
 }
 
-// ExpectedWait returns how long a call would wait for its slot.
-func (q *Queue) ExpectedWait(r Request, now time.Time) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if _, ok := q.policy.(Baseline); ok {
-		return 0
-	}
-	return q.expectedWait(r.normalized(), now)
-}
-
-// expectedWait is zero when the call can start now. Otherwise the work that is
-// served before the call is divided by the rate of service. The work is bounded
-// by the customer's own at its fair share, so that one customer's backlog never
-// refuses another's calls.
-func (q *Queue) expectedWait(r Request, now time.Time) time.Duration {
-	ahead := 0.0
-	for p := range r.Priority + 1 {
-		ahead += q.levels[p].cost
-	}
-	if ahead == 0 && q.free(r.Priority, now) {
-		return 0
-	}
-	l := &q.levels[r.Priority]
-	l.measure(now)
-	guaranteed := q.guaranteed(r.Priority) / q.stretch
-	inLevel := min(l.cost+cost(r), q.fairWork(r))
-	seconds := inLevel / max(l.rate, guaranteed)
-	if l.rate == 0 {
-		all := float64(q.limiter.value()) / q.stretch
-		seconds = min(seconds, min(ahead+cost(r), q.fairWork(r))/all)
-	}
-	return max(time.Duration(seconds*float64(time.Second)), 1)
-}
-
-// guaranteed returns the slot time for each second that a level gets at least
-// beside others, for calls of the expected time.
-func (q *Queue) guaranteed(priority int) float64 {
-	limit := float64(q.limiter.value())
-	others := 0
-	urgent := true
-	for i := range q.levels {
-		if i == priority || len(q.levels[i].customers) == 0 {
-			continue
-		}
-		others++
-		urgent = urgent && i > priority
-	}
-	if urgent {
-		return (1 - lowerShare) * limit
-	}
-	return lowerShare / float64(others) * limit
-}
-
-// fairWork returns the work that is served until a call of the customer starts,
-// if the customer gets just its share: the virtual time until then, for all
-// customers that wait.
-func (q *Queue) fairWork(r Request) float64 {
-	weights := q.weights
-	ahead := 0.0
-	c, ok := q.customers[r.Customer]
-	if !ok || c.waiting == 0 {
-		weights += r.Weight
-	}
-	if ok {
-		own := 0.0
-		for p := range r.Priority + 1 {
-			own += c.cost[p]
-		}
-		ahead = max(c.virtual-q.virtual, 0) + own/r.Weight
-	}
-	return ahead*weights + cost(r)
-}
-
 // Finish ends an admitted call and returns decisions on waiting ones.
 func (q *Queue) Finish(t *Ticket, o Outcome, now time.Time) []Decision {
 	q.mu.Lock()
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -149,3 +149,18 @@
 		})
 	})
 }
+
+// TestUrgentCallsKeepSlack guards against urgent calls that are accepted to start
+// at the last moment, where those that take a little longer run in vain.
+func TestUrgentCallsKeepSlack(t *testing.T) {
+	q := NewQueue(Options{Slots: 1})
+	r := Request{Customer: "first", Expected: serviceTime, Deadline: testStart.Add(time.Second)}
+	require.IsType(t, Admitted{}, q.Offer(r, testStart))
+	r = Request{Customer: "second", Expected: serviceTime, Deadline: testStart.Add(250 * time.Millisecond)}
+	d, ok := q.Offer(r, testStart).(Refused)
+	require.True(t, ok)
+	require.Equal(t, ReasonNotEnoughTime, d.Reason)
+	require.Equal(t, serviceTime, d.ExpectedWait)
+	r.Priority = deferrable
+	require.IsType(t, Queued{}, q.Offer(r, testStart))
+}
--- a/internal/routing/doc.go
+++ b/internal/routing/doc.go
@@ -23,7 +23,7 @@
 //		return err // *NoTargetError names the reason
 //	}
 //	// send the call to choice.Address, then exactly once:
-//	pool.Finish(choice, routing.Success{Latency: latency, Expected: expected}, now)
+//	pool.Finish(choice, routing.Success{Latency: latency, Busy: busy, Expected: expected}, now)
 //
 // A call that runs longer than most is reported with Overdue, so that others
 // avoid its target before it times out. When Pick fails with
