--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -205,9 +205,7 @@
 func (t *tries) run(ctx context.Context) (*reply, admission.Outcome, error) {
 	for {
 		now := t.e.o.Timers.Now()
-		choice, err := t.s.pool.Pick(routing.Request{
-			Model: t.c.model, Prefix: t.c.prefix, Exclude: t.tried, MayProbe: t.attempts == 0,
-		}, now)
+		choice, err := t.pick(now)
 		if err != nil {
 			return nil, admission.Dropped{}, t.fail(reasonNoTarget, err.Error())
 		}
@@ -233,6 +231,19 @@
 	}
 }
 
+// pick chooses a target that was not tried. When all were, only the last one is
+// left out: one that was full or failed once may answer now.
+func (t *tries) pick(now time.Time) (routing.Choice, error) {
+	r := routing.Request{Model: t.c.model, Prefix: t.c.prefix, Exclude: t.tried, MayProbe: t.attempts == 0}
+	choice, err := t.s.pool.Pick(r, now)
+	var shortage *routing.NoTargetError
+	if errors.As(err, &shortage) && shortage.Shortage() == routing.ShortageAllExcluded {
+		r.Exclude = t.tried[len(t.tried)-1:]
+		return t.s.pool.Pick(r, now)
+	}
+	return choice, err
+}
+
 // verdict is what follows from the end of one attempt: answered, gaveUp or tryAgain.
 type verdict interface{ isVerdict() }
 
@@ -347,7 +358,7 @@
 
 // dropLoser reports the attempt that was canceled because the other one answered first.
 func (t *tries) dropLoser(d ended) {
-	t.s.pool.Finish(d.choice, routing.Canceled{}, t.e.o.Timers.Now())
+	t.s.pool.Finish(d.choice, routing.Canceled{Ran: d.latency, Expected: t.c.expected}, t.e.o.Timers.Now())
 }
 
 // send makes one attempt at the chosen target.
@@ -413,7 +424,7 @@
 		finish(routing.Failure{})
 		return tryAgain{reason: reasonConnectionLost, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.RefusedCall{Retryable: true}}
 	case *attempt.Lost:
-		return t.judgeLost(ctx, end, finish)
+		return t.judgeLost(ctx, end, latency, finish)
 	}
 	return gaveUp{err: t.fail(reasonTargetFailed, "unknown end of an attempt"), outcome: admission.Dropped{}}
 }
@@ -474,7 +485,7 @@
 	return again
 }
 
-func (t *tries) judgeLost(ctx context.Context, end *attempt.Lost, finish func(routing.Outcome)) verdict {
+func (t *tries) judgeLost(ctx context.Context, end *attempt.Lost, latency time.Duration, finish func(routing.Outcome)) verdict {
 	t.ran = true
 	var foreign *attempt.ForeignError
 	switch {
@@ -483,7 +494,7 @@
 		finish(routing.SilentConnection{})
 		return tryAgain{reason: reasonConnectionLost, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.SilentCall{}}
 	case ctx.Err() != nil:
-		finish(routing.Canceled{})
+		finish(routing.Canceled{Ran: latency, Expected: t.c.expected})
 		err := t.e.contextError(ctx)
 		err.mayHaveRun = true
 		return gaveUp{err: err, outcome: admission.Dropped{}}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -10,6 +10,7 @@
 	"github.com/cardamomline/cardamomline/internal/admission"
 	"github.com/cardamomline/cardamomline/internal/budget"
 	"github.com/cardamomline/cardamomline/internal/configwatch"
+	"github.com/cardamomline/cardamomline/internal/roster"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/wire"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
@@ -151,7 +152,6 @@
 	infos := e.roster.Targets(s.name)
 	keep := e.subset(infos)
 	targets := make([]routing.Target, 0, len(infos))
-	slots := 0
 	for _, t := range infos {
 		if keep != nil {
 			if _, ok := keep[t.GetName()]; !ok {
@@ -161,12 +161,9 @@
 		target := newTarget(t)
 		target.Leaving = target.Leaving || e.isDrained(t.GetName())
 		targets = append(targets, target)
-		if !target.Leaving && !target.Silent {
-			slots += target.Slots
-		}
 	}
 	s.pool.Sync(targets, e.o.Timers.Now())
-	s.queue.SetSlots(slots)
+	s.queue.SetSlots(e.slotShare(s.pool.Slots()))
 }
 
 func (e *Entry) isDrained(target string) bool {
@@ -174,6 +171,14 @@
 	return drains != nil && slices.Contains(*drains, target)
 }
 
+// slotShare is this entry's share of the slots of a service, and at least 1 of any.
+func (e *Entry) slotShare(slots int) int {
+	if slots == 0 {
+		return 0
+	}
+	return max(slots/len(e.liveEntries()), 1)
+}
+
 // subset returns the names of the targets that this entry works on, or nil for all.
 func (e *Entry) subset(infos []*wire.TargetInfo) map[string]struct{} {
 	if len(infos) <= subsetSize {
@@ -184,18 +189,20 @@
 		names = append(names, t.GetName())
 	}
 	keep := make(map[string]struct{}, subsetSize)
-	for _, name := range routing.Subset(e.o.Name, e.entries(), names, subsetSize) {
+	for _, name := range routing.Subset(e.o.Name, e.liveEntries(), names, subsetSize) {
 		keep[name] = struct{}{}
 	}
 	return keep
 }
 
-// entries returns the names of all entries in the roster, this one included.
-func (e *Entry) entries() []string {
+// liveEntries returns the names of the entries that take requests, this one included.
+func (e *Entry) liveEntries() []string {
 	names := []string{e.o.Name}
 	for _, p := range e.roster.Processes() {
-		if p.GetProcess().GetRole() == "entry" && p.GetProcess().GetName() != e.o.Name {
-			names = append(names, p.GetProcess().GetName())
+		info := p.GetProcess()
+		live := !info.GetLeaving() && time.Duration(p.GetSilentMs())*time.Millisecond < roster.DefaultSilence
+		if info.GetRole() == "entry" && info.GetName() != e.o.Name && live {
+			names = append(names, info.GetName())
 		}
 	}
 	return names
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -136,6 +136,11 @@
 	if service.Kind() == manifest.KindEngine {
 		c.prefix, c.maxTokens = p.prefix, p.maxTokens
 	}
+	if service.Kind() == manifest.KindEngine || p.class.MayWait() {
+		// The time of an engine call depends on its length, so that its percentile
+		// says nothing about one call; a call that may wait isn't worth a second one.
+		c.hedgeAfter = 0
+	}
 	if i == len(stages)-1 {
 		c.onToken = p.onToken
 	}
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -185,6 +185,7 @@
 	s       *system
 	entry   *entry.Entry
 	handler http.Handler
+	kernel  *kernel.Kernel
 	// control and data are this entry's links; cutting them isolates it.
 	control *link
 	data    *link
@@ -203,6 +204,7 @@
 	k.Register("metrics", closer{m})
 	k.Register("config", watcher)
 	k.Register("entry", e.entry)
+	e.kernel = k
 	s.run(k)
 	return e
 }
@@ -300,6 +302,9 @@
 	wait := time.After(time.Duration(r.GetWaitMs()) * time.Millisecond)
 	for {
 		changed := c.roster.Changed()
+		c.mu.Lock()
+		updated := c.changed
+		c.mu.Unlock()
 		resp := c.roster.Since(r.GetSince(), r.GetEpoch())
 		resp.Revision, resp.Confirmed, resp.Drains = c.ledger.Revision(), !c.noQuorum.Load(), c.ledger.Drains()
 		if len(resp.GetChanges()) > 0 || resp.GetFull() {
@@ -307,6 +312,9 @@
 		}
 		select {
 		case <-changed:
+		case <-updated:
+			resp.Drains = c.ledger.Drains()
+			return resp, nil
 		case <-wait:
 			return resp, nil
 		case <-ctx.Done():
@@ -344,6 +352,8 @@
 type link struct {
 	cut        atomic.Bool // requests are lost
 	loseAnswer atomic.Bool // requests arrive, answers are lost
+	// generation is raised to silence the connections that are open now.
+	generation atomic.Int64
 }
 
 // controlTransport calls the fake control VM without a network.
@@ -388,21 +398,23 @@
 		if own == nil {
 			return c, nil
 		}
-		return &faultyConn{Conn: c, link: own}, nil
+		return &faultyConn{Conn: c, link: own, generation: own.generation.Load()}, nil
 	}
 }
 
-// faultyConn loses what it reads while its link loses answers: the connection
-// goes silent, as when something between the two ends forgot it.
+// faultyConn loses what it reads while its link loses answers, and for good when
+// it was open while the link was silenced: something between the two ends has
+// forgotten the connection.
 type faultyConn struct {
 	net.Conn
-	link *link
+	link       *link
+	generation int64
 }
 
 func (c *faultyConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if err != nil || !c.link.loseAnswer.Load() {
+		if err != nil || !c.link.loseAnswer.Load() && c.generation == c.link.generation.Load() {
 			return n, err
 		}
 	}
