--- a/internal/ledger/orders.go
+++ b/internal/ledger/orders.go
@@ -321,7 +321,7 @@
 	if reason == "" {
 		return lead + " " + stateText(s) + "."
 	}
-	return lead + " " + stateText(s) + " (" + reason + ")."
+	return lead + " " + stateText(s) + " (" + strings.ReplaceAll(reason, "_", " ") + ")."
 }
 
 func orNobody(name string) string {
