roster: Tell followers of a drain at once

Change: SetDrains marks targets as leaving at each control VM, which has the drains from its own ledger; followers take the mark with the next delta, peers don't take it over. One script covers a peer that was out of reach, and the view test encodes a view beside Apply.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -142,12 +142,18 @@
 	before, err := l.ledger.Snapshot()
 	require.NoError(t, err)
 	view := l.ledger.View()
+	var data []byte
+	marshalled := make(chan struct{})
+	go func() {
+		defer close(marshalled)
+		data, err = view.Marshal()
+	}()
 	expired := l.apply(&wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{BeforeMs: l.nowMS + 1000, Max: total}}})
 	// The newest order settled in the present millisecond and stays.
 	require.EqualValues(t, total-total/100-1, expired.GetExpired())
 	l.claim("o0", "body", "a1")
 	l.outcome("o0", "a1", done, "ok")
-	data, err := view.Marshal()
+	<-marshalled
 	require.NoError(t, err)
 	require.True(t, bytes.Equal(before, data), "a view changed after it was taken")
 	require.Equal(t, total/100+1, l.ledger.Counts().Orders())
--- a/internal/roster/merge.go
+++ b/internal/roster/merge.go
@@ -135,6 +135,13 @@
 	if rec.silent != silent {
 		r.setSilent(name, rec, silent)
 	}
+	rec.drained = isDrained(c)
+	r.redescribe(name, rec)
+}
+
+// isDrained reports whether the target leaves although its process doesn't.
+func isDrained(c *wire.RosterChange) bool {
+	return c.GetTarget().GetLeaving() && !c.GetProcess().GetLeaving()
 }
 
 // prefers reports whether the change is newer than the record: a replaced
@@ -161,7 +168,8 @@
 	rec.process = c.GetProcess()
 	rec.sequence, rec.silent = split(c.GetSequence())
 	rec.reported = rec.silent && (r.options.Follow || rec.sequence.origin() == originOf(epoch))
-	rec.target = describe(c.GetTarget(), rec.process, rec.silent)
+	rec.drained = isDrained(c)
+	rec.target = describe(c.GetTarget(), rec.process, rec.silent, r.isDrained(rec, c.GetTarget()))
 	rec.listed = epoch
 	if heard := now.Add(-silentFor(c)); r.options.Follow || old != rec.incarnation() || heard.After(rec.heard) {
 		rec.heard = heard
--- a/internal/roster/property_test.go
+++ b/internal/roster/property_test.go
@@ -253,6 +253,16 @@
 			c.beat(0, "i1", false)
 			c.stay(t, 0)
 		}},
+		{"a peer that was out of reach for a while", func(t *testing.T, c *cluster) {
+			c.beat(0, "i1", false)
+			c.pull(1, 0)
+			c.pull(2, 0)
+			for range 6 {
+				time.Sleep(time.Second)
+				c.beat(0, "i1", false)
+			}
+			require.True(t, c.vms[1].Targets("generators")[0].GetSilent())
+		}},
 		{"a process that moves to another VM without a change", func(t *testing.T, c *cluster) {
 			c.beat(0, "i1", false)
 			c.stay(t, 1)
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -36,7 +36,9 @@
 	// reported is set when the origin itself reported the silence.
 	reported bool
 	// listed is the epoch of the control VM that last reported the record; used when following.
-	listed  string
+	listed string
+	// drained is set when the followed control VM reports the target as drained.
+	drained bool
 	version uint64
 	past    []past
 	rival   rival
@@ -88,12 +90,14 @@
 }
 
 // describe returns the target's description with what the process itself
-// announces. The description is shared when nothing differs.
-func describe(t *wire.TargetInfo, p *wire.ProcessInfo, silent bool) *wire.TargetInfo {
+// announces; a drained target counts as leaving. The description is shared when
+// nothing differs.
+func describe(t *wire.TargetInfo, p *wire.ProcessInfo, silent, drained bool) *wire.TargetInfo {
 	if t == nil {
 		return nil
 	}
-	if t.GetIncarnation() == p.GetIncarnation() && t.GetAgentAddress() == p.GetAddress() && t.GetLeaving() == p.GetLeaving() &&
+	leaving := p.GetLeaving() || drained
+	if t.GetIncarnation() == p.GetIncarnation() && t.GetAgentAddress() == p.GetAddress() && t.GetLeaving() == leaving &&
 		t.GetReady() == p.GetReady() && t.GetSilent() == silent && t.GetFailureDomain() == p.GetFailureDomain() && t.GetRegion() == p.GetRegion() {
 		return t
 	}
@@ -102,7 +106,7 @@
 	c.AgentAddress = p.GetAddress()
 	c.FailureDomain = p.GetFailureDomain()
 	c.Region = p.GetRegion()
-	c.Leaving = p.GetLeaving()
+	c.Leaving = leaving
 	c.Ready = p.GetReady()
 	c.Silent = silent
 	return c
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -114,6 +114,7 @@
 	floor    uint64   // a reader below this version gets the full list
 	version  uint64
 	stamps   uint64
+	drains   map[string]bool // names of drained targets
 	changed  chan struct{}
 	sources  map[uint64]time.Time // by origin: last answer merged
 	source   string               // epoch followed
@@ -190,7 +191,7 @@
 }
 
 // Announce takes a heartbeat and reports whether the target's full description
-// is needed. A heartbeat of a replaced incarnation is ignored, unless it has
+// is needed. The messages in it must not be changed afterwards. A heartbeat of a replaced incarnation is ignored, unless it has
 // announced itself for the whole silence bound while the replacing one was
 // silent: a delayed heartbeat must not bring back a stale incarnation, nor lock
 // out a live one.
@@ -226,7 +227,7 @@
 			target.Version = h.GetTargetVersion()
 		}
 	}
-	target = describe(target, p, false)
+	target = describe(target, p, false, r.isDrained(rec, target))
 	same := rec.version != 0 && !rec.silent && rec.sequence.origin() == r.origin &&
 		sameProcess(rec.process, p) && (target == rec.target || proto.Equal(target, rec.target))
 	rec.process, rec.heard, rec.silent, rec.reported = p, now, false, false
@@ -353,7 +354,7 @@
 
 func (r *Roster) setSilent(name string, rec *record, silent bool) {
 	rec.silent = silent
-	rec.target = describe(rec.target, rec.process, silent)
+	rec.target = describe(rec.target, rec.process, silent, r.isDrained(rec, rec.target))
 	r.touch(name, rec)
 }
 
@@ -434,6 +435,41 @@
 	}
 }
 
+// SetDrains sets the names of the drained targets, which count as leaving. A
+// control VM calls it after each change of the ledger's drains, so that entries
+// learn of a drain at once and not only from the agent's next heartbeats. Drains
+// aren't merged between control VMs, because each has them from the ledger.
+func (r *Roster) SetDrains(targets []string) {
+	drains := make(map[string]bool, len(targets))
+	for _, name := range targets {
+		drains[name] = true
+	}
+	r.locked(func(time.Time) {
+		r.drains = drains
+		for name, rec := range r.records {
+			r.redescribe(name, rec)
+		}
+	})
+}
+
+// isDrained reports whether a target is drained, according to the followed
+// control VM or to SetDrains.
+func (r *Roster) isDrained(rec *record, t *wire.TargetInfo) bool {
+	if r.options.Follow {
+		return rec.drained
+	}
+	return r.drains[t.GetName()]
+}
+
+// redescribe brings the target's description up to date with its drain.
+func (r *Roster) redescribe(name string, rec *record) {
+	target := describe(rec.target, rec.process, rec.silent, r.isDrained(rec, rec.target))
+	if target != rec.target {
+		rec.target = target
+		r.touch(name, rec)
+	}
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Roster) Changed() <-chan struct{} {
 	r.mu.Lock()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -125,3 +125,29 @@
 	require.True(t, ok)
 	require.EqualValues(t, 4, load.GetQueued())
 }
+
+// Guards P5: a drain must reach the readers without a heartbeat, end when it's
+// taken back, and not be taken over from a peer.
+func TestDrainReachesFollowers(t *testing.T) {
+	r, peer, entry := newRoster("e1", false), newRoster("e2", false), newRoster("entry", true)
+	leaving := func(r *roster.Roster) bool { return r.Targets("generators")[0].GetLeaving() }
+	last := &wire.RosterResponse{}
+	follow := func() bool {
+		last = r.Since(last.GetVersion(), last.GetEpoch())
+		entry.Merge(last)
+		return leaving(entry)
+	}
+	r.Announce(heartbeat("engine-1", "i1"))
+	require.False(t, follow())
+	changed := r.Changed()
+	r.SetDrains([]string{"engine-1"})
+	<-changed
+	require.True(t, follow())
+	peer.Merge(r.Since(0, ""))
+	require.False(t, leaving(peer))
+	r.Announce(heartbeat("engine-1", "i1"))
+	require.True(t, leaving(r))
+	r.SetDrains(nil)
+	require.False(t, follow())
+	require.Len(t, last.GetChanges(), 1)
+}
