commands: Add explain

Cause: an operator could not tell what happened to a request. Change: the entry records admission, dispatch, retries, hedges, claims, settling and what the caller was told; explain asks all entries and the durable state.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -112,6 +112,7 @@
 		&statusCommand{out: out},
 		&costsCommand{out: out},
 		&drainCommand{out: out},
+		&explainCommand{out: out},
 		&ordersCommand{out: out},
 	)
 	return root
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -29,6 +29,7 @@
 // HandleAdmin adds the operators' pages of this entry to its admin server.
 func (e *Entry) HandleAdmin(mux *http.ServeMux) {
 	mux.HandleFunc("GET /costs", e.serveCosts)
+	mux.HandleFunc("GET /records/{id}", e.serveRecord)
 }
 
 func (e *Entry) serveCosts(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -103,7 +103,7 @@
 		switch d := first.(type) {
 		case admission.Admitted:
 			e.o.Metrics.ObserveStage("queue_seconds", c.stage, c.class.Name(), d.Waited)
-			c.story.admitted(c.stage, d.Waited)
+			c.story.admitted(d.Waited)
 			return d.Ticket, nil
 		case admission.Refused:
 			return nil, &callError{reason: string(d.Reason), detail: refusalDetail(d)}
@@ -375,7 +375,7 @@
 	req.Idempotent = true
 	req.Stream = c.onToken != nil
 	req.CacheSeen = t.s.seen(choice.Target)
-	c.story.dispatched(c.stage, choice)
+	c.story.dispatched(c.stage, choice, req.GetAttempt())
 	began := t.e.o.Timers.Now()
 	end := t.e.attempts.Do(ctx, choice.Address, req, t.onToken)
 	return end, t.e.o.Timers.Since(began)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/cardamomline/cardamomline/internal/budget"
 	"github.com/cardamomline/cardamomline/internal/configwatch"
 	"github.com/cardamomline/cardamomline/internal/controlclient"
+	"github.com/cardamomline/cardamomline/internal/explain"
 	"github.com/cardamomline/cardamomline/internal/metrics"
 	"github.com/cardamomline/cardamomline/internal/roster"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -81,6 +82,7 @@
 	roster      *roster.Roster
 	attempts    *attempt.Client
 	customers   *admission.Customers
+	records     *explain.Recorder
 	estimator   *budget.Estimator
 	retries     atomic.Pointer[budget.Retries]
 	drains      atomic.Pointer[[]string]
@@ -112,6 +114,7 @@
 		roster:      roster.New(roster.Options{Timer: o.Timers, Epoch: attempt.NewID(), Follow: true}),
 		attempts:    attempt.NewClient(attempt.ClientOptions{Timers: o.Timers, Dial: o.Dial}),
 		customers:   admission.NewCustomers(),
+		records:     explain.New(explain.Options{Timer: o.Timers}),
 		estimator:   budget.NewEstimator(),
 		services:    make(map[string]*serviceState),
 		idle:        make(chan struct{}),
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -214,7 +214,7 @@
 	req.Attempt = claim.GetAttempt()
 	req.Incarnation = claim.GetIncarnation()
 	req.OrderId = o.orderID
-	o.c.story.dispatched(o.c.stage, choice)
+	o.c.story.dispatched(o.c.stage, choice, req.GetAttempt())
 	began := o.e.o.Timers.Now()
 	// The attempt outlives a caller that closes the connection, because its
 	// outcome must be recorded.
@@ -302,6 +302,13 @@
 	}
 }
 
+var outcomeNames = map[wire.OrderState]string{
+	wire.OrderState_ORDER_STATE_DONE:    outcomeDone,
+	wire.OrderState_ORDER_STATE_NOT_RUN: outcomeNotRun,
+	wire.OrderState_ORDER_STATE_UNKNOWN: outcomeUnknown,
+	wire.OrderState_ORDER_STATE_FAILED:  outcomeFailed,
+}
+
 // record commits an outcome. It returns nil when no control VM answered in time.
 func (o *orderRun) record(r *wire.OrderRecord, state wire.OrderState, result []byte, reason string) *wire.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
@@ -313,6 +320,9 @@
 		o.e.o.Metrics.Count("entry_outcomes_not_recorded", 1)
 		return nil
 	}
+	if res.GetRefusal() == "" {
+		o.c.story.settled(r.GetOrderId(), outcomeNames[state], reason)
+	}
 	return res
 }
 
@@ -388,7 +398,6 @@
 	if err != nil {
 		return o.unknown("the agent that was given the order does not answer"), false
 	}
-	o.c.story.settled(resp.GetState().String())
 	switch resp.GetState() {
 	case wire.SettleState_SETTLE_STATE_FINISHED:
 		return o.settleFinished(ctx, r, resp.GetResult()), true
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -131,7 +131,7 @@
 	if a.reason != "" {
 		e.o.Metrics.CountReason("reasons", a.reason)
 	}
-	r.story.told(a, took)
+	r.story.told(a)
 	return a
 }
 
--- a/internal/entry/story.go
+++ b/internal/entry/story.go
@@ -1,29 +1,75 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
+	"github.com/cardamomline/cardamomline/internal/explain"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
-// story records what happens to one request, for explain. A nil story records nothing.
-type story struct{}
+// story records what happens to one request, for explain.
+type story struct {
+	records *explain.Recorder
+	id      string
+}
 
-func (e *Entry) newStory(string) *story { return &story{} }
+func (e *Entry) newStory(id string) *story {
+	return &story{records: e.records, id: id}
+}
 
-func (s *story) accepted(*request, string) {}
+func (s *story) add(event explain.Event) {
+	s.records.Record(s.id, event)
+}
 
-func (s *story) admitted(string, time.Duration) {}
+func (s *story) accepted(r *request, what string) {
+	s.add(explain.NewAccepted(r.customer.Name(), what, r.class.Name(), r.deadline.Sub(r.began)))
+}
 
-func (s *story) dispatched(string, routing.Choice) {}
+func (s *story) admitted(waited time.Duration) {
+	s.add(explain.NewAdmitted(waited))
+}
 
-func (s *story) finished(string, *reply) {}
+func (s *story) dispatched(stage string, c routing.Choice, attempt string) {
+	s.add(explain.NewDispatched(stage, c.Target, c.FailureDomain, attempt))
+}
 
-func (s *story) retried(string, string, string) {}
+func (s *story) finished(stage string, r *reply) {
+	s.add(explain.NewFinished(stage, r.target, r.took))
+}
 
-func (s *story) claimed(*wire.ClaimOrder) {}
+func (s *story) retried(stage, target, reason string) {
+	s.add(explain.NewRetried(stage, target, reason))
+}
 
-func (s *story) settled(string) {}
+func (s *story) claimed(c *wire.ClaimOrder) {
+	s.add(explain.NewClaimed(c.GetOrderId(), c.GetAgent(), c.GetAttempt()))
+}
 
-func (s *story) told(*answer, time.Duration) {}
+func (s *story) settled(order, outcome, reason string) {
+	s.add(explain.NewSettled(order, outcome, reason))
+}
+
+func (s *story) told(a *answer) {
+	if a.outcome == outcomeNotRun {
+		s.add(explain.NewRefused(a.reason, a.detail))
+	}
+	s.add(explain.NewTold(a.outcome, a.reason))
+}
+
+// Record is the story of one request as an entry's admin page serves it.
+type Record struct {
+	Request string `json:"request"`
+	Entry   string `json:"entry"`
+	Text    string `json:"text"`
+}
+
+func (e *Entry) serveRecord(w http.ResponseWriter, r *http.Request) {
+	found, ok := e.records.Find(r.PathValue("id"))
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	writeJSON(w, Record{Request: found.Request(), Entry: e.o.Name, Text: found.Render(time.UTC)})
+}
