entry: Move streams off engines that are too slow to meet the deadline

Ejection was ruled out: it acts only after results, and these calls gave none. Change: the entry watches the time between tokens. A stream that can't finish in time, runs 2.5 times slower than usual, and could still finish elsewhere goes on at another engine from its last token. Engine calls are streamed to the entry also when the caller wants the whole answer, so that they resume as well. Hedges are told apart from retries in explain. Measured: TestSlowStreamMovesInTime fails without the watch (deadline exceeded at the slow engine) and passes with it, race detector included.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -28,6 +28,7 @@
 	reasonNoQuorum        = "no_quorum"
 	reasonLeaving         = "leaving"
 	reasonTooManyRequests = "too_many_requests"
+	reasonTooSlow         = "too_slow"
 )
 
 // call is one stage or service call.
@@ -57,10 +58,19 @@
 	// started tells that earlier stages of the request have run.
 	started bool
 	policy  manifest.Policy
+	// engine tells that the answer is a stream of tokens.
+	engine bool
+	// onToken receives the tokens when the caller asked for them.
 	onToken func(*wire.Token) error
 	story   *story
 }
 
+// streams reports whether the tokens are needed here: for the caller, or to watch
+// the progress of the call and to go on elsewhere from the last token.
+func (c *call) streams() bool {
+	return c.onToken != nil || c.engine && c.policy != manifest.PolicyBaseline
+}
+
 // reply is the result of a call.
 type reply struct {
 	output   []byte
@@ -198,6 +208,7 @@
 	tried []string
 	// tokens are the texts received so far; a retry resumes after them.
 	tokens   []string
+	pace     pace
 	attempts int
 	ran      bool
 }
@@ -277,7 +288,7 @@
 	}
 	d := t.e.retries.Load().Retry(budget.Attempt{
 		Service: t.c.service.Name(), Idempotent: true, Tried: t.attempts,
-		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Typical: t.c.typical, Cause: v.cause, Spare: t.s.queue.Spare(),
+		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Typical: t.typical(), Cause: v.cause, Spare: t.s.queue.Spare(),
 	})
 	if d.Allowed {
 		return nil
@@ -302,7 +313,7 @@
 // budget allows, a second one at another target. The first answer wins, and the
 // other attempt is canceled. A stream isn't hedged: its tokens come from one target.
 func (t *tries) sendHedged(ctx context.Context, choice routing.Choice) ended {
-	if t.c.hedgeAfter <= 0 || t.c.onToken != nil {
+	if t.c.hedgeAfter <= 0 || t.c.streams() {
 		end, latency := t.send(ctx, choice)
 		return ended{choice: choice, end: end, latency: latency}
 	}
@@ -352,7 +363,7 @@
 	t.attempts++
 	t.tried = append(t.tried, choice.Target)
 	t.e.o.Metrics.Count("entry_hedges", 1)
-	t.c.story.retried(t.c.stage, choice.Target, "hedge")
+	t.c.story.hedged(t.c.stage, choice.Target, t.c.hedgeAfter)
 	return choice, true
 }
 
@@ -373,10 +384,11 @@
 	req := t.e.newAttempt(c, choice, left)
 	req.FromOffset = int32(len(t.tokens))
 	req.Idempotent = true
-	req.Stream = c.onToken != nil
+	req.Stream = c.streams()
 	req.CacheSeen = t.s.seen(choice.Target)
 	c.story.dispatched(c.stage, choice, req.GetAttempt())
 	began := t.e.o.Timers.Now()
+	t.pace.restart(len(t.tokens))
 	end := t.e.attempts.Do(ctx, choice.Address, req, t.onToken)
 	return end, t.e.o.Timers.Since(began)
 }
@@ -408,7 +420,13 @@
 		return errors.Errorf("token at offset %d, expected %d", token.GetOffset(), len(t.tokens))
 	}
 	t.tokens = append(t.tokens, token.GetText())
-	return t.c.onToken(token)
+	t.pace.add(t.e.o.Timers.Now())
+	if t.c.onToken != nil {
+		if err := t.c.onToken(token); err != nil {
+			return err
+		}
+	}
+	return t.watchPace()
 }
 
 // judge reports the attempt's end to the pool and decides what follows.
@@ -449,9 +467,10 @@
 		output: r.GetOutput(), tokens: int(r.GetTokens()), target: choice.Target,
 		attempts: t.attempts, busy: time.Duration(r.GetBusyUs()) * time.Microsecond,
 	}
-	if t.c.onToken == nil || len(t.tokens) == 0 {
+	if len(t.tokens) == 0 {
 		return out
 	}
+	t.observePace()
 	out.output = nil
 	for _, token := range t.tokens {
 		out.output = append(out.output, token...)
@@ -488,6 +507,7 @@
 func (t *tries) judgeLost(ctx context.Context, end *attempt.Lost, latency time.Duration, finish func(routing.Outcome)) verdict {
 	t.ran = true
 	var foreign *attempt.ForeignError
+	var slow *slowError
 	switch {
 	case end.Silent():
 		t.e.o.Metrics.Count("entry_silent_connections", 1)
@@ -498,6 +518,10 @@
 		err := t.e.contextError(ctx)
 		err.mayHaveRun = true
 		return gaveUp{err: err, outcome: admission.Dropped{}}
+	case errors.As(end.Err(), &slow):
+		t.e.o.Metrics.Count("entry_streams_moved", 1)
+		finish(routing.Canceled{Ran: slow.took, Expected: slow.expected})
+		return tryAgain{reason: reasonTooSlow, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.SilentCall{}}
 	case errors.As(end.Err(), &foreign):
 		t.e.o.Metrics.Count("entry_foreign_answers_dropped", 1)
 	}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -134,7 +134,7 @@
 		policy: p.manifest.Policy(), story: p.story,
 	}
 	if service.Kind() == manifest.KindEngine {
-		c.prefix, c.maxTokens = p.prefix, p.maxTokens
+		c.prefix, c.maxTokens, c.engine = p.prefix, p.maxTokens, true
 	}
 	if service.Kind() == manifest.KindEngine || p.class.MayWait() {
 		// The time of an engine call depends on its length, so that its percentile
--- a/internal/entry/pipeline_test.go
+++ b/internal/entry/pipeline_test.go
@@ -208,3 +208,32 @@
 		require.Equal(t, http.StatusServiceUnavailable, code)
 	})
 }
+
+// Guards against an engine that is slow but not dead: its streams must go on at
+// another engine in time, without a lost or doubled token.
+func TestSlowStreamMovesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		defer s.stop()
+		s.pipelineTargets()
+		e := s.addEntry("entry-1")
+		time.Sleep(3 * time.Second)
+		body := map[string]any{"deadline_ms": 3000, "input": "x", "max_tokens": 100}
+		for range 10 {
+			_, a := e.post("/v1/pipelines/stem-answer", body)
+			require.Equal(t, "done", a.Outcome, a.Detail)
+		}
+		for _, target := range s.targets {
+			if target.Name() == "engine-1" {
+				require.NoError(t, target.SetFaults(standin.Faults{Slow: 10}))
+			}
+		}
+		before := s.attempts("generators")
+		for range 10 {
+			_, a := e.post("/v1/pipelines/stem-answer", body)
+			require.Equal(t, "done", a.Outcome, a.Detail)
+			require.Equal(t, standin.Text(standin.Origin("x"), a.RequestID, 0, 100), a.Output)
+		}
+		require.Greater(t, s.attempts("generators"), before+10, "no stream moved")
+	})
+}
--- a/internal/entry/story.go
+++ b/internal/entry/story.go
@@ -43,6 +43,10 @@
 	s.add(explain.NewRetried(stage, target, reason))
 }
 
+func (s *story) hedged(stage, target string, after time.Duration) {
+	s.add(explain.NewHedged(stage, target, after))
+}
+
 func (s *story) claimed(c *wire.ClaimOrder) {
 	s.add(explain.NewClaimed(c.GetOrderId(), c.GetAgent(), c.GetAttempt()))
 }
--- a/internal/explain/events.go
+++ b/internal/explain/events.go
@@ -79,6 +79,21 @@
 	return fmt.Sprintf("Stage %s is tried again because %s gave no result: %s.", e.stage, e.target, words(e.reason))
 }
 
+// Hedged says that a stage is also sent to a second target because the first takes long.
+type Hedged struct {
+	stage, target string
+	after         time.Duration
+}
+
+// NewHedged returns a Hedged with the second target and the time that the first had.
+func NewHedged(stage, target string, after time.Duration) Hedged {
+	return Hedged{stage: stage, target: target, after: after}
+}
+
+func (e Hedged) sentence(time.Duration) string {
+	return fmt.Sprintf("Stage %s had no answer after %s, so it is also sent to %s; the first answer counts.", e.stage, span(e.after), e.target)
+}
+
 // Refused says that the request wasn't taken on or was given up before it ran.
 type Refused struct{ reason, detail string }
 
