roster: Publish a new incarnation that has no description yet

Cause: a restarted process whose first heartbeat carries no description, or that has no target at all, got no new version, so readers kept the old incarnation until the next change. Change: the new incarnation is compared with the old announcement. The drain test fails at once instead of waiting when a drain wakes no reader. Conclusion: every restart is a change.

--- a/internal/ledger/manifests.go
+++ b/internal/ledger/manifests.go
@@ -25,9 +25,12 @@
 // apply is a compare-and-set on the newest revision. The first answer to a
 // change id, also a refusal, is kept and given to every resend.
 func (m *manifests) apply(at step, c *wire.ApplyManifest) *wire.Result {
-	if field := missing("change id", c.GetChangeId(), "operator", c.GetOperator(), "manifest", string(c.GetManifest())); field != "" {
+	if field := missing("change id", c.GetChangeId(), "operator", c.GetOperator()); field != "" {
 		return invalid(field)
 	}
+	if len(c.GetManifest()) == 0 {
+		return invalid("manifest")
+	}
 	hash := sha256.Sum256(c.GetManifest())
 	if first, ok := m.answers[c.GetChangeId()]; ok {
 		return repeatAnswer(first, hash)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -243,13 +243,13 @@
 	return h.GetTargetVersion() != 0 && rec.target.GetVersion() != h.GetTargetVersion()
 }
 
-// succeed makes the record that of a new incarnation, whose target isn't described yet.
+// succeed prepares the record for the announcement of a new incarnation, whose
+// target isn't described yet.
 func (r *record) succeed(now time.Time, p *wire.ProcessInfo, origin uint64) {
 	generation := r.top() + 1
 	r.replace(r.incarnation(), generation, now)
 	r.revive(p.GetIncarnation())
 	r.sequence = newSequence(generation, 0, origin)
-	r.process = p
 	r.target, r.load, r.rival = nil, nil, rival{}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -68,6 +68,14 @@
 		time.Sleep(4 * time.Second)
 		r.Announce(heartbeat("engine-1", "i1"))
 		require.Equal(t, "i2", r.Targets("generators")[0].GetIncarnation())
+
+		r.Announce(heartbeat("engine-1", "i2"))
+		next := heartbeat("engine-1", "i3")
+		next.Target = nil
+		before := r.Since(0, "").GetVersion()
+		require.True(t, r.Announce(next))
+		require.Greater(t, r.Since(0, "").GetVersion(), before, "a new incarnation isn't a change")
+		require.Empty(t, r.Targets("generators"), "a new incarnation has the old description")
 	})
 }
 
@@ -141,7 +149,11 @@
 	require.False(t, follow())
 	changed := r.Changed()
 	r.SetDrains([]string{"engine-1"})
-	<-changed
+	select {
+	case <-changed:
+	default:
+		require.Fail(t, "a drain wakes no reader")
+	}
 	require.True(t, follow())
 	peer.Merge(r.Since(0, ""))
 	require.False(t, leaving(peer))
