entry: Move streams that stall behind the agent

Change: a stream without a token for far longer than usual ends and goes on at another engine from its last token. The stream tests with a frozen engine and a silent engine connection fail with the bound off.

--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -255,7 +255,7 @@
 			c.HTTP(address).CloseIdleConnections()
 			return &Lost{err: &SilentError{address: address, bound: c.o.Silence}, silent: true, started: started}
 		case <-ctx.Done():
-			return &Lost{err: ctx.Err(), started: started}
+			return &Lost{err: context.Cause(ctx), started: started}
 		}
 	}
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -381,6 +381,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	t.pace.restart(t.e.o.Timers.Now())
+	if c.streams() {
+		var stalled context.CancelCauseFunc
+		ctx, stalled = context.WithCancelCause(ctx)
+		defer stalled(nil)
+		go t.watchStall(ctx, stalled)
+	}
 	req := t.e.newAttempt(c, choice, left)
 	req.FromOffset = int32(len(t.tokens))
 	req.Idempotent = true
@@ -388,7 +395,6 @@
 	req.CacheSeen = t.s.seen(choice.Target)
 	c.story.dispatched(c.stage, choice, req.GetAttempt())
 	began := t.e.o.Timers.Now()
-	t.pace.restart(len(t.tokens))
 	end := t.e.attempts.Do(ctx, choice.Address, req, t.onToken)
 	return end, t.e.o.Timers.Since(began)
 }
@@ -508,6 +514,7 @@
 	t.ran = true
 	var foreign *attempt.ForeignError
 	var slow *slowError
+	var stalled *stalledError
 	switch {
 	case end.Silent():
 		t.e.o.Metrics.Count("entry_silent_connections", 1)
@@ -522,6 +529,10 @@
 		t.e.o.Metrics.Count("entry_streams_moved", 1)
 		finish(routing.Canceled{Ran: slow.took, Expected: slow.expected})
 		return tryAgain{reason: reasonTooSlow, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.SilentCall{}}
+	case errors.As(end.Err(), &stalled):
+		t.e.o.Metrics.Count("entry_streams_stalled", 1)
+		finish(routing.Canceled{Ran: latency, Expected: t.c.expected})
+		return tryAgain{reason: reasonTooSlow, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.SilentCall{}}
 	case errors.As(end.Err(), &foreign):
 		t.e.o.Metrics.Count("entry_foreign_answers_dropped", 1)
 	}
--- a/internal/entry/pipeline_test.go
+++ b/internal/entry/pipeline_test.go
@@ -89,6 +89,10 @@
 	breaks := map[string]func(s *system, e *runningEntry){
 		"engine dies":      func(s *system, _ *runningEntry) { s.busyTarget("generators").Die() },
 		"connection quiet": func(_ *system, e *runningEntry) { e.data.generation.Add(1) },
+		"engine freezes": func(s *system, _ *runningEntry) {
+			require.NoError(s.t, s.busyTarget("generators").SetFaults(standin.Faults{Freeze: true}))
+		},
+		"engine's connection quiet": func(s *system, _ *runningEntry) { s.busyTarget("generators").Silence() },
 		"agent crashes": func(s *system, _ *runningEntry) {
 			name := s.busyTarget("generators").Name()
 			for _, a := range s.agents {
@@ -106,6 +110,9 @@
 				s.pipelineTargets()
 				e := s.addEntry("entry-1")
 				time.Sleep(3 * time.Second)
+				_, warm := e.stream(`{"deadline_ms": 15000, "input": "x", "max_tokens": 20}`)
+				require.Equal(t, "done", warm.Outcome)
+				before := s.attempts("generators")
 				var wg sync.WaitGroup
 				wg.Go(func() {
 					time.Sleep(400 * time.Millisecond)
@@ -123,7 +130,7 @@
 				require.Equal(t, last.Output, text)
 				origin := standin.Origin("when does the Carys berth?")
 				require.Equal(t, standin.Text(origin, last.RequestID, 0, 80), text)
-				require.Equal(t, 2, s.attempts("generators"), "the stream did not move")
+				require.Equal(t, before+2, s.attempts("generators"), "the stream did not move")
 			})
 		})
 	}
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -130,7 +130,10 @@
 	target, err := standin.New(o)
 	require.NoError(s.t, err)
 	require.NoError(s.t, target.Start(context.Background()))
-	s.stops = append(s.stops, target.Die)
+	s.stops = append(s.stops, func() {
+		_ = target.SetFaults(standin.Faults{})
+		target.Die()
+	})
 	s.targets = append(s.targets, target)
 	a := &runningAgent{s: s, o: agent.Options{
 		Timers: s.timers, Name: "agent-" + o.Name, TargetName: o.Name, Service: o.Service,
