--- a/internal/journal/errors.go
+++ b/internal/journal/errors.go
@@ -43,6 +43,23 @@
 	return fmt.Sprintf("journal %s failed: %v", e.operation, e.cause)
 }
 
+// LockedError reports that another process has the journal open.
+type LockedError struct {
+	folder string
+	cause  error
+}
+
+// Folder returns the journal's folder.
+func (e *LockedError) Folder() string { return e.folder }
+
+// Unwrap returns the cause.
+func (e *LockedError) Unwrap() error { return e.cause }
+
+// Error implements error.
+func (e *LockedError) Error() string {
+	return fmt.Sprintf("journal folder %s is in use by another process: %v", e.folder, e.cause)
+}
+
 // annotate wraps an error and keeps nil, which errors.Wrap doesn't.
 func annotate(err error, message string) error {
 	if err == nil {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -29,6 +29,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/afero"
@@ -37,6 +38,7 @@
 const (
 	filePrefix      = "generation-"
 	temporarySuffix = ".tmp"
+	lockName        = "lock"
 	folderMode      = 0o750
 	fileMode        = 0o640
 )
@@ -54,6 +56,7 @@
 	folder     string
 	files      afero.Fs
 	file       afero.File
+	lock       afero.File
 	generation uint64
 	sequence   uint64
 	contents   Contents
@@ -63,36 +66,83 @@
 }
 
 // Open reads the journal in a folder and makes it ready for Save. It fails with
-// a *CorruptError when acknowledged records may be missing, and with a
-// *FailedError when the torn tail can't be removed.
+// a *CorruptError when acknowledged records may be missing, with a *LockedError
+// while another process has the folder open, and with a *FailedError when the
+// torn tail can't be removed.
 func Open(o Options) (*Journal, error) {
 	if o.Files == nil {
 		o.Files = afero.NewOsFs()
 	}
-	j := &Journal{folder: o.Folder, files: o.Files}
-	if err := o.Files.MkdirAll(o.Folder, folderMode); err != nil {
-		return nil, errors.Wrap(err, "create journal folder")
+	j := &Journal{folder: filepath.Clean(o.Folder), files: o.Files}
+	if err := j.createFolder(); err != nil {
+		return nil, err
 	}
-	// The folder's own name must be durable too, or the whole journal is lost with it.
-	if err := j.syncFolder(filepath.Dir(filepath.Clean(o.Folder))); err != nil {
+	if err := j.lockFolder(); err != nil {
 		return nil, err
 	}
-	generations, err := j.list()
-	if err != nil {
+	if err := j.loadNewest(); err != nil {
+		_ = j.Close()
 		return nil, err
 	}
-	if len(generations) == 0 {
-		return j, nil
+	return j, nil
+}
+
+// createFolder creates the folder and makes the names of all new folders
+// durable, because the journal is lost with any of them.
+func (j *Journal) createFolder() error {
+	var parents []string
+	for p := filepath.Dir(j.folder); ; p = filepath.Dir(p) {
+		parents = append(parents, p)
+		if exists, err := afero.DirExists(j.files, p); err != nil || exists || p == filepath.Dir(p) {
+			break
+		}
 	}
-	if err := j.load(generations[len(generations)-1]); err != nil {
-		return nil, err
+	if err := j.files.MkdirAll(j.folder, folderMode); err != nil {
+		return errors.Wrap(err, "create journal folder")
 	}
-	for _, g := range generations[:len(generations)-1] {
-		if err := o.Files.Remove(j.path(g)); err != nil {
-			return nil, errors.Wrap(err, "remove old generation")
+	for _, p := range parents {
+		if err := j.syncFolder(p); err != nil {
+			return err
 		}
 	}
-	return j, nil
+	return nil
+}
+
+// lockFolder prevents two processes from writing to one journal, such as a
+// process that was frozen, was replaced and resumes. Only files of the operating
+// system can be locked.
+func (j *Journal) lockFolder() error {
+	f, err := j.files.OpenFile(filepath.Join(j.folder, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "open lock file")
+	}
+	j.lock = f
+	file, ok := f.(*os.File)
+	if !ok {
+		return nil
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return &LockedError{folder: j.folder, cause: err}
+	}
+	return nil
+}
+
+func (j *Journal) loadNewest() error {
+	generations, err := j.list()
+	if err != nil || len(generations) == 0 {
+		return err
+	}
+	newest := len(generations) - 1
+	if err := j.load(generations[newest]); err != nil {
+		return err
+	}
+	for _, g := range generations[:newest] {
+		if err := j.files.Remove(j.path(g)); err != nil {
+			return errors.Wrap(err, "remove old generation")
+		}
+	}
+	return nil
 }
 
 // Contents hands over what was read at Open. The journal doesn't keep it, because
@@ -128,17 +178,23 @@
 	return j.write(j.file)
 }
 
-// Close closes the file. Everything that Save acknowledged is durable already.
+// Close closes the files and releases the folder. Everything that Save
+// acknowledged is durable already.
 func (j *Journal) Close() error {
-	if j.file == nil {
-		return nil
-	}
-	err := j.file.Close()
-	j.file = nil
 	if j.failed == nil {
 		j.failed = &FailedError{operation: "write", cause: os.ErrClosed}
 	}
-	return annotate(err, "close journal")
+	var first error
+	for _, f := range []afero.File{j.file, j.lock} {
+		if f == nil {
+			continue
+		}
+		if err := f.Close(); first == nil {
+			first = err
+		}
+	}
+	j.file, j.lock = nil, nil
+	return annotate(first, "close journal")
 }
 
 func (j *Journal) encode(batches []Batch) error {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -25,6 +25,7 @@
 	writeErr, syncErr, renameErr error
 	short                        int // bytes that a failing write stores
 	syncs                        int
+	synced                       []string // names of synced files and folders
 }
 
 func (f *faultyFiles) OpenFile(name string, flag int, mode os.FileMode) (afero.File, error) {
@@ -59,6 +60,7 @@
 
 func (f *faultyFile) Sync() error {
 	f.f.syncs++
+	f.f.synced = append(f.f.synced, f.Name())
 	if f.f.syncErr != nil {
 		return f.f.syncErr
 	}
@@ -85,7 +87,7 @@
 		require.NoError(t, j.Save([]journal.Batch{{Entries: []*wire.LogEntry{entry(i, 1)}}}))
 	}
 	require.NoError(t, j.Close())
-	names, err := afero.Glob(files, "/data/*")
+	names, err := afero.Glob(files, "/data/generation-*")
 	require.NoError(t, err)
 	require.Len(t, names, 1)
 	data, err := afero.ReadFile(files, names[0])
@@ -230,6 +232,30 @@
 	require.Equal(t, 1, files.syncs-before)
 }
 
+// Guards against a power failure that removes a new data folder with its journal.
+func TestNewFoldersAreSynced(t *testing.T) {
+	files := &faultyFiles{Fs: afero.NewMemMapFs()}
+	require.NoError(t, files.MkdirAll("/a", 0o750))
+	_, err := journal.Open(journal.Options{Folder: "/a/b/data/", Files: files})
+	require.NoError(t, err)
+	require.Equal(t, []string{"/a/b", "/a"}, files.synced)
+}
+
+// Guards against two processes that write to one journal, when one was frozen,
+// was replaced and resumes.
+func TestSecondOpenIsRefused(t *testing.T) {
+	o := journal.Options{Folder: filepath.Join(t.TempDir(), "data")}
+	j, err := journal.Open(o)
+	require.NoError(t, err)
+	_, err = journal.Open(o)
+	var locked *journal.LockedError
+	require.ErrorAs(t, err, &locked)
+	require.NoError(t, j.Close())
+	j, err = journal.Open(o)
+	require.NoError(t, err)
+	require.NoError(t, j.Close())
+}
+
 // BenchmarkSave shows what group commit saves on files in a temporary folder.
 func BenchmarkSave(b *testing.B) {
 	for _, group := range []int{1, 16, 64, 256} {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -251,6 +251,9 @@
 // command may or may not commit. After a *StoppedError or the error of ctx it
 // may commit as well.
 func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	if n.life.Err() != nil {
+		return nil, n.stopError()
+	}
 	id, c := n.calls.open()
 	n.inbox.put(Propose{ID: id, Data: data})
 	return n.wait(ctx, id, c)
@@ -260,6 +263,9 @@
 // state machine has applied everything that was committed when Barrier was
 // called. Otherwise the error is a *NotLeaderError, a *StoppedError or that of ctx.
 func (n *Node) Barrier(ctx context.Context) error {
+	if n.life.Err() != nil {
+		return n.stopError()
+	}
 	id, c := n.calls.open()
 	n.inbox.put(Read{ID: id})
 	_, err := n.wait(ctx, id, c)
@@ -282,7 +288,7 @@
 
 // Deliver takes an envelope from another member. It doesn't block.
 func (n *Node) Deliver(e *wire.Envelope) {
-	if n.inbox.size() < maxQueuedEvents {
+	if n.life.Err() == nil && n.inbox.size() < maxQueuedEvents {
 		n.inbox.put(Receive{Envelope: e})
 	}
 }
