replica: Refuse to form a cluster with a repeated member

Cause: a VM that settings list under two addresses answers Hello at both, and would count as two voters, so that one disk could make a majority. Change: Bootstrap refuses a member list in which an id stands twice. Conclusion: such a cluster stays unformed until the settings are corrected.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -354,7 +354,7 @@
 }
 
 func (c *Core) onBootstrap(b Bootstrap) {
-	if !c.empty() {
+	if !c.empty() || !distinct(b.Members) {
 		return
 	}
 	c.cluster = b.Cluster
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -237,6 +237,16 @@
 	s.settle()
 }
 
+// Guards against a VM that is listed under two addresses and counts twice.
+func TestBootstrapRefusesRepeatedMember(t *testing.T) {
+	core, err := replica.NewCore(journal.Contents{State: journal.State{Member: "a"}}, replica.CoreOptions{})
+	require.NoError(t, err)
+	members := []*wire.Member{{Id: "a", Address: "1"}, {Id: "b", Address: "2"}, {Id: "b", Address: "3"}}
+	out, err := core.Step(replica.Bootstrap{Cluster: "c", Members: members})
+	require.NoError(t, err)
+	require.Nil(t, out.Write)
+}
+
 // Guards against a VM that votes or acknowledges under the id it had before it
 // lost its disk, and against a repair in any other order than: learner added,
 // dead member removed, learner promoted.
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -56,6 +56,16 @@
 	return memberConfig{members: members}
 }
 
+// distinct says whether no two members share an id. A VM that is listed under
+// two addresses would otherwise count twice in a majority.
+func distinct(members []*wire.Member) bool {
+	ids := map[string]bool{}
+	for _, m := range members {
+		ids[m.Id] = true
+	}
+	return len(ids) == len(members)
+}
+
 // config returns the newest member list, which is in force once it is in the log.
 func (c *Core) config() memberConfig { return c.configs[len(c.configs)-1] }
 
