capacity: Measure how cost grows with size

Cause: docs/design.md names a target size, but nothing measured what the system costs there.

Conclusion: the figures for docs/CAPACITY.md can be repeated by one command.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -111,6 +111,7 @@
 		&statusCommand{out: out},
 		&drainCommand{out: out},
 		&ordersCommand{out: out},
+		&capacityCommand{out: out},
 	)
 	return root
 }
