capacity: Measure what changes leave in the leader's memory

Cause: each log entry of a change carries the whole manifest, and the log is truncated by number of entries.

Change: the group history applies 10, 40 and 120 changes with 24,000 customers and reads the leader's memory.

--- a/internal/capacity/study.go
+++ b/internal/capacity/study.go
@@ -49,6 +49,7 @@
 		{"metrics", metricsGroup},
 		{"nodes", nodesGroup},
 		{"config", configGroup},
+		{"history", historyGroup},
 		{"commits", commitsGroup},
 		{"leases", leasesGroup},
 		{"requests", requestsGroup},
