--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -26,6 +26,10 @@
 	reserveMost = 0.8
 	// reserveHalfLife is how fast the reserve falls without urgent calls.
 	reserveHalfLife = 10 * time.Second
+	// waitMargin scales the expected wait of urgent calls. Without it, an
+	// overloaded queue starts every call at the last moment, and those that take
+	// longer than expected run in vain.
+	waitMargin = 2
 	// stretchWeight is the weight of one call in the average of actual over
 	// expected time.
 	stretchWeight = 0.05
@@ -38,12 +42,13 @@
 	Service   string
 	Policy    Policy // Adaptive when nil
 	Slots     int    // calls that the targets can work on together, for this entry; 0 is unknown
-	MaxQueued int    // 10000
+	MaxQueued int    // 10000; see full
 }
 
 // Queue admits the calls of one entry to one service.
 type Queue struct {
 	mu        sync.Mutex
+	service   string
 	policy    Policy
 	maxQueued int
 	limiter   limiter
@@ -54,13 +59,14 @@
 	reserveAt   time.Time
 	stretch     float64 // actual over expected time
 
-	levels    [priorities]level
-	deadlines ticketHeap
-	customers map[string]*customer
-	weights   float64 // of the customers with waiting calls
-	virtual   float64
-	sequence  uint64
-	idle      idleList
+	levels     [priorities]level
+	deadlines  ticketHeap
+	customers  map[string]*customer
+	weights    float64 // of the customers with waiting calls
+	virtual    float64
+	sequence   uint64
+	dispatched uint64
+	idle       idleList
 }
 
 // NewQueue returns an empty Queue.
@@ -72,6 +78,7 @@
 		o.MaxQueued = defaultMaxQueued
 	}
 	q := &Queue{
+		service:   o.Service,
 		policy:    o.Policy,
 		maxQueued: o.MaxQueued,
 		limiter:   newLimiter(o.Slots),
@@ -94,6 +101,7 @@
 
 // Status is a Queue's state for metrics and explanations.
 type Status struct {
+	Service   string
 	Limit     int
 	InFlight  int
 	Waiting   int
@@ -106,6 +114,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return Status{
+		Service:   q.service,
 		Limit:     q.limiter.value(),
 		InFlight:  q.inFlight,
 		Waiting:   q.deadlines.Len(),
@@ -119,7 +128,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r = r.normalized()
-	q.sweep(now)
+	q.sweep(sweepsPerCall, now)
 	if _, ok := q.policy.(Baseline); ok {
 		return q.admit(q.ticket(r, now), now)
 	}
@@ -136,13 +145,17 @@
 }
 
 func (q *Queue) refusal(r Request, wait time.Duration, now time.Time) (Refused, bool) {
-	if q.deadlines.Len() >= q.maxQueued {
+	if q.full(r) {
 		return Refused{Reason: ReasonQueueFull, ExpectedWait: wait, RetryAfter: wait}, true
 	}
-	if r.Started {
-		wait = 0
+	counted := wait
+	switch {
+	case r.Started:
+		counted = 0
+	case r.Priority < deferrable:
+		counted *= waitMargin
 	}
-	late := now.Add(wait + r.Needs).Sub(r.Deadline)
+	late := now.Add(counted + r.Needs).Sub(r.Deadline)
 	if late <= 0 {
 		return Refused{}, false
 	}
@@ -153,6 +166,21 @@
 	return refused, true
 }
 
+// full reports whether the queue has no room for a call. When it is full, each
+// customer still has its share of the places, so that one customer's backlog
+// doesn't shut out others; the queue holds at most twice its size and one call
+// of each customer. Calls of requests that have started always have room.
+func (q *Queue) full(r Request) bool {
+	if r.Started || q.deadlines.Len() < q.maxQueued {
+		return false
+	}
+	c, ok := q.customers[r.Customer]
+	if !ok || c.waiting == 0 {
+		return false
+	}
+	return float64(c.waiting+1) > float64(q.maxQueued)*c.weight/q.weights
+}
+
 func (q *Queue) ticket(r Request, now time.Time) *Ticket {
 	q.sequence++
 	return &Ticket{
@@ -264,40 +292,14 @@
 	return priority < deferrable || q.deferred < limit-q.reserve(now)
 }
 
-// ExpectedWait returns how long a call would wait for its slot.
-func (q *Queue) ExpectedWait(r Request, now time.Time) time.Duration {
+// spareUse is the share of the limit below which a service has spare capacity.
+const spareUse = 0.8
+
+// Spare reports whether the service has capacity that no call waits for.
+func (q *Queue) Spare() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, ok := q.policy.(Baseline); ok {
-		return 0
-	}
-	return q.expectedWait(r.normalized(), now)
-}
-
-// expectedWait is zero when the call can start now. Otherwise it is the smaller
-// of two bounds: the work of all calls that are as urgent, and the customer's
-// own work at its fair share. The second keeps one customer's backlog from
-// refusing another's calls.
-func (q *Queue) expectedWait(r Request, now time.Time) time.Duration {
-	ahead, own := 0.0, 0.0
-	c := q.customers[r.Customer]
-	for p := range r.Priority + 1 {
-		ahead += q.levels[p].cost
-		if c != nil {
-			own += c.cost[p]
-		}
-	}
-	if ahead == 0 && q.free(r.Priority, now) {
-		return 0
-	}
-	limit := float64(q.limiter.value())
-	weights := q.weights
-	if c == nil || c.waiting == 0 {
-		weights += r.Weight
-	}
-	fair := (own + cost(r)) * weights / r.Weight
-	seconds := min(ahead+cost(r), fair) / limit * q.stretch
-	return max(time.Duration(seconds*float64(time.Second)), 1)
+	return q.deadlines.Len() == 0 && float64(q.inFlight) < spareUse*q.limiter.limit
 }
 
 // Finish ends an admitted call and returns decisions on waiting ones.
@@ -322,9 +324,9 @@
 func (q *Queue) learn(t *Ticket, o Outcome, now time.Time) {
 	switch o := o.(type) {
 	case Completed:
-		ratio := o.Latency.Seconds() / t.cost()
-		q.limiter.observe(ratio, q.inFlight, now)
-		q.stretch += stretchWeight * (ratio - q.stretch)
+		ratio, exact := o.ratio(t.cost())
+		q.limiter.observe(ratio, exact, q.inFlight, now)
+		q.stretch += stretchWeight * (o.Latency.Seconds()/t.cost() - q.stretch)
 	case Overloaded:
 		q.limiter.overloaded(now)
 	case Dropped:
@@ -362,7 +364,7 @@
 func (q *Queue) Expire(now time.Time) []Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.sweep(now)
+	q.sweep(sweepsPerTick, now)
 	return q.dispatch(now)
 }
 
@@ -382,15 +384,19 @@
 		}
 		t := l.customers[0].waits[l.priority].first()
 		q.charge(l, t, now)
+		l.drained += t.cost()
+		q.dispatched++
+		l.served = q.dispatched
 		q.dequeue(t)
 		decisions = append(decisions, q.admit(t, now))
 	}
 }
 
 // nextLevel returns the most urgent level that may start a call, or a less
-// urgent one that is owed slot time.
+// urgent one that is owed slot time. Of several it takes the one that was served
+// longest ago, because few slots could otherwise all go to the first of them.
 func (q *Queue) nextLevel(now time.Time) *level {
-	var urgent *level
+	var urgent, owed *level
 	for i := range q.levels {
 		l := &q.levels[i]
 		if len(l.customers) == 0 || !q.free(i, now) {
@@ -400,10 +406,14 @@
 			urgent = l
 			continue
 		}
-		if l.credit >= l.customers[0].waits[i].first().cost() {
-			return l
+		enough := l.credit >= l.customers[0].waits[i].first().cost()
+		if enough && (owed == nil || l.served < owed.served) {
+			owed = l
 		}
 	}
+	if owed != nil {
+		return owed
+	}
 	return urgent
 }
 
@@ -438,8 +448,9 @@
 	return &q.levels[t.request.Priority]
 }
 
-func (q *Queue) sweep(now time.Time) {
-	for range sweepsPerCall {
+// sweep forgets customers that have been idle.
+func (q *Queue) sweep(most int, now time.Time) {
+	for range most {
 		name, mark, ok := q.idle.next(now)
 		if !ok {
 			return
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -136,10 +136,31 @@
 			"finish":   m.finish,
 			"withdraw": m.withdraw,
 			"expire": func(t *rapid.T) {
-				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "late tick") {
+					return
+				}
 				m.decideAll(t, m.queue.Expire(m.now))
+				for ticket := range m.waiting {
+					require.False(t, m.now.After(ticket.latestStart), "a call that can't finish still waits")
+				}
 			},
 			"": m.check,
 		})
 	})
 }
+
+// TestUrgentCallsKeepSlack guards against urgent calls that are accepted to start
+// at the last moment, where those that take a little longer run in vain.
+func TestUrgentCallsKeepSlack(t *testing.T) {
+	q := NewQueue(Options{Slots: 1})
+	r := Request{Customer: "first", Expected: serviceTime, Deadline: testStart.Add(time.Second)}
+	require.IsType(t, Admitted{}, q.Offer(r, testStart))
+	r = Request{Customer: "second", Expected: serviceTime, Deadline: testStart.Add(250 * time.Millisecond)}
+	d, ok := q.Offer(r, testStart).(Refused)
+	require.True(t, ok)
+	require.Equal(t, ReasonNotEnoughTime, d.Reason)
+	require.Equal(t, serviceTime, d.ExpectedWait)
+	r.Priority = deferrable
+	require.IsType(t, Queued{}, q.Offer(r, testStart))
+}
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -106,10 +106,13 @@
 		&devCommand{},
 		&standinCommand{},
 		&loadCommand{out: out},
+		&experimentCommand{out: out},
 		&manifestCommand{out: out},
 		&settingsCommand{out: out},
 		&statusCommand{out: out},
+		&costsCommand{out: out},
 		&drainCommand{out: out},
+		&explainCommand{out: out},
 		&ordersCommand{out: out},
 		&capacityCommand{out: out},
 	)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -28,6 +28,7 @@
 	reasonNoQuorum        = "no_quorum"
 	reasonLeaving         = "leaving"
 	reasonTooManyRequests = "too_many_requests"
+	reasonTooSlow         = "too_slow"
 )
 
 // call is one stage or service call.
@@ -45,18 +46,31 @@
 	deadline  time.Time
 	// key names the call in the estimator.
 	key string
-	// expected is how long the call takes, needs the time from its start to the
-	// end of the whole request, and limit the longest time to give it.
+	// expected is how long the call takes on average, typical the same to the end
+	// of the whole request, and needs the 90th percentile of that.
 	expected time.Duration
+	typical  time.Duration
 	needs    time.Duration
-	limit    time.Duration
+	// limit is the longest time to give the call; hedgeAfter is when a second
+	// attempt may start beside the first. Neither applies when zero.
+	limit      time.Duration
+	hedgeAfter time.Duration
 	// started tells that earlier stages of the request have run.
 	started bool
 	policy  manifest.Policy
+	// engine tells that the answer is a stream of tokens.
+	engine bool
+	// onToken receives the tokens when the caller asked for them.
 	onToken func(*wire.Token) error
 	story   *story
 }
 
+// streams reports whether the tokens are needed here: for the caller, or to watch
+// the progress of the call and to go on elsewhere from the last token.
+func (c *call) streams() bool {
+	return c.onToken != nil || c.engine && c.policy != manifest.PolicyBaseline
+}
+
 // reply is the result of a call.
 type reply struct {
 	output   []byte
@@ -99,7 +113,7 @@
 		switch d := first.(type) {
 		case admission.Admitted:
 			e.o.Metrics.ObserveStage("queue_seconds", c.stage, c.class.Name(), d.Waited)
-			c.story.admitted(c.stage, d.Waited)
+			c.story.admitted(d.Waited)
 			return d.Ticket, nil
 		case admission.Refused:
 			return nil, &callError{reason: string(d.Reason), detail: refusalDetail(d)}
@@ -161,6 +175,10 @@
 	e.retries.Load().Request(c.service.Name())
 	t := &tries{e: e, s: s, c: c}
 	r, outcome, err := t.run(ctx)
+	if done, ok := outcome.(admission.Completed); ok {
+		done.Latency = e.o.Timers.Since(began)
+		outcome = done
+	}
 	deliver(s.queue.Finish(ticket, outcome, e.o.Timers.Now()))
 	if err != nil {
 		return nil, err
@@ -168,11 +186,20 @@
 	r.took = e.o.Timers.Since(began)
 	e.estimator.Observe(c.key, r.took, e.o.Timers.Now())
 	e.o.Metrics.ObserveStage("stage_seconds", c.stage, c.class.Name(), r.took)
-	e.o.Metrics.CountCost("busy_microseconds", c.customer.Name(), c.stage, r.busy.Microseconds())
-	e.o.Metrics.CountCost("tokens", c.customer.Name(), c.stage, int64(r.tokens))
+	e.o.Metrics.CountCost(busyCounter, c.customer.Name(), c.stage, r.busy.Microseconds())
+	e.o.Metrics.CountCost(tokenCounter, c.customer.Name(), c.stage, int64(r.tokens))
 	return r, nil
 }
 
+// pathAllowance is the part of an attempt's time that the path between entry and
+// target may take. Without it, a call of 2 ms would look as if it had queued.
+const pathAllowance = 5 * time.Millisecond
+
+// completed tells the admission queue of an attempt that gave the answer.
+func completed(latency, busy time.Duration) admission.Completed {
+	return admission.Completed{Latency: latency, Attempt: max(latency-pathAllowance, busy), Busy: busy}
+}
+
 // tries are the attempts of one call.
 type tries struct {
 	e     *Entry
@@ -181,6 +208,7 @@
 	tried []string
 	// tokens are the texts received so far; a retry resumes after them.
 	tokens   []string
+	pace     pace
 	attempts int
 	ran      bool
 }
@@ -188,19 +216,21 @@
 func (t *tries) run(ctx context.Context) (*reply, admission.Outcome, error) {
 	for {
 		now := t.e.o.Timers.Now()
-		choice, err := t.s.pool.Pick(routing.Request{
-			Model: t.c.model, Prefix: t.c.prefix, Exclude: t.tried, MayProbe: t.attempts == 0,
-		}, now)
+		choice, err := t.pick(now)
 		if err != nil {
 			return nil, admission.Dropped{}, t.fail(reasonNoTarget, err.Error())
 		}
 		t.attempts++
 		t.tried = append(t.tried, choice.Target)
-		end, latency := t.send(ctx, choice)
-		next := t.judge(ctx, choice, end, latency)
+		tried := t.sendHedged(ctx, choice)
+		choice, latency := tried.choice, tried.latency
+		next := t.judge(ctx, choice, tried.end, latency)
+		if _, ok := next.(answered); !ok && t.ran {
+			t.e.o.Metrics.CountCost(wastedCounter, t.c.customer.Name(), t.c.stage, latency.Microseconds())
+		}
 		switch next := next.(type) {
 		case answered:
-			return next.reply, admission.Completed{Latency: latency}, nil
+			return next.reply, completed(latency, next.reply.busy), nil
 		case gaveUp:
 			return nil, next.outcome, next.err
 		case tryAgain:
@@ -212,6 +242,19 @@
 	}
 }
 
+// pick chooses a target that was not tried. When all were, only the last one is
+// left out: one that was full or failed once may answer now.
+func (t *tries) pick(now time.Time) (routing.Choice, error) {
+	r := routing.Request{Model: t.c.model, Prefix: t.c.prefix, Exclude: t.tried, MayProbe: t.attempts == 0}
+	choice, err := t.s.pool.Pick(r, now)
+	var shortage *routing.NoTargetError
+	if errors.As(err, &shortage) && shortage.Shortage() == routing.ShortageAllExcluded {
+		r.Exclude = t.tried[len(t.tried)-1:]
+		return t.s.pool.Pick(r, now)
+	}
+	return choice, err
+}
+
 // verdict is what follows from the end of one attempt: answered, gaveUp or tryAgain.
 type verdict interface{ isVerdict() }
 
@@ -245,7 +288,7 @@
 	}
 	d := t.e.retries.Load().Retry(budget.Attempt{
 		Service: t.c.service.Name(), Idempotent: true, Tried: t.attempts,
-		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Needs: t.c.needs, Cause: v.cause,
+		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Typical: t.typical(), Cause: v.cause, Spare: t.s.queue.Spare(),
 	})
 	if d.Allowed {
 		return nil
@@ -254,6 +297,81 @@
 	return t.fail(v.reason, fmt.Sprintf("%s; not tried again: %s", v.detail, d.Reason))
 }
 
+// ended is one attempt that came to its end.
+type ended struct {
+	choice  routing.Choice
+	end     attempt.End
+	latency time.Duration
+}
+
+func (d ended) answered() bool {
+	f, ok := d.end.(*attempt.Finished)
+	return ok && f.Result().GetError() == ""
+}
+
+// sendHedged makes an attempt and, when it takes unusually long and the hedge
+// budget allows, a second one at another target. The first answer wins, and the
+// other attempt is canceled. A stream isn't hedged: its tokens come from one target.
+func (t *tries) sendHedged(ctx context.Context, choice routing.Choice) ended {
+	if t.c.hedgeAfter <= 0 || t.c.streams() {
+		end, latency := t.send(ctx, choice)
+		return ended{choice: choice, end: end, latency: latency}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan ended, 2)
+	start := func(choice routing.Choice) {
+		end, latency := t.send(ctx, choice)
+		results <- ended{choice: choice, end: end, latency: latency}
+	}
+	go start(choice)
+	select {
+	case first := <-results:
+		cancel()
+		return first
+	case <-t.e.o.Timers.After(t.c.hedgeAfter):
+		t.s.pool.Overdue(choice, t.c.hedgeAfter, t.c.expected)
+	}
+	second, ok := t.pickHedge()
+	if !ok {
+		defer cancel()
+		return <-results
+	}
+	go start(second)
+	first := <-results
+	if first.answered() {
+		t.e.background.Go(func() { t.dropLoser(<-results) })
+		cancel()
+		return first
+	}
+	defer cancel()
+	t.judge(ctx, first.choice, first.end, first.latency)
+	return <-results
+}
+
+func (t *tries) pickHedge() (routing.Choice, bool) {
+	d := t.e.retries.Load().Hedge(budget.Attempt{
+		Service: t.c.service.Name(), Idempotent: true, Tried: t.attempts,
+		Left: t.c.deadline.Sub(t.e.o.Timers.Now()), Typical: t.c.typical, Spare: t.s.queue.Spare(),
+	})
+	if !d.Allowed {
+		return routing.Choice{}, false
+	}
+	choice, err := t.s.pool.Pick(routing.Request{Model: t.c.model, Prefix: t.c.prefix, Exclude: t.tried}, t.e.o.Timers.Now())
+	if err != nil {
+		return routing.Choice{}, false
+	}
+	t.attempts++
+	t.tried = append(t.tried, choice.Target)
+	t.e.o.Metrics.Count("entry_hedges", 1)
+	t.c.story.hedged(t.c.stage, choice.Target, t.c.hedgeAfter)
+	return choice, true
+}
+
+// dropLoser reports the attempt that was canceled because the other one answered first.
+func (t *tries) dropLoser(d ended) {
+	t.s.pool.Finish(d.choice, routing.Canceled{Ran: d.latency, Expected: t.c.expected}, t.e.o.Timers.Now())
+}
+
 // send makes one attempt at the chosen target.
 func (t *tries) send(ctx context.Context, choice routing.Choice) (attempt.End, time.Duration) {
 	c := t.c
@@ -266,9 +384,11 @@
 	req := t.e.newAttempt(c, choice, left)
 	req.FromOffset = int32(len(t.tokens))
 	req.Idempotent = true
-	req.Stream = c.onToken != nil
-	c.story.dispatched(c.stage, choice)
+	req.Stream = c.streams()
+	req.CacheSeen = t.s.seen(choice.Target)
+	c.story.dispatched(c.stage, choice, req.GetAttempt())
 	began := t.e.o.Timers.Now()
+	t.pace.restart(len(t.tokens))
 	end := t.e.attempts.Do(ctx, choice.Address, req, t.onToken)
 	return end, t.e.o.Timers.Since(began)
 }
@@ -300,7 +420,13 @@
 		return errors.Errorf("token at offset %d, expected %d", token.GetOffset(), len(t.tokens))
 	}
 	t.tokens = append(t.tokens, token.GetText())
-	return t.c.onToken(token)
+	t.pace.add(t.e.o.Timers.Now())
+	if t.c.onToken != nil {
+		if err := t.c.onToken(token); err != nil {
+			return err
+		}
+	}
+	return t.watchPace()
 }
 
 // judge reports the attempt's end to the pool and decides what follows.
@@ -311,12 +437,12 @@
 	case *attempt.Finished:
 		return t.judgeResult(choice, end.Result(), latency, finish)
 	case *attempt.Refused:
-		return t.judgeRefusal(choice, end.Refusal(), finish)
+		return t.judgeRefusal(ctx, choice, end.Refusal(), finish)
 	case *attempt.NotSent:
 		finish(routing.Failure{})
 		return tryAgain{reason: reasonConnectionLost, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.RefusedCall{Retryable: true}}
 	case *attempt.Lost:
-		return t.judgeLost(ctx, end, finish)
+		return t.judgeLost(ctx, end, latency, finish)
 	}
 	return gaveUp{err: t.fail(reasonTargetFailed, "unknown end of an attempt"), outcome: admission.Dropped{}}
 }
@@ -341,9 +467,10 @@
 		output: r.GetOutput(), tokens: int(r.GetTokens()), target: choice.Target,
 		attempts: t.attempts, busy: time.Duration(r.GetBusyUs()) * time.Microsecond,
 	}
-	if t.c.onToken == nil || len(t.tokens) == 0 {
+	if len(t.tokens) == 0 {
 		return out
 	}
+	t.observePace()
 	out.output = nil
 	for _, token := range t.tokens {
 		out.output = append(out.output, token...)
@@ -352,7 +479,7 @@
 	return out
 }
 
-func (t *tries) judgeRefusal(choice routing.Choice, r *wire.Refused, finish func(routing.Outcome)) verdict {
+func (t *tries) judgeRefusal(ctx context.Context, choice routing.Choice, r *wire.Refused, finish func(routing.Outcome)) verdict {
 	t.e.report(t.s, choice.Target, r.GetLoad())
 	t.e.o.Metrics.CountReason("entry_agent_refusals", r.GetReason())
 	again := tryAgain{reason: r.GetReason(), detail: r.GetDetail(), outcome: admission.Dropped{}, cause: budget.RefusedCall{Retryable: r.GetRetryable()}}
@@ -366,7 +493,7 @@
 	case attempt.ReasonStaleRevision:
 		again.cause = budget.LeavingCall{}
 		finish(routing.Canceled{})
-		t.e.learn(r.GetManifest())
+		t.e.learnFrom(ctx, choice.Address)
 		t.tried = t.tried[:len(t.tried)-1]
 	default:
 		finish(routing.Failure{})
@@ -377,19 +504,24 @@
 	return again
 }
 
-func (t *tries) judgeLost(ctx context.Context, end *attempt.Lost, finish func(routing.Outcome)) verdict {
+func (t *tries) judgeLost(ctx context.Context, end *attempt.Lost, latency time.Duration, finish func(routing.Outcome)) verdict {
 	t.ran = true
 	var foreign *attempt.ForeignError
+	var slow *slowError
 	switch {
 	case end.Silent():
 		t.e.o.Metrics.Count("entry_silent_connections", 1)
 		finish(routing.SilentConnection{})
 		return tryAgain{reason: reasonConnectionLost, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.SilentCall{}}
 	case ctx.Err() != nil:
-		finish(routing.Canceled{})
+		finish(routing.Canceled{Ran: latency, Expected: t.c.expected})
 		err := t.e.contextError(ctx)
 		err.mayHaveRun = true
 		return gaveUp{err: err, outcome: admission.Dropped{}}
+	case errors.As(end.Err(), &slow):
+		t.e.o.Metrics.Count("entry_streams_moved", 1)
+		finish(routing.Canceled{Ran: slow.took, Expected: slow.expected})
+		return tryAgain{reason: reasonTooSlow, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.SilentCall{}}
 	case errors.As(end.Err(), &foreign):
 		t.e.o.Metrics.Count("entry_foreign_answers_dropped", 1)
 	}
@@ -402,6 +534,7 @@
 	if load == nil {
 		return
 	}
+	s.learnCache(target, load, e.o.Timers.Now())
 	s.pool.Report(target, routing.Load{
 		Queued:   int(load.GetQueued()),
 		Running:  int(load.GetRunning()),
@@ -411,9 +544,16 @@
 	}, e.o.Timers.Now())
 }
 
-// learn takes a newer configuration from an agent's refusal.
-func (e *Entry) learn(record *wire.ManifestRecord) {
-	if err := e.o.Config.Offer(record); err != nil {
-		e.o.Metrics.Count("entry_bad_manifests", 1)
+// learnFrom takes a newer configuration from the agent that refused this one.
+func (e *Entry) learnFrom(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, settleCall)
+	defer cancel()
+	client := wire.NewAgentProtobufClient("http://"+address, e.attempts.HTTP(address))
+	resp, err := client.Config(ctx, &wire.ConfigRequest{KnownRevision: e.o.Config.Revision(), Process: e.o.Name})
+	if err == nil {
+		err = e.o.Config.Offer(resp.GetManifest())
+	}
+	if err != nil {
+		e.o.Metrics.Count("entry_config_from_agent_failures", 1)
 	}
 }
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cardamomline/cardamomline/internal/admission"
 	"github.com/cardamomline/cardamomline/internal/budget"
 	"github.com/cardamomline/cardamomline/internal/configwatch"
+	"github.com/cardamomline/cardamomline/internal/roster"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/wire"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
@@ -31,6 +33,42 @@
 	name  string
 	pool  *routing.Pool
 	queue *admission.Queue
+
+	mu sync.Mutex
+	// cacheSeen is the number of the last cache event by target.
+	cacheSeen map[string]uint64
+}
+
+func (s *serviceState) seen(target string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cacheSeen[target]
+}
+
+// learnCache hands the cache events of a report to the pool, each once.
+func (s *serviceState) learnCache(target string, load *wire.LoadReport, now time.Time) {
+	events := load.GetCacheEvents()
+	if len(events) == 0 {
+		return
+	}
+	first := load.GetCacheFirst()
+	last := first + uint64(len(events)) - 1
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.cacheSeen[target]
+	if last <= seen {
+		return
+	}
+	if first <= seen {
+		events = events[seen+1-first:]
+		first = seen + 1
+	}
+	s.cacheSeen[target] = last
+	list := make([]routing.CacheEvent, 0, len(events))
+	for _, e := range events {
+		list = append(list, routing.CacheEvent{Prefix: e.GetPrefix(), Evicted: e.GetEvicted(), Age: time.Duration(e.GetAgeMs()) * time.Millisecond})
+	}
+	s.pool.CacheEvents(target, first, list, now)
 }
 
 // service returns the state of a service and makes it on first use.
@@ -46,7 +84,7 @@
 		o.Policy = routing.Baseline{}
 		ao.Policy = admission.Baseline{}
 	}
-	state := &serviceState{name: s.Name(), pool: routing.NewPool(o), queue: admission.NewQueue(ao)}
+	state := &serviceState{name: s.Name(), pool: routing.NewPool(o), queue: admission.NewQueue(ao), cacheSeen: make(map[string]uint64)}
 	e.services[s.Name()] = state
 	e.syncService(state)
 	return state
@@ -114,7 +152,6 @@
 	infos := e.roster.Targets(s.name)
 	keep := e.subset(infos)
 	targets := make([]routing.Target, 0, len(infos))
-	slots := 0
 	for _, t := range infos {
 		if keep != nil {
 			if _, ok := keep[t.GetName()]; !ok {
@@ -124,12 +161,9 @@
 		target := newTarget(t)
 		target.Leaving = target.Leaving || e.isDrained(t.GetName())
 		targets = append(targets, target)
-		if !target.Leaving && !target.Silent {
-			slots += target.Slots
-		}
 	}
 	s.pool.Sync(targets, e.o.Timers.Now())
-	s.queue.SetSlots(slots)
+	s.queue.SetSlots(e.slotShare(s.pool.Slots()))
 }
 
 func (e *Entry) isDrained(target string) bool {
@@ -137,6 +171,14 @@
 	return drains != nil && slices.Contains(*drains, target)
 }
 
+// slotShare is this entry's share of the slots of a service, and at least 1 of any.
+func (e *Entry) slotShare(slots int) int {
+	if slots == 0 {
+		return 0
+	}
+	return max(slots/len(e.liveEntries()), 1)
+}
+
 // subset returns the names of the targets that this entry works on, or nil for all.
 func (e *Entry) subset(infos []*wire.TargetInfo) map[string]struct{} {
 	if len(infos) <= subsetSize {
@@ -147,18 +189,20 @@
 		names = append(names, t.GetName())
 	}
 	keep := make(map[string]struct{}, subsetSize)
-	for _, name := range routing.Subset(e.o.Name, e.entries(), names, subsetSize) {
+	for _, name := range routing.Subset(e.o.Name, e.liveEntries(), names, subsetSize) {
 		keep[name] = struct{}{}
 	}
 	return keep
 }
 
-// entries returns the names of all entries in the roster, this one included.
-func (e *Entry) entries() []string {
+// liveEntries returns the names of the entries that take requests, this one included.
+func (e *Entry) liveEntries() []string {
 	names := []string{e.o.Name}
 	for _, p := range e.roster.Processes() {
-		if p.GetProcess().GetRole() == "entry" && p.GetProcess().GetName() != e.o.Name {
-			names = append(names, p.GetProcess().GetName())
+		info := p.GetProcess()
+		live := !info.GetLeaving() && time.Duration(p.GetSilentMs())*time.Millisecond < roster.DefaultSilence
+		if info.GetRole() == "entry" && info.GetName() != e.o.Name && live {
+			names = append(names, info.GetName())
 		}
 	}
 	return names
@@ -185,7 +229,7 @@
 	for {
 		ready, _ := e.Ready()
 		resp, err := e.o.Control.Heartbeat(ctx, &wire.HeartbeatRequest{Process: &wire.ProcessInfo{
-			Name: e.o.Name, Role: "entry", Incarnation: e.incarnation, Address: e.o.Address,
+			Name: e.o.Name, Role: "entry", Incarnation: e.incarnation, Address: e.o.Address, Admin: e.o.Admin,
 			FailureDomain: e.o.FailureDomain, Region: e.o.Region,
 			Revision: e.o.Config.Revision(), Leaving: e.leaving.Load(), Ready: ready,
 		}})
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -68,6 +68,10 @@
 	}
 	a, outcome := o.claimAndSend(ctx)
 	now := o.e.o.Timers.Now()
+	if done, ok := outcome.(admission.Completed); ok {
+		done.Latency = now.Sub(o.began)
+		outcome = done
+	}
 	deliver(o.s.queue.Finish(ticket, outcome, now))
 	if a.outcome == outcomeDone && !a.repeated {
 		o.e.estimator.Observe(o.c.key, now.Sub(o.began), now)
@@ -210,7 +214,7 @@
 	req.Attempt = claim.GetAttempt()
 	req.Incarnation = claim.GetIncarnation()
 	req.OrderId = o.orderID
-	o.c.story.dispatched(o.c.stage, choice)
+	o.c.story.dispatched(o.c.stage, choice, req.GetAttempt())
 	began := o.e.o.Timers.Now()
 	// The attempt outlives a caller that closes the connection, because its
 	// outcome must be recorded.
@@ -229,7 +233,10 @@
 	case *attempt.Refused:
 		r := end.Refusal()
 		o.s.pool.Finish(choice, refusalOutcome(r), now)
-		o.e.learn(r.GetManifest())
+		if r.GetReason() == attempt.ReasonStaleRevision {
+			o.e.learnFrom(ctx, choice.Address)
+			o.tried = o.tried[:len(o.tried)-1]
+		}
 		return o.notRun(claim, &callError{reason: r.GetReason(), detail: r.GetDetail()})
 	case *attempt.NotSent:
 		o.s.pool.Finish(choice, routing.Failure{}, now)
@@ -261,7 +268,7 @@
 	switch {
 	case r.GetError() == "":
 		o.s.pool.Finish(choice, routing.Success{Latency: latency, Expected: o.c.expected}, now)
-		return sent{answer: o.recordResult(ctx, claimRecord(claim), r), outcome: admission.Completed{Latency: latency}}
+		return sent{answer: o.recordResult(ctx, claimRecord(claim), r), outcome: completed(latency, time.Duration(r.GetBusyUs())*time.Microsecond)}
 	case r.GetError() == agent.ErrorOverloaded:
 		o.s.pool.Finish(choice, routing.Overloaded{}, now)
 		return o.notRun(claim, &callError{reason: agent.ErrorOverloaded, detail: "the target's queue is full"})
@@ -295,6 +302,13 @@
 	}
 }
 
+var outcomeNames = map[wire.OrderState]string{
+	wire.OrderState_ORDER_STATE_DONE:    outcomeDone,
+	wire.OrderState_ORDER_STATE_NOT_RUN: outcomeNotRun,
+	wire.OrderState_ORDER_STATE_UNKNOWN: outcomeUnknown,
+	wire.OrderState_ORDER_STATE_FAILED:  outcomeFailed,
+}
+
 // record commits an outcome. It returns nil when no control VM answered in time.
 func (o *orderRun) record(r *wire.OrderRecord, state wire.OrderState, result []byte, reason string) *wire.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
@@ -306,6 +320,9 @@
 		o.e.o.Metrics.Count("entry_outcomes_not_recorded", 1)
 		return nil
 	}
+	if res.GetRefusal() == "" {
+		o.c.story.settled(r.GetOrderId(), outcomeNames[state], reason)
+	}
 	return res
 }
 
@@ -381,7 +398,6 @@
 	if err != nil {
 		return o.unknown("the agent that was given the order does not answer"), false
 	}
-	o.c.story.settled(resp.GetState().String())
 	switch resp.GetState() {
 	case wire.SettleState_SETTLE_STATE_FINISHED:
 		return o.settleFinished(ctx, r, resp.GetResult()), true
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -10,17 +11,8 @@
 // TickPeriod is how often Tick should be called.
 const TickPeriod = 250 * time.Millisecond
 
-const (
-	// choices is the number of random targets compared, each from the own
-	// failure domain and from all. Two avoid that entries with the same stale
-	// reports all choose the same target.
-	choices = 2
-	// localUse is the share of its slots up to which a target of the own failure
-	// domain is preferred. Above it, queueing would cost more than the distance.
-	localUse = 0.8
-	// localSlowness is how much slower a target of the own failure domain may be.
-	localSlowness = 1.25
-)
+// poolFailureWeight is the weight of one call in the pool's failure average.
+const poolFailureWeight = 0.01
 
 // Options configures a Pool. Zero fields take the defaults.
 type Options struct {
@@ -31,36 +23,6 @@
 	Health        HealthOptions
 }
 
-// Request describes the call that needs a target.
-type Request struct {
-	Model  string // model that the target must serve; any when empty
-	Prefix string // prompt prefix; none when empty
-	// Exclude names the targets already tried.
-	Exclude []string
-	// MayProbe tells that the call is idempotent and has time for a second
-	// attempt, so that it may probe an ejected target.
-	MayProbe bool
-}
-
-// Choice is a chosen target. It must be passed to Pool.Finish exactly once.
-type Choice struct {
-	Target        string
-	Address       string
-	Incarnation   string
-	FailureDomain string
-	Reason        Reason
-	// Load is the estimated number of calls at the target, and Slots what it
-	// can work on at the same time.
-	Load  float64
-	Slots float64
-	// Compared is the best target not chosen; empty when there was none.
-	Compared string
-
-	ref   *target
-	epoch uint64
-	probe bool
-}
-
 // group holds the usable targets that serve one model.
 type group struct {
 	all   []*target
@@ -85,7 +47,8 @@
 	next       uint64 // round robin position
 	median     float64
 	meanOthers float64
-	affinity   *affinity
+	failures   float64 // share of failed calls, averaged over all targets
+	affinity   affinity
 	scratch    []*target
 }
 
@@ -95,15 +58,14 @@
 		o.Policy = Adaptive{}
 	}
 	return &Pool{
-		service:  o.Service,
-		domain:   o.FailureDomain,
-		policy:   o.Policy,
-		rng:      rand.New(rand.NewPCG(o.Seed, 0)),
-		health:   o.Health.withDefaults(),
-		targets:  map[string]*target{},
-		groups:   map[string]*group{},
-		median:   1,
-		affinity: newAffinity(),
+		service: o.Service,
+		domain:  o.FailureDomain,
+		policy:  o.Policy,
+		rng:     rand.New(rand.NewPCG(o.Seed, 0)),
+		health:  o.Health.withDefaults(),
+		targets: map[string]*target{},
+		groups:  map[string]*group{},
+		median:  1,
 	}
 }
 
@@ -155,7 +117,6 @@
 	if t.Incarnation != d.Incarnation {
 		t.reset()
 		t.slowness = p.median
-		p.affinity.forget(t)
 	}
 	t.describe(d)
 }
@@ -170,18 +131,9 @@
 	delete(p.targets, name)
 	i, _ := slices.BinarySearchFunc(p.order, name, compareName)
 	p.order = slices.Delete(p.order, i, i+1)
-	p.affinity.forget(t)
 }
 
-func compareName(t *target, name string) int {
-	switch {
-	case t.Name < name:
-		return -1
-	case t.Name > name:
-		return 1
-	}
-	return 0
-}
+func compareName(t *target, name string) int { return strings.Compare(t.Name, name) }
 
 // changed brings the derived state up to date after a membership change.
 func (p *Pool) changed(now time.Time) {
@@ -259,9 +211,29 @@
 func (p *Pool) Tick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forgetRefusals(now)
 	p.refreshMeans()
-	if _, ok := p.policy.(Adaptive); ok {
-		p.judge(now)
+	if _, ok := p.policy.(Adaptive); !ok {
+		return
+	}
+	p.judge(now)
+	for _, t := range p.order {
+		t.relax(p.median)
+	}
+}
+
+// forgetRefusals lets targets return whose refusal as leaving was not confirmed
+// by membership, for instance because a drain was taken back at once.
+func (p *Pool) forgetRefusals(now time.Time) {
+	forgot := false
+	for _, t := range p.order {
+		if t.leaving && !t.Leaving && now.Sub(t.refused) >= leavingTime {
+			t.leaving = false
+			forgot = true
+		}
+	}
+	if forgot {
+		p.changed(now)
 	}
 }
 
@@ -275,191 +247,15 @@
 	p.meanOthers /= float64(max(p.available, 1))
 }
 
-// Pick chooses a target and counts the call as in flight there. It allocates
-// nothing unless it fails; the error is a *NoTargetError.
-func (p *Pool) Pick(r Request, now time.Time) (Choice, error) {
+// Overdue reports that a call still runs after a time in which most calls have
+// ended, for instance when it may be hedged. The target counts as that slow from
+// then on, so that further calls avoid it before the first one times out.
+func (p *Pool) Overdue(c Choice, ran, expected time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var c Choice
-	switch p.policy.(type) {
-	case Baseline:
-		c = p.pickBaseline(r)
-	default:
-		c = p.pickAdaptive(r, now)
-	}
-	if c.ref == nil {
-		return Choice{}, p.shortage(r)
+	if c.ref != nil && c.ref.epoch == c.epoch {
+		c.ref.observeAtLeast(ran, expected)
 	}
-	return p.commit(c, now), nil
-}
-
-// commit counts the call and completes the Choice.
-func (p *Pool) commit(c Choice, now time.Time) Choice {
-	t := c.ref
-	c.Target = t.Name
-	c.Address = t.Address
-	c.Incarnation = t.Incarnation
-	c.FailureDomain = t.FailureDomain
-	c.Load = t.load(p.meanOthers, now)
-	c.Slots = t.slots
-	c.epoch = t.epoch
-	t.count(1, now)
-	return c
-}
-
-func (p *Pool) pickBaseline(r Request) Choice {
-	g, ok := p.groups[r.Model]
-	if !ok {
-		return Choice{}
-	}
-	for range g.all {
-		p.next++
-		t := g.all[p.next%uint64(len(g.all))]
-		if !excluded(r, t) {
-			return Choice{ref: t, Reason: ReasonRoundRobin}
-		}
-	}
-	return Choice{}
-}
-
-func excluded(r Request, t *target) bool {
-	return slices.Contains(r.Exclude, t.Name)
-}
-
-// candidate is a target with its score; lower is better.
-type candidate struct {
-	t     *target
-	score float64
-}
-
-func (p *Pool) pickAdaptive(r Request, now time.Time) Choice {
-	if t := p.dueProbe(r, now); t != nil {
-		t.health.probing = true
-		return Choice{ref: t, Reason: ReasonProbe, probe: true}
-	}
-	g, ok := p.groups[r.Model]
-	if !ok {
-		return Choice{}
-	}
-	best, second := p.sample(g.all, r, now)
-	if best.t == nil {
-		return Choice{}
-	}
-	local, _ := p.sample(g.local, r, now)
-	c := Choice{ref: best.t, Reason: ReasonLeastLoaded}
-	if second.t == nil {
-		c.Reason = ReasonOnlyCandidate
-	} else {
-		c.Compared = second.t.Name
-	}
-	if local.t != nil && p.localCostsNothing(local, best, now) {
-		c.Reason = ReasonLocalDomain
-		if local.t != best.t {
-			c.Compared = best.t.Name
-		}
-		c.ref = local.t
-		best = local
-	}
-	if holder := p.affinity.holder(p, r, best, now); holder != nil {
-		if holder != best.t {
-			c.Compared = best.t.Name
-		}
-		c.ref = holder
-		c.Reason = ReasonPrefixCached
-	}
-	return c
-}
-
-// localCostsNothing reports whether the target of the own failure domain is
-// expected to answer as early as the best target of all.
-func (p *Pool) localCostsNothing(local, best candidate, now time.Time) bool {
-	if local.score <= best.score {
-		return true
-	}
-	use := (local.t.load(p.meanOthers, now) + 1) / local.t.slots
-	return use <= localUse && p.cost(local.t) <= localSlowness*p.cost(best.t)
-}
-
-// cost is the target's latency relative to an ordinary target, raised by failures.
-func (p *Pool) cost(t *target) float64 {
-	return max(t.slowness, minSlowness) * (1 + failurePenalty*t.failures)
-}
-
-// minSlowness keeps a zero latency sample from making a target free of cost.
-const minSlowness = 1e-6
-
-func (p *Pool) score(t *target, now time.Time) float64 {
-	return p.cost(t) * (t.load(p.meanOthers, now) + 1) / t.slots
-}
-
-// sample returns the best and the second best of a few random targets. When all
-// of these are excluded, it searches on from a random place.
-func (p *Pool) sample(from []*target, r Request, now time.Time) (best, second candidate) {
-	if len(from) == 0 {
-		return best, second
-	}
-	found := 0
-	for range 2 * choices {
-		t := from[p.rng.IntN(len(from))]
-		if t == best.t || t == second.t || excluded(r, t) {
-			continue
-		}
-		best, second = rank(best, second, candidate{t, p.score(t, now)})
-		if found++; found == choices {
-			return best, second
-		}
-	}
-	start := p.rng.IntN(len(from))
-	for i := range from {
-		t := from[(start+i)%len(from)]
-		if t == best.t || t == second.t || excluded(r, t) {
-			continue
-		}
-		best, second = rank(best, second, candidate{t, p.score(t, now)})
-		if found++; found == choices {
-			break
-		}
-	}
-	return best, second
-}
-
-func rank(best, second, c candidate) (candidate, candidate) {
-	switch {
-	case best.t == nil || c.score < best.score:
-		return c, best
-	case second.t == nil || c.score < second.score:
-		return best, c
-	}
-	return best, second
-}
-
-// dueProbe returns an ejected target whose ejection time is over, if the call
-// may probe it. After a further ejection time any call may, because a service
-// whose calls are never idempotent would otherwise lose the target for good.
-func (p *Pool) dueProbe(r Request, now time.Time) *target {
-	if p.ejected == 0 || now.Before(p.nextProbe) {
-		return nil
-	}
-	var due *target
-	p.nextProbe = time.Time{}
-	for _, t := range p.order {
-		h := &t.health
-		if !h.ejected || !t.available() {
-			continue
-		}
-		patience := h.until
-		if !r.MayProbe {
-			patience = h.until.Add(h.duration(p.health))
-		}
-		if due == nil && !h.probing && !now.Before(patience) && t.serves(r.Model) && !excluded(r, t) {
-			due = t
-			continue
-		}
-		if p.nextProbe.IsZero() || h.until.Before(p.nextProbe) {
-			p.nextProbe = h.until
-		}
-	}
-	return due
 }
 
 // Finish reports what became of a call. A Choice of a target that has left or
@@ -478,14 +274,18 @@
 func (p *Pool) learn(t *target, probe bool, o Outcome, now time.Time) {
 	switch o := o.(type) {
 	case Success:
-		t.observe(o)
+		outlier := t.observe(o) > p.health.Outlier*p.median
 		t.health.consecutive = 0
+		p.failures -= poolFailureWeight * p.failures
 		if probe {
-			p.probeDone(t, t.slowness <= p.health.Outlier*p.median, now)
+			p.probeDone(t, !outlier, now)
+			return
 		}
+		p.judgeResult(t, outlier, now)
 	case Failure:
 		t.observeFailure()
 		t.health.consecutive++
+		p.failures += poolFailureWeight * (1 - p.failures)
 		if probe {
 			p.probeDone(t, false, now)
 			return
@@ -494,43 +294,22 @@
 	case Overloaded:
 		t.others = max(t.others, t.slots)
 		t.reportedAt = now
-		t.health.probing = t.health.probing && !probe
+		p.probeOpen(t, probe, now)
 	case Leaving:
 		t.leaving = true
+		t.refused = now
 		p.changed(now)
-	case SilentConnection, Canceled:
-		t.health.probing = t.health.probing && !probe
-	}
-}
-
-func (p *Pool) judgeFailures(t *target, now time.Time) {
-	if _, ok := p.policy.(Adaptive); !ok {
-		return
-	}
-	if !t.health.ejected && t.health.consecutive >= p.health.Failures {
-		p.eject(t, CauseFailures, now)
-	}
-}
-
-// shortage explains why nothing fits.
-func (p *Pool) shortage(r Request) error {
-	e := &NoTargetError{service: p.service, model: r.Model, known: len(p.order)}
-	for _, t := range p.order {
+	case Canceled:
+		outlier := t.observeAtLeast(o.Ran, o.Expected) > p.health.Outlier*p.median
 		switch {
-		case !t.serves(r.Model):
-			e.noModel++
-		case t.Leaving || t.leaving:
-			e.leaving++
-		case t.Silent:
-			e.silent++
-		case t.NotReady:
-			e.notReady++
-		case t.health.ejected:
-			e.ejected++
-		case excluded(r, t):
-			e.excluded++
+		case !outlier:
+			p.probeOpen(t, probe, now)
+		case probe:
+			p.probeDone(t, false, now)
+		default:
+			p.judgeResult(t, true, now)
 		}
+	case SilentConnection:
+		p.probeOpen(t, probe, now)
 	}
-	e.classify()
-	return e
 }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -104,21 +104,7 @@
 func TestUrgentRequestOvertakesQueue(t *testing.T) {
 	onBench(t, func(t *testing.T, b *bench) {
 		e := b.start(standin.Options{Name: "engine-1", Kind: standin.KindEngine, Slots: 1, Engine: steps})
-		var mu sync.Mutex
-		var order []int
-		var wg sync.WaitGroup
-		for n, priority := range []int{5, 5, 0} {
-			wg.Go(func() {
-				r := request(n)
-				r.Priority = priority
-				b.generate(e, r, 0)
-				mu.Lock()
-				defer mu.Unlock()
-				order = append(order, n)
-			})
-			time.Sleep(time.Millisecond)
-		}
-		wg.Wait()
+		order := finishOrder([]int{5, 5, 0}, func(r standin.StageRequest) { b.generate(e, r, 0) })
 		require.Equal(t, []int{0, 2, 1}, order)
 	})
 }
@@ -134,7 +120,7 @@
 		tail := b.generate(second, r, 0)
 		require.Equal(t, 10, tail.done.Tokens)
 		require.Equal(t, tail.done.Output, head.text+tail.text)
-		require.NoError(t, standin.CheckText(head.text+tail.text, "stem 1", "r1"))
+		require.NoError(t, standin.CheckText(head.text+tail.text, "stem 1", "r1", 10))
 		synctest.Wait()
 		require.Equal(t, standin.StateCanceled, first.Account(0).Attempts[0].State)
 		require.Equal(t, 6, second.Account(0).Attempts[0].Tokens)
--- a/internal/standin/lifetime.go
+++ b/internal/standin/lifetime.go
@@ -52,6 +52,7 @@
 // kill ends all work and waits for the goroutines of the lifetime.
 func (l *lifetime) kill() {
 	_ = l.server.Close()
+	l.connections.closeAll()
 	l.end()
 	l.routines.Wait()
 }
@@ -76,6 +77,7 @@
 		if l.standin.timer.Sleep(l.ctx, f.After-l.standin.timer.Since(start)) != nil {
 			return
 		}
-		l.standin.apply(f.FaultCall)
+		l.standin.faults.set(f.Faults)
+		l.standin.strike(f.FaultCall)
 	}
 }
--- a/internal/standin/routes.go
+++ b/internal/standin/routes.go
@@ -77,8 +77,14 @@
 		writeRefusal(w, badRequest(err))
 		return
 	}
-	l.standin.apply(f)
-	writeJSON(w, http.StatusOK, f)
+	l.standin.faults.set(f.Faults)
+	// The whole answer leaves before this connection goes silent or is closed. The
+	// caller must not use the connection again.
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	l.standin.strike(f)
 }
 
 func (l *lifetime) serveCancel(w http.ResponseWriter, r *http.Request) {
@@ -174,7 +180,7 @@
 	}
 	// The record ends before the answer, so that whoever has the answer finds it.
 	l.standin.book.end(seq, op.Name, a.request, used, stateOf(err), l.standin.timer.Now())
-	if l.standin.faults.wait(l.ctx) != nil || l.ctx.Err() != nil {
+	if l.standin.faults.wait(l.ctx) != nil {
 		// A process that has died answers nothing, not even an empty success.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,7 +23,7 @@
 //	POST /v1/kv-export {prefix} -> {prefix, tokens, proof}
 //	POST /v1/kv-import {prefix, tokens, proof} -> {prefix, tokens, proof}
 //	POST /v1/weights/{model} {reader, bytes} -> {model, bytes, busy_ms}  (weight store)
-//	POST /v1/faults {slow, errors, freeze, operations, calls, seed, silence, die, revive_ms}
+//	POST /v1/faults {slow, errors, freeze, operations, calls, seed, silence, die, revive_ms} -> no body
 //	GET  /v1/account?from=SEQUENCE
 //
 // # Usage
@@ -199,6 +199,9 @@
 // Service returns the service that the stand-in belongs to.
 func (s *Standin) Service() string { return s.options.Service }
 
+// Kind returns what the stand-in stands for.
+func (s *Standin) Kind() Kind { return s.options.Kind }
+
 // Account returns the account with the attempts from a sequence number on.
 func (s *Standin) Account(from uint64) Account {
 	a := s.book.account(from)
