capacity: Take deltas from internal/delta and measure missed revisions

Change: the manifest group measures internal/delta; the group missed measures the answer to a reader that missed several revisions.

--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -1,14 +1,17 @@
 package capacity
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomline/cardamomline/internal/admission"
+	"github.com/cardamomline/cardamomline/internal/delta"
 	"github.com/cardamomline/cardamomline/internal/ledger"
 	"github.com/cardamomline/cardamomline/internal/metrics"
 	"github.com/cardamomline/cardamomline/internal/roster"
@@ -82,10 +85,13 @@
 		size := float64(n)
 		q := func(name, unit string) quantity { return quantity{name, unit, "customers", targetCustomers} }
 		s.add(q("manifest", "bytes"), size, float64(len(data)))
-		s.add(q("changed middle of a manifest", "bytes"), size, float64(changedMiddle(data, next)))
+		earlier, later := record(1, data), record(2, next)
+		s.add(q("delta of a change of one customer", "bytes"), size, float64(proto.Size(delta.Record(earlier, later, 1))))
 		s.add(q("time to parse", "ms"), size, perCall(1, func(int) { _, _ = manifest.Parse("manifest", data) })/million)
 		s.add(q("time to parse after a change of one customer", "ms"), size, perCall(1, func(int) { _, _ = manifest.ParseNext(parsed, "manifest", next) })/million)
-		s.add(q("time to compare with the revision before", "ms"), size, perCall(3, func(int) { changedMiddle(data, next) })/million)
+		s.add(q("time to make a delta", "ms"), size, perCall(3, func(int) { delta.Record(earlier, later, 1) })/million)
+		made := delta.Record(earlier, later, 1).GetDelta()
+		s.add(q("time to apply a delta", "ms"), size, perCall(3, func(int) { _, _ = delta.Apply(data, made) })/million)
 		s.add(q("memory of a parsed manifest", "bytes"), size, heapOf(func() any {
 			m, _ := manifest.Parse("manifest", data)
 			return m
@@ -94,6 +100,36 @@
 	return nil
 }
 
+// missedGroup measures what a reader gets that missed several revisions, each
+// with a change of one customer at a random place.
+func missedGroup(_ context.Context, _ Options, s *series) error {
+	const draws = 21
+	data := manifestText(targetCustomers, 5)
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, missed := range []int{1, 2, 5, 20} {
+		var all []float64
+		for range draws {
+			next := bytes.Clone(data)
+			for range missed {
+				at := bytes.Index(next, fmt.Appendf(nil, "customer-%05d-key, weight: ", random.IntN(targetCustomers-1)))
+				next[at+len("customer-00000-key, weight: ")] = '9'
+			}
+			all = append(all, float64(proto.Size(delta.Record(record(1, data), record(2, next), 1))))
+		}
+		q := quantity{"answer to a reader, median", "bytes", "missed revisions", targetChanges / hoursOfDay}
+		s.add(q, float64(missed), median(all))
+	}
+	return nil
+}
+
+// hoursOfDay turns changes per day into those of a cut between regions, which
+// lasts an hour.
+const hoursOfDay = 24
+
+func record(revision uint64, data []byte) *wire.ManifestRecord {
+	return &wire.ManifestRecord{Revision: revision, Manifest: data, ChangeId: incarnation, Operator: "capacity", AtMs: 1_800_000_000_000, BaseRevision: revision - 1}
+}
+
 // claim returns the command that claims order i, as an entry sends it.
 func claim(i int) *wire.Command {
 	return &wire.Command{AtMs: int64(i), Kind: &wire.Command_ClaimOrder{ClaimOrder: &wire.ClaimOrder{
--- a/internal/capacity/study.go
+++ b/internal/capacity/study.go
@@ -43,6 +43,7 @@
 	return []group{
 		{"roster", rosterGroup},
 		{"manifest", manifestGroup},
+		{"missed", missedGroup},
 		{"ledger", ledgerGroup},
 		{"routing", routingGroup},
 		{"admission", admissionGroup},
