--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -114,6 +114,7 @@
 		&drainCommand{out: out},
 		&explainCommand{out: out},
 		&ordersCommand{out: out},
+		&capacityCommand{out: out},
 	)
 	return root
 }
