--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -24,8 +24,11 @@
 	}
 }
 
-// orderSeeds is raised for a long run: go test ./internal/entry -run Faults -order-seeds 2000
-var orderSeeds = flag.Uint64("order-seeds", 12, "number of seeds of the order fault test")
+// The defaults are for CI; scripts/soak raises them.
+var (
+	orderSeeds = flag.Uint64("order-seeds", 12, "number of seeds of the order fault test")
+	orderFirst = flag.Uint64("order-first", 0, "first seed of the order fault test")
+)
 
 const orderPath = "/v1/services/orders-core/release_fuel"
 
@@ -33,7 +36,8 @@
 // was told that it did not, under lost answers, silent connections, crashed
 // agents, lost quorums, isolated entries and resends to other entries.
 func TestOrdersRunAtMostOnceUnderFaults(t *testing.T) {
-	for seed := range *orderSeeds {
+	for i := range *orderSeeds {
+		seed := *orderFirst + i
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { runOrderFaults(t, seed) })
 		})
