--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -45,7 +45,11 @@
 		require.Empty(t, r.Since(list.GetVersion(), "e1").GetChanges())
 		time.Sleep(2900 * time.Millisecond)
 		require.False(t, r.Targets("generators")[0].GetSilent())
-		<-changed
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+			require.Fail(t, "a silence wakes no reader")
+		}
 		require.True(t, r.Targets("generators")[0].GetSilent())
 		delta := r.Since(list.GetVersion(), "e1")
 		require.False(t, delta.GetFull())
