control: Never change a sent envelope; drains travel with the roster

The control role hands drains to the roster, which tells followers at once, in the place of a second list on every answer. Roster answers of peers that waited out a pause are dropped. An entry prefers control VMs that are in touch with a quorum, because one that is cut off takes the targets of its peers for silent.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -192,6 +192,7 @@
 		return
 	}
 	next := &confirmation{revision: resp.GetRevision(), fence: resp.GetFence(), at: asked, drains: resp.GetDrains()}
+	c.o.Roster.SetDrains(next.drains)
 	old := c.confirmed.Swap(next)
 	if old == nil || old.revision != next.revision || !slices.Equal(old.drains, next.drains) {
 		c.wakePolls()
@@ -277,8 +278,10 @@
 	c.every(ctx, peerPullPeriod, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		defer cancel()
+		asked := c.o.Timers.Now()
 		resp, err := client.Roster(ctx, &wire.RosterRequest{Since: since, Epoch: epoch, Process: c.o.Name, Peer: true})
-		if err != nil {
+		if err != nil || c.o.Timers.Since(asked) > forwardTimeout {
+			// An answer that waited while this process was paused tells an old silence.
 			return
 		}
 		c.o.Roster.Merge(resp)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -130,21 +130,13 @@
 	return last != nil && slices.Contains(last.drains, target)
 }
 
-func (c *Control) drains() []string {
-	last := c.confirmed.Load()
-	if last == nil {
-		return nil
-	}
-	return last.drains
-}
 
 // Roster implements wire.Control.
 func (s *service) Roster(ctx context.Context, r *wire.RosterRequest) (*wire.RosterResponse, error) {
 	wait := s.c.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPollWait))
 	for {
-		changed, updated := s.c.o.Roster.Changed(), s.c.waitChange()
+		changed := s.c.o.Roster.Changed()
 		resp := s.c.o.Roster.Since(r.GetSince(), r.GetEpoch())
-		resp.Drains = s.c.drains()
 		last := s.c.fresh()
 		resp.Confirmed = last != nil
 		if last != nil {
@@ -155,9 +147,6 @@
 		}
 		select {
 		case <-changed:
-		case <-updated:
-			resp.Drains = s.c.drains()
-			return resp, nil
 		case <-wait:
 			return resp, nil
 		case <-ctx.Done():
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,7 +57,8 @@
 	}
 }
 
-// Send implements replica.Transport. It never blocks; a full queue drops the envelope.
+// Send implements replica.Transport. It never blocks; a full queue drops the
+// envelope. The envelope must not be changed afterwards.
 func (t *Transport) Send(address string, e *wire.Envelope) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -92,7 +94,7 @@
 				return
 			}
 		}
-		next = joinQueued(e, q)
+		e, next = joinQueued(e, q)
 		ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 		_, err := client.Deliver(ctx, e)
 		cancel()
@@ -102,18 +104,20 @@
 	}
 }
 
-// joinQueued adds the messages of the envelopes that wait in the queue to e. It
-// returns the first envelope that has another sender or recipient, or nil.
-func joinQueued(e *wire.Envelope, q <-chan *wire.Envelope) *wire.Envelope {
+// joinQueued returns e with the messages of the envelopes that wait in the queue,
+// and the first envelope that has another sender or recipient, or nil. Envelopes
+// to several peers may share their messages, so that e itself isn't changed.
+func joinQueued(e *wire.Envelope, q <-chan *wire.Envelope) (joined, next *wire.Envelope) {
+	joined = &wire.Envelope{ClusterId: e.GetClusterId(), From: e.GetFrom(), To: e.GetTo(), Messages: slices.Clone(e.GetMessages())}
 	for {
 		select {
 		case next := <-q:
 			if next.GetTo() != e.GetTo() || next.GetFrom() != e.GetFrom() || next.GetClusterId() != e.GetClusterId() {
-				return next
+				return joined, next
 			}
-			e.Messages = append(e.Messages, next.GetMessages()...)
+			joined.Messages = append(joined.Messages, next.GetMessages()...)
 		default:
-			return nil
+			return joined, nil
 		}
 	}
 }
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -157,6 +157,12 @@
 	return all
 }
 
+// TryAnother begins the next call at another control VM, for instance because the
+// last one is not in touch with a quorum.
+func (c *Client) TryAnother() {
+	c.preferred.Store((c.preferred.Load() + 1) % int64(len(c.controls)))
+}
+
 // Addresses returns the control VMs that this client knows.
 func (c *Client) Addresses() []string {
 	return append([]string(nil), c.o.Addresses...)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,7 +85,6 @@
 	records     *explain.Recorder
 	estimator   *budget.Estimator
 	retries     atomic.Pointer[budget.Retries]
-	drains      atomic.Pointer[[]string]
 
 	mu       sync.Mutex
 	services map[string]*serviceState
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -123,6 +122,7 @@
 func (e *Entry) followRoster(ctx context.Context) {
 	var since uint64
 	var epoch string
+	confirmed := e.o.Timers.Now()
 	for ctx.Err() == nil {
 		resp, err := e.o.Control.Roster(ctx, &wire.RosterRequest{
 			Since: since, Epoch: epoch, WaitMs: rosterWait.Milliseconds(), Process: e.o.Name, Revision: e.o.Config.Revision(),
@@ -131,10 +131,19 @@
 			_ = e.o.Timers.Sleep(ctx, rosterPause+rand.N(rosterJitter))
 			continue
 		}
+		if resp.GetConfirmed() {
+			confirmed = e.o.Timers.Now()
+		} else {
+			// A control VM that is cut off takes most targets for silent. It is believed
+			// only when no other one can do better.
+			e.o.Control.TryAnother()
+			if e.o.Timers.Since(confirmed) < configwatch.ConfirmBound {
+				_ = e.o.Timers.Sleep(ctx, rosterPause)
+				continue
+			}
+		}
 		since, epoch = resp.GetVersion(), resp.GetEpoch()
 		e.roster.Merge(resp)
-		drains := resp.GetDrains()
-		e.drains.Store(&drains)
 		e.o.Config.Confirm(resp.GetRevision(), resp.GetConfirmed())
 		e.syncPools()
 	}
@@ -158,19 +167,12 @@
 				continue
 			}
 		}
-		target := newTarget(t)
-		target.Leaving = target.Leaving || e.isDrained(t.GetName())
-		targets = append(targets, target)
+		targets = append(targets, newTarget(t))
 	}
 	s.pool.Sync(targets, e.o.Timers.Now())
 	s.queue.SetSlots(e.slotShare(s.pool.Slots()))
 }
 
-func (e *Entry) isDrained(target string) bool {
-	drains := e.drains.Load()
-	return drains != nil && slices.Contains(*drains, target)
-}
-
 // slotShare is this entry's share of the slots of a service, and at least 1 of any.
 func (e *Entry) slotShare(slots int) int {
 	if slots == 0 {
