--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -130,7 +130,6 @@
 	return last != nil && slices.Contains(last.drains, target)
 }
 
-
 // Roster implements wire.Control.
 func (s *service) Roster(ctx context.Context, r *wire.RosterRequest) (*wire.RosterResponse, error) {
 	wait := s.c.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPollWait))
