capacity: Measure the full size and the number of replicas

Cause: nodes ran with 100 customers and config with two processes, so that the figure for both together was only worked out; claims were measured with three replicas only.

Change: the groups full and replicas, which run only when named, measure a change with 24,000 customers in force at 200, 600 and 1,220 processes, and claims with 3, 5 and 7 replicas. The group requests reads the memory under load and takes three levels of calls.

--- a/internal/capacity/commits.go
+++ b/internal/capacity/commits.go
@@ -5,9 +5,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
-const commitTime = 3 * time.Second
+const (
+	commitTime = 3 * time.Second
+	// mostReplicas is the number of VMs that may be dedicated to control.
+	mostReplicas = 7
+)
 
 // commitsGroup measures claims through three replicas by the number of callers
 // that wait for one at a time.
@@ -67,3 +73,46 @@
 	wg.Wait()
 	return all
 }
+
+// replicasGroup measures claims by the number of control VMs.
+func replicasGroup(ctx context.Context, o Options, s *series) error {
+	for _, n := range []int{3, 5, 7} {
+		if err := replicasAt(ctx, o, s, n); err != nil {
+			return errors.Wrapf(err, "%d replicas", n)
+		}
+	}
+	return nil
+}
+
+func replicasAt(ctx context.Context, o Options, s *series, n int) error {
+	const callers = 32
+	f, err := newFleet(ctx, o, n)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	leader, follower, err := f.pair(ctx)
+	if err != nil {
+		return err
+	}
+	var next atomic.Int64
+	before, err := f.read(leader, follower)
+	if err != nil {
+		return err
+	}
+	took := f.claims(ctx, callers, &next)
+	after, err := f.read(leader, follower)
+	if err != nil {
+		return err
+	}
+	if len(took) == 0 {
+		return errors.New("no claim was answered")
+	}
+	q := func(name, unit string) quantity { return quantity{name, unit, "replicas", mostReplicas} }
+	size, claims := float64(n), float64(len(took))
+	s.add(q("claims of 32 callers", "1/s"), size, claims/after.at.Sub(before.at).Seconds())
+	s.add(q("latency of a claim, p50", "ms"), size, median(took))
+	s.add(q("processor of the leader for a claim", "µs"), size, float64(after.time[leader]-before.time[leader])/claims/1000)
+	s.add(q("processor of a follower for a claim", "µs"), size, float64(after.time[follower]-before.time[follower])/claims/1000)
+	return nil
+}
--- a/internal/capacity/crowd.go
+++ b/internal/capacity/crowd.go
@@ -14,6 +14,7 @@
 	heartbeatPeriod = time.Second
 	pollWait        = 10 * time.Second
 	crowdPause      = 100 * time.Millisecond
+	arrivalTime     = 30 * time.Second
 )
 
 // crowd simulates processes that announce themselves to one control VM over
@@ -43,7 +44,9 @@
 	wake    chan struct{}
 }
 
-func newCrowd(ctx context.Context, address string, entries, agents int) *crowd {
+// newCrowd starts processes. The stagger between their first polls of the
+// configuration bounds how many receive the whole manifest at the same time.
+func newCrowd(ctx context.Context, address string, entries, agents int, stagger time.Duration) *crowd {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &crowd{cancel: cancel, arrived: make(chan time.Time, 16*(entries+agents))}
 	for i := range entries + agents {
@@ -56,7 +59,10 @@
 		c.members = append(c.members, m)
 		phase := heartbeatPeriod * time.Duration(i) / time.Duration(entries+agents)
 		c.wg.Go(func() { m.announce(ctx, phase) })
-		c.wg.Go(func() { m.followConfig(ctx, pollWait*time.Duration(i+1)/time.Duration(entries+agents)) })
+		c.wg.Go(func() {
+			pause(ctx, stagger*time.Duration(i))
+			m.followConfig(ctx, pollWait*time.Duration(i+1)/time.Duration(entries+agents))
+		})
 		if i >= agents {
 			m.roster = m.connect(address, &c.rosters)
 			c.wg.Go(func() { m.followRoster(ctx, pollWait*time.Duration(i-agents+1)/time.Duration(entries)) })
@@ -174,7 +180,7 @@
 // arrivals waits until n processes have received a new revision, and returns the
 // times since began in milliseconds.
 func (c *crowd) arrivals(ctx context.Context, n int, began time.Time) []float64 {
-	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	ctx, cancel := context.WithTimeout(ctx, arrivalTime)
 	defer cancel()
 	var all []float64
 	for len(all) < n {
--- a/internal/capacity/nodes.go
+++ b/internal/capacity/nodes.go
@@ -108,7 +108,7 @@
 		return err
 	}
 	defer f.stop()
-	c := newCrowd(ctx, f.controls[0], n-n*targetWorkers/targetProcesses, n*targetWorkers/targetProcesses)
+	c := newCrowd(ctx, f.controls[0], n-n*targetWorkers/targetProcesses, n*targetWorkers/targetProcesses, 0)
 	defer c.stop()
 	c.arrivals(ctx, n, time.Now())
 	// The entry chooses among the targets of a service only from the first request
@@ -121,7 +121,7 @@
 	if err := f.churn(ctx, s, c); err != nil {
 		return err
 	}
-	if err := f.spread(ctx, s, c); err != nil {
+	if err := f.spread(ctx, s, c, 100); err != nil {
 		return err
 	}
 	c.stop()
@@ -138,7 +138,7 @@
 		return err
 	}
 	began := time.Now()
-	c := newCrowd(ctx, f.controls[1], n-agents, agents)
+	c := newCrowd(ctx, f.controls[1], n-agents, agents, 0)
 	defer c.stop()
 	want := int64(n) * int64(n-agents)
 	took := takeoverTime
@@ -242,14 +242,14 @@
 }
 
 // spread measures how long a change of the configuration takes to reach every
-// watching process. The manifest is small, so that this machine's loopback isn't
-// what is measured.
-func (f *observed) spread(ctx context.Context, s *series, c *crowd) error {
+// watching process.
+func (f *observed) spread(ctx context.Context, s *series, c *crowd, customers int) error {
 	const changes = 5
 	var typical, last []float64
 	for i := range changes {
+		text := manifestText(customers, 6+i%2)
 		began := time.Now()
-		if _, err := f.apply(ctx, manifestText(100, 6+i)); err != nil {
+		if _, err := f.apply(ctx, text); err != nil {
 			return err
 		}
 		all := c.arrivals(ctx, len(c.members), began)
@@ -265,6 +265,59 @@
 	return nil
 }
 
+// fullGroup repeats the change of a customer with the target number of customers
+// in force, by the number of processes.
+func fullGroup(ctx context.Context, o Options, s *series) error {
+	for _, n := range []int{200, 600, 1220} {
+		if err := fullAt(ctx, o, s, n); err != nil {
+			return errors.Wrapf(err, "%d processes", n)
+		}
+	}
+	return nil
+}
+
+func fullAt(ctx context.Context, o Options, s *series, n int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := newObserved(ctx, o, manifestText(targetCustomers, 5))
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	const stagger = 10 * time.Millisecond
+	began := time.Now()
+	c := newCrowd(ctx, f.controls[0], n-n*targetWorkers/targetProcesses, n*targetWorkers/targetProcesses, stagger)
+	defer c.stop()
+	if got := c.arrivals(ctx, n, began); len(got) < n {
+		return errors.Errorf("%d of %d processes got the manifest", len(got), n)
+	}
+	pause(ctx, settleTime)
+	before, err := f.read("control-1", f.entry.name, f.agent.name)
+	if err != nil {
+		return err
+	}
+	bytes := c.configs.total()
+	if err := f.spread(ctx, s, c, targetCustomers); err != nil {
+		return err
+	}
+	pause(ctx, settleTime)
+	after, err := f.read("control-1", f.entry.name, f.agent.name)
+	if err != nil {
+		return err
+	}
+	s.add(byProcesses("answers to polls of the configuration in 5 changes and 2 s", "bytes"), float64(n), c.configs.total()-bytes)
+	for what, name := range map[string]string{"the control VM that answers": "control-1", "an entry": f.entry.name, "an agent": f.agent.name} {
+		now, peak, err := memory(f.children[name].pid())
+		if err != nil {
+			return err
+		}
+		s.add(byProcesses("memory of "+what, "MiB"), float64(n), now/mebi)
+		s.add(byProcesses("peak memory of "+what, "MiB"), float64(n), peak/mebi)
+		s.add(byProcesses("processor of "+what+" in 5 changes and 2 s", "ms"), float64(n), float64(after.time[name]-before.time[name])/million)
+	}
+	return nil
+}
+
 // startStandin starts a stand-in in this process.
 func startStandin(ctx context.Context, o standin.Options) (*standin.Standin, error) {
 	o.Listen = "127.0.0.1:0"
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -16,7 +16,7 @@
 	// Loads through the entry and directly to the stand-in take turns, so that
 	// the other users of the machine disturb both alike.
 	rounds     = 3
-	loadTime   = 4 * time.Second
+	loadTime   = 3 * time.Second
 	roundTime  = 1500 * time.Millisecond
 	directTime = 1 * time.Second
 	warmTime   = 500 * time.Millisecond
@@ -207,7 +207,7 @@
 func (b *bench) callLevels(ctx context.Context, s *series) error {
 	const grows = "calls per second"
 	const entryTarget, agentTarget = targetRequests * stagesOfRequest / targetNodes, targetRequests * stagesOfRequest / targetWorkers
-	for _, rate := range []float64{10, 40, 160, 640} {
+	for _, rate := range []float64{20, 100, 500} {
 		l, err := b.level(ctx, "agent-lookups", rate, b.directCall(), b.call())
 		if err != nil {
 			return err
@@ -229,6 +229,13 @@
 			return err
 		}
 		size := rate * streamTokens
+		for what, name := range map[string]string{"entry": "entry-1", "agent": "agent-engine"} {
+			now, _, err := memory(b.f.children[name].pid())
+			if err != nil {
+				return err
+			}
+			s.add(quantity{"streams: memory of the " + what, "MiB", grows, entryTarget}, size, now/mebi)
+		}
 		s.add(quantity{"streams: processor of the entry", "ms/s", grows, entryTarget}, size, l.used.entry)
 		s.add(quantity{"streams: processor of the agent", "ms/s", grows, agentTarget}, size, l.used.agent)
 		l.add(s, "streams", grows, size, entryTarget, "first token", "between tokens")
--- a/internal/capacity/study.go
+++ b/internal/capacity/study.go
@@ -29,31 +29,36 @@
 	Binary string
 	// Folder holds the files of the run; the system's temporary one when empty.
 	Folder string
-	// Only names the groups to run; all when empty.
+	// Only names the groups to run; all but "full" and "replicas" when empty.
 	Only []string
 }
 
 // group is one set of measurements.
 type group struct {
 	name string
-	run  func(ctx context.Context, o Options, s *series) error
+	// named groups run only when Options.Only names them: they take long, or
+	// refine what another group measures.
+	named bool
+	run   func(ctx context.Context, o Options, s *series) error
 }
 
 func groups() []group {
 	return []group{
-		{"roster", rosterGroup},
-		{"manifest", manifestGroup},
-		{"missed", missedGroup},
-		{"ledger", ledgerGroup},
-		{"routing", routingGroup},
-		{"admission", admissionGroup},
-		{"metrics", metricsGroup},
-		{"nodes", nodesGroup},
-		{"config", configGroup},
-		{"history", historyGroup},
-		{"commits", commitsGroup},
-		{"leases", leasesGroup},
-		{"requests", requestsGroup},
+		{name: "roster", run: rosterGroup},
+		{name: "manifest", run: manifestGroup},
+		{name: "missed", run: missedGroup},
+		{name: "ledger", run: ledgerGroup},
+		{name: "routing", run: routingGroup},
+		{name: "admission", run: admissionGroup},
+		{name: "metrics", run: metricsGroup},
+		{name: "nodes", run: nodesGroup},
+		{name: "config", run: configGroup},
+		{name: "history", run: historyGroup},
+		{name: "commits", run: commitsGroup},
+		{name: "leases", run: leasesGroup},
+		{name: "requests", run: requestsGroup},
+		{name: "full", named: true, run: fullGroup},
+		{name: "replicas", named: true, run: replicasGroup},
 	}
 }
 
@@ -78,6 +83,14 @@
 	return nil
 }
 
+// wants reports whether a group is to run.
+func (o *Options) wants(g group) bool {
+	if len(o.Only) == 0 {
+		return !g.named
+	}
+	return slices.Contains(o.Only, g.name)
+}
+
 // Run measures the groups one after the other, so that none disturbs another.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	if err := o.check(); err != nil {
@@ -85,7 +98,7 @@
 	}
 	r := &Report{Busy: make(map[string]float64), Seconds: make(map[string]float64)}
 	for _, g := range groups() {
-		if len(o.Only) > 0 && !slices.Contains(o.Only, g.name) {
+		if !o.wants(g) {
 			continue
 		}
 		klog.InfoS("Measuring", "group", g.name)
