placement: Add the plan of model loads

Cause: nothing decides which models engines load; an engine that restarts empty stays empty. Change: Plan, a pure function from the needs of the manifest, the engines, the demand, the orders in flight and the failures to ordered loads and unloads with typed reasons. It keeps two copies in two failure domains, stays within the read rate of the weight store and unloads only surplus copies when memory asks.

--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,259 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Plan returns the orders to give now, the most urgent first. It never changes
+// the state and gives the same orders for the same state.
+func Plan(s *State, now time.Time) []Order {
+	p := newPlanner(s, now)
+	for _, n := range s.Needs {
+		p.cover(n, ReasonMinimum)
+	}
+	for _, n := range s.Needs {
+		p.cover(n, ReasonDomain)
+	}
+	for _, n := range s.Needs {
+		p.cover(n, ReasonDemand)
+	}
+	p.fillIdle()
+	return p.orders
+}
+
+// slot is an engine as it will be once the orders in flight and the planned
+// ones have taken effect.
+type slot struct {
+	*Engine
+	models []string
+	// busy is set while an order is in flight or planned: an engine gets one at a time.
+	busy bool
+	// reserved is the model that an unload on this engine makes room for.
+	reserved string
+}
+
+func (e *slot) will(model string) bool {
+	return e.reserved == model && model != "" || slices.Contains(e.models, model)
+}
+
+// planner holds the state of one call of Plan.
+type planner struct {
+	s      *State
+	now    time.Time
+	limits Limits
+	slots  []*slot // by name
+	budget int64   // bytes per second that further loads may read
+	orders []Order
+}
+
+func newPlanner(s *State, now time.Time) *planner {
+	p := &planner{s: s, now: now, limits: s.Limits.withDefaults()}
+	p.budget = p.limits.ReadRate
+	byName := make(map[string]*slot, len(s.Engines))
+	for i := range s.Engines {
+		e := &slot{Engine: &s.Engines[i], models: slices.Clone(s.Engines[i].Models)}
+		p.slots = append(p.slots, e)
+		byName[e.Name] = e
+	}
+	slices.SortFunc(p.slots, func(a, b *slot) int { return cmp.Compare(a.Name, b.Name) })
+	for _, o := range s.Orders {
+		if o.Reading {
+			p.budget -= p.limits.EngineReadRate
+		}
+		if e := byName[o.Engine]; e != nil {
+			e.apply(o.Order)
+		}
+	}
+	return p
+}
+
+// apply notes an order as if it had taken effect.
+func (e *slot) apply(o Order) {
+	e.busy = true
+	if o.Action == Unload {
+		e.models = slices.DeleteFunc(e.models, func(m string) bool { return m == o.Model })
+		e.reserved = o.For
+		return
+	}
+	if !slices.Contains(e.models, o.Model) {
+		e.models = append(e.models, o.Model)
+	}
+}
+
+func (p *planner) give(e *slot, o Order) {
+	o.Engine, o.Address, o.Service = e.Name, e.Address, e.Service
+	p.orders = append(p.orders, o)
+	if o.Action == Load {
+		p.budget -= p.limits.EngineReadRate
+	}
+	e.apply(o)
+}
+
+// coverage is how a model is spread over the usable engines of a service.
+type coverage struct {
+	copies  int
+	domains map[string]int
+}
+
+func (p *planner) coverage(k Key) coverage {
+	c := coverage{domains: make(map[string]int)}
+	for _, e := range p.slots {
+		if e.Usable && e.Service == k.Service && e.will(k.Model) {
+			c.copies++
+			c.domains[e.Domain]++
+		}
+	}
+	return c
+}
+
+// lacks reports whether a model needs one more copy for the reason.
+func (c coverage) lacks(n Need, r Reason) bool {
+	switch r {
+	case ReasonMinimum:
+		return c.copies < MinCopies
+	case ReasonDomain:
+		return len(c.domains) == 1
+	case ReasonDemand:
+		return c.copies < n.Copies
+	}
+	return false
+}
+
+// cover orders loads of a model until the reason no longer holds or no engine
+// takes one.
+func (p *planner) cover(n Need, r Reason) {
+	for {
+		c := p.coverage(n.Key)
+		if !c.lacks(n, r) || p.budget < p.limits.EngineReadRate || !p.mayTry(n.Model) {
+			return
+		}
+		accept := func(e *slot) bool { return r != ReasonDomain || c.domains[e.Domain] == 0 }
+		if e := p.choose(n.Key, c, accept); e != nil {
+			p.give(e, Order{Action: Load, Model: n.Model, Reason: r})
+			continue
+		}
+		// Extra copies for the demand don't push other models out.
+		if r == ReasonDemand || !p.makeRoom(n.Key, accept) {
+			return
+		}
+	}
+}
+
+func (p *planner) mayTry(model string) bool {
+	return p.s.FailedModels[model].over(p.now, modelRetryFirst, modelRetryMost)
+}
+
+// takes reports whether an engine may be given a load of the model, apart from memory.
+func (p *planner) takes(e *slot, k Key) bool {
+	return e.Usable && !e.busy && e.Service == k.Service && !e.will(k.Model) &&
+		p.s.Failed[Copy{Engine: e.Name, Model: k.Model}].over(p.now, retryFirst, retryMost)
+}
+
+func (p *planner) used(e *slot) int64 {
+	var sum int64
+	for _, m := range e.models {
+		sum += p.s.Sizes[m]
+	}
+	return sum
+}
+
+func (p *planner) fits(e *slot, model string) bool {
+	return p.limits.EngineMemory == 0 || p.used(e)+p.s.Sizes[model] <= p.limits.EngineMemory
+}
+
+// choose returns the engine for the next copy: in the failure domain with the
+// fewest copies, then with the fewest models, then the first by name.
+func (p *planner) choose(k Key, c coverage, accept func(*slot) bool) *slot {
+	var best *slot
+	for _, e := range p.slots {
+		if !p.takes(e, k) || !p.fits(e, k.Model) || !accept(e) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(c.domains[e.Domain], c.domains[best.Domain]), cmp.Compare(len(e.models), len(best.models))) < 0 {
+			best = e
+		}
+	}
+	return best
+}
+
+// makeRoom orders the unload of a copy that isn't wanted, on an engine where the
+// model then fits, and reports whether it found one.
+func (p *planner) makeRoom(k Key, accept func(*slot) bool) bool {
+	for _, e := range p.slots {
+		if !p.takes(e, k) || !accept(e) {
+			continue
+		}
+		for _, m := range e.models {
+			if p.isSurplus(e, m) && p.used(e)-p.s.Sizes[m]+p.s.Sizes[k.Model] <= p.limits.EngineMemory {
+				p.give(e, Order{Action: Unload, Model: m, Reason: ReasonMemory, For: k.Model})
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// present is the coverage by copies that are loaded now and not about to go.
+// Loads in flight don't count, because they may fail.
+func (p *planner) present(k Key) coverage {
+	c := coverage{domains: make(map[string]int)}
+	for _, e := range p.slots {
+		if e.Usable && e.Service == k.Service && e.has(k.Model) && slices.Contains(e.models, k.Model) {
+			c.copies++
+			c.domains[e.Domain]++
+		}
+	}
+	return c
+}
+
+// isSurplus reports whether the copy on e may go: the copies that remain are
+// those wanted, at least MinCopies when a stage needs the model, and in no fewer
+// than two failure domains when they are now.
+func (p *planner) isSurplus(e *slot, model string) bool {
+	k := Key{Service: e.Service, Model: model}
+	if _, declared := p.s.Sizes[model]; !declared {
+		return false
+	}
+	wanted, held := p.s.Wanted[k]
+	if !held {
+		return !p.isNeeded(k)
+	}
+	c := p.present(k)
+	if c.copies-1 < max(wanted, MinCopies) {
+		return false
+	}
+	return len(c.domains) < 2 || len(c.domains) > 2 || c.domains[e.Domain] > 1
+}
+
+func (p *planner) isNeeded(k Key) bool {
+	return slices.ContainsFunc(p.s.Needs, func(n Need) bool { return n.Key == k })
+}
+
+// fillIdle gives each engine without a model the needed model of its service
+// that has the fewest copies for its demand.
+func (p *planner) fillIdle() {
+	for _, e := range p.slots {
+		if len(e.models) > 0 || e.reserved != "" || p.budget < p.limits.EngineReadRate {
+			continue
+		}
+		if k, ok := p.scarcest(e); ok {
+			p.give(e, Order{Action: Load, Model: k.Model, Reason: ReasonIdle})
+		}
+	}
+}
+
+func (p *planner) scarcest(e *slot) (best Key, found bool) {
+	least := 0.0
+	for _, n := range p.s.Needs {
+		if !p.takes(e, n.Key) || !p.fits(e, n.Model) || !p.mayTry(n.Model) {
+			continue
+		}
+		share := float64(p.coverage(n.Key).copies) / float64(max(n.Copies, MinCopies))
+		if !found || share < least {
+			best, least, found = n.Key, share, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const testModels = 4
+
+// drawState draws a state with engines in any condition and orders in flight.
+func drawState(t *rapid.T) *State {
+	s := &State{
+		Limits: Limits{
+			ReadRate:       rapid.Int64Range(1, 5).Draw(t, "rate"),
+			EngineReadRate: rapid.Int64Range(0, 5).Draw(t, "engine rate"),
+			EngineMemory:   rapid.Int64Range(0, 6).Draw(t, "memory"),
+		},
+		Sizes: map[string]int64{}, Wanted: map[Key]int{}, Failed: map[Copy]Failure{}, FailedModels: map[string]Failure{},
+	}
+	model := rapid.Custom(func(t *rapid.T) string {
+		return fmt.Sprintf("model-%d", rapid.IntRange(0, testModels-1).Draw(t, "model"))
+	})
+	service := rapid.SampledFrom([]string{"generators", "writers"})
+	for i := range testModels {
+		s.Sizes[fmt.Sprintf("model-%d", i)] = rapid.Int64Range(1, 3).Draw(t, "size")
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "needs") {
+		k := Key{Service: service.Draw(t, "service"), Model: model.Draw(t, "need")}
+		if _, ok := s.Wanted[k]; !ok {
+			copies := rapid.IntRange(0, 5).Draw(t, "copies")
+			s.Needs = append(s.Needs, Need{Key: k, Copies: copies})
+			s.Wanted[k] = copies
+		}
+	}
+	for i := range rapid.IntRange(0, 8).Draw(t, "engines") {
+		s.Engines = append(s.Engines, Engine{
+			Name: fmt.Sprintf("engine-%d", i), Service: service.Draw(t, "service"),
+			Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"),
+			Models: rapid.SliceOfNDistinct(model, 0, 3, rapid.ID).Draw(t, "models"),
+			Usable: rapid.IntRange(0, 4).Draw(t, "usable") > 0,
+		})
+	}
+	return s
+}
+
+// perform carries an order out on the state.
+func perform(s *State, o Order) {
+	for i := range s.Engines {
+		e := &s.Engines[i]
+		if e.Name != o.Engine {
+			continue
+		}
+		if o.Action == Load {
+			e.Models = append(slices.Clone(e.Models), o.Model)
+		} else {
+			e.Models = slices.DeleteFunc(slices.Clone(e.Models), func(m string) bool { return m == o.Model })
+		}
+	}
+}
+
+func engineOf(s *State, name string) *Engine {
+	i := slices.IndexFunc(s.Engines, func(e Engine) bool { return e.Name == name })
+	return &s.Engines[i]
+}
+
+func spread(s *State, k Key) (copies, domains int) {
+	seen := map[string]bool{}
+	for _, e := range s.Engines {
+		if e.Usable && e.Service == k.Service && e.has(k.Model) {
+			copies++
+			seen[e.Domain] = true
+		}
+	}
+	return copies, len(seen)
+}
+
+// checkOrders checks the rules that hold for every plan.
+func checkOrders(t *rapid.T, s *State, orders []Order) {
+	limits := s.Limits.withDefaults()
+	reading := int64(0)
+	for _, o := range s.Orders {
+		if o.Reading {
+			reading += limits.EngineReadRate
+		}
+	}
+	// Loads may fail, so only unloads are carried out before the copies are counted.
+	after := *s
+	after.Engines = slices.Clone(s.Engines)
+	for _, o := range s.Orders {
+		if o.Action == Unload {
+			perform(&after, o.Order)
+		}
+	}
+	for _, o := range orders {
+		e := engineOf(s, o.Engine)
+		require.True(t, e.Usable, "order %v to an engine that is leaving, silent or not ready", o)
+		if o.Action == Load {
+			reading += limits.EngineReadRate
+			require.False(t, e.has(o.Model))
+			continue
+		}
+		require.True(t, e.has(o.Model))
+		k := Key{Service: e.Service, Model: o.Model}
+		_, domainsBefore := spread(&after, k)
+		perform(&after, o)
+		copies, domains := spread(&after, k)
+		if wanted, needed := s.Wanted[k]; needed {
+			require.GreaterOrEqual(t, copies, max(MinCopies, wanted), "unload %v below the minimum", o)
+			require.GreaterOrEqual(t, domains, min(2, domainsBefore), "unload %v leaves one failure domain", o)
+		}
+	}
+	if len(orders) > 0 {
+		require.LessOrEqual(t, reading, limits.ReadRate, "reads above the budget")
+	}
+}
+
+// Guards against plans that exceed the read limit, take away a copy that is
+// needed, order from engines that are going, never end, or undo each other.
+func TestPlanConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawState(t)
+		now := time.Unix(0, 0)
+		done := map[Order]bool{}
+		for step := 0; ; step++ {
+			require.Less(t, step, 200, "the plan never becomes empty")
+			orders := Plan(s, now)
+			require.Equal(t, orders, Plan(s, now), "the same state gives another plan")
+			checkOrders(t, s, orders)
+			if len(orders) == 0 && len(s.Orders) == 0 {
+				break
+			}
+			for _, o := range orders {
+				undo := Order{Engine: o.Engine, Model: o.Model, Action: Load}
+				if o.Action == Load {
+					undo.Action = Unload
+				}
+				require.False(t, done[undo], "order %v undoes an earlier one", o)
+				done[Order{Engine: o.Engine, Model: o.Model, Action: o.Action}] = true
+				s.Orders = append(s.Orders, InFlight{Order: o, Reading: o.Action == Load})
+			}
+			// Any order in flight may finish first.
+			i := rapid.IntRange(0, len(s.Orders)-1).Draw(t, "finished")
+			perform(s, s.Orders[i].Order)
+			s.Orders = slices.Delete(slices.Clone(s.Orders), i, i+1)
+		}
+		for _, n := range s.Needs {
+			checkCovered(t, s, n)
+		}
+	})
+}
+
+// checkCovered checks that a needed model has its copies wherever memory allows.
+func checkCovered(t *rapid.T, s *State, n Need) {
+	copies, domains := spread(s, n.Key)
+	for _, e := range s.Engines {
+		if !e.Usable || e.Service != n.Service || e.has(n.Model) {
+			continue
+		}
+		used := s.Sizes[n.Model]
+		for _, m := range e.Models {
+			used += s.Sizes[m]
+		}
+		if s.Limits.EngineMemory != 0 && used > s.Limits.EngineMemory {
+			continue
+		}
+		require.GreaterOrEqual(t, copies, max(MinCopies, n.Copies), "%v lacks copies, and %s has room", n, e.Name)
+		require.True(t, domains > 1 || slices.ContainsFunc(s.Engines, func(o Engine) bool {
+			return o.Domain == e.Domain && o.Service == e.Service && o.Usable && o.has(n.Model)
+		}),
+			"%v is in one failure domain, and %s has room in another", n, e.Name)
+	}
+}
