placement: Run the plan at the leader under a fencing token

Cause: engines that start without models never got them, and nothing used the fencing token of the scope placement. Agents attach their load report to heartbeats and describe the target right after an order; the leader pulls the reports that its peers hear. Result: with -race, three engines without models reach two copies of both models in virtual time with four reads, one at a time; the order of a deposed leader reaches no engine.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -58,6 +58,7 @@
 		},
 		TargetName:    a.o.TargetName,
 		TargetVersion: a.infoVersion.Load(),
+		Load:          a.loadReport(),
 	}
 	info := a.info.Load()
 	if !describe || info == nil {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -65,5 +65,7 @@
 	if err := s.a.target.post(ctx, "/v1/engine-orders", body, nil); err != nil {
 		return &wire.EngineOrderResponse{Refusal: "target_refused: " + err.Error(), Fence: r.GetFence()}, nil
 	}
+	// The order may have changed the models, by which entries route.
+	s.a.describe(ctx)
 	return &wire.EngineOrderResponse{Accepted: true, Fence: r.GetFence()}, nil
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -277,11 +277,14 @@
 	c.every(ctx, peerPullPeriod, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		defer cancel()
-		resp, err := client.Roster(ctx, &wire.RosterRequest{Since: since, Epoch: epoch, Process: c.o.Name, Peer: true})
+		// Only the leader places models, by the load of all engines.
+		loads := c.o.Node.Status().Role == replica.Leader
+		resp, err := client.Roster(ctx, &wire.RosterRequest{Since: since, Epoch: epoch, Process: c.o.Name, Peer: true, Loads: loads})
 		if err != nil {
 			return
 		}
 		c.o.Roster.Merge(resp)
+		c.o.Roster.MergeLoads(resp.GetLoads())
 		since, epoch = resp.GetVersion(), resp.GetEpoch()
 	})
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -145,6 +145,9 @@
 		changed, updated := s.c.o.Roster.Changed(), s.c.waitChange()
 		resp := s.c.o.Roster.Since(r.GetSince(), r.GetEpoch())
 		resp.Drains = s.c.drains()
+		if r.GetLoads() {
+			resp.Loads = s.c.o.Roster.Loads()
+		}
 		last := s.c.fresh()
 		resp.Confirmed = last != nil
 		if last != nil {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -208,14 +208,18 @@
 	return c
 }
 
-// isSurplus reports whether the copy on e may go: the copies that remain are
-// those wanted, at least MinCopies when a stage needs the model, and in no fewer
+// isSurplus reports whether the copy on e may go: it was loaded for the quiet
+// time, and the copies that remain are those wanted, at least MinCopies when a stage needs the model, and in no fewer
 // than two failure domains when they are now.
 func (p *planner) isSurplus(e *slot, model string) bool {
 	k := Key{Service: e.Service, Model: model}
 	if _, declared := p.s.Sizes[model]; !declared {
 		return false
 	}
+	since, seen := p.s.Since[Copy{Engine: e.Name, Model: model}]
+	if !seen || p.now.Sub(since) < p.limits.QuietTime {
+		return false
+	}
 	wanted, held := p.s.Wanted[k]
 	if !held {
 		return !p.isNeeded(k)
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -12,6 +12,8 @@
 
 const testModels = 4
 
+var testStart = time.Unix(1_000_000, 0)
+
 // drawState draws a state with engines in any condition and orders in flight.
 func drawState(t *rapid.T) *State {
 	s := &State{
@@ -21,6 +23,7 @@
 			EngineMemory:   rapid.Int64Range(0, 6).Draw(t, "memory"),
 		},
 		Sizes: map[string]int64{}, Wanted: map[Key]int{}, Failed: map[Copy]Failure{}, FailedModels: map[string]Failure{},
+		Since: map[Copy]time.Time{},
 	}
 	model := rapid.Custom(func(t *rapid.T) string {
 		return fmt.Sprintf("model-%d", rapid.IntRange(0, testModels-1).Draw(t, "model"))
@@ -44,6 +47,9 @@
 			Models: rapid.SliceOfNDistinct(model, 0, 3, rapid.ID).Draw(t, "models"),
 			Usable: rapid.IntRange(0, 4).Draw(t, "usable") > 0,
 		})
+		for _, m := range s.Engines[i].Models {
+			s.Since[Copy{Engine: s.Engines[i].Name, Model: m}] = testStart.Add(-time.Duration(rapid.IntRange(0, 30).Draw(t, "age")) * time.Minute)
+		}
 	}
 	return s
 }
@@ -105,6 +111,7 @@
 			continue
 		}
 		require.True(t, e.has(o.Model))
+		require.LessOrEqual(t, s.Since[Copy{Engine: o.Engine, Model: o.Model}], testStart.Add(-DefaultQuietTime), "unload %v of a new copy", o)
 		k := Key{Service: e.Service, Model: o.Model}
 		_, domainsBefore := spread(&after, k)
 		perform(&after, o)
@@ -124,7 +131,7 @@
 func TestPlanConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawState(t)
-		now := time.Unix(0, 0)
+		now := testStart
 		done := map[Order]bool{}
 		for step := 0; ; step++ {
 			require.Less(t, step, 200, "the plan never becomes empty")
--- /dev/null
+++ b/internal/placement/runner_test.go
@@ -0,0 +1,237 @@
+package placement_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/agent"
+	"github.com/cardamomline/cardamomline/internal/configwatch"
+	"github.com/cardamomline/cardamomline/internal/kernel"
+	"github.com/cardamomline/cardamomline/internal/listener"
+	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/placement"
+	"github.com/cardamomline/cardamomline/internal/roster"
+	"github.com/cardamomline/cardamomline/internal/standin"
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+const (
+	testManifest = `version: 1
+classes: [{name: counter, priority: 0, deadline: 2s}]
+customers: [{name: depot-milford, key: k, default_class: counter}]
+models: [{name: bunker-7b, size: 8GB}, {name: stem-3b, size: 3GB}]
+services:
+  - {name: generators, kind: engine, operations: [{name: generate, idempotent: true, timeout: 4s}]}
+pipelines:
+  - name: quote-answer
+    deadline: 6s
+    default_class: counter
+    stages: [{name: generate, service: generators, operation: generate, model: bunker-7b, expected: 600ms}]
+  - name: stem-answer
+    deadline: 6s
+    default_class: counter
+    stages: [{name: generate, service: generators, operation: generate, model: stem-3b, expected: 600ms}]
+`
+	readRate = 1_000_000_000
+)
+
+// site is agents and engines in memory, under one roster that several control
+// VMs share.
+type site struct {
+	t       *testing.T
+	network *standin.MemoryNetwork
+	timers  *timer.Service
+	roster  *roster.Roster
+	metrics *metrics.Metrics
+	config  *configwatch.Watcher
+	kernel  *kernel.Kernel
+	store   *standin.Standin
+	engines []*standin.Standin
+	agents  []*agent.Agent
+	fence   atomic.Uint64
+	cuts    atomic.Bool // heartbeats get no confirmed answer
+}
+
+func onSite(t *testing.T, engines int, test func(s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := timer.NewService()
+		s := &site{
+			t: t, network: standin.NewMemoryNetwork(), timers: ts, roster: roster.New(roster.Options{Timer: ts, Epoch: "one"}),
+			metrics: metrics.New("control"), config: configwatch.New(configwatch.Options{Timers: ts}), kernel: kernel.New(),
+		}
+		require.NoError(t, s.config.Offer(&wire.ManifestRecord{Revision: 1, Manifest: []byte(testManifest)}))
+		s.kernel.Register("metrics", closer{s.metrics})
+		s.store = s.standin(standin.Options{Name: "weights", Kind: standin.KindWeightStore, ReadRate: readRate})
+		for i := range engines {
+			s.addEngine(i)
+		}
+		require.NoError(t, s.kernel.Start(context.Background()))
+		test(s)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.kernel.Stop(ctx)
+		for _, e := range append(s.engines, s.store) {
+			e.Die()
+		}
+	})
+}
+
+type closer struct{ m *metrics.Metrics }
+
+func (c closer) Stop(context.Context) error { return c.m.Close() }
+func (c closer) Done() <-chan struct{}      { return nil }
+
+func (s *site) standin(o standin.Options) *standin.Standin {
+	o.Listen, o.Open, o.Timer = o.Name+":1", s.network.Listen, s.timers
+	o.Client = &http.Client{Transport: &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}}
+	target, err := standin.New(o)
+	require.NoError(s.t, err)
+	require.NoError(s.t, target.Start(context.Background()))
+	return target
+}
+
+// addEngine adds an engine without models that ignores fencing tokens.
+func (s *site) addEngine(i int) {
+	name := fmt.Sprintf("engine-%d", i+1)
+	target := s.standin(standin.Options{
+		Name: name, Service: "generators", Kind: standin.KindEngine,
+		Engine: standin.EngineOptions{WeightStore: "http://weights:1", ModelBytes: 8 * readRate},
+	})
+	s.engines = append(s.engines, target)
+	a, err := agent.New(agent.Options{
+		Timers: s.timers, Control: s, Config: s.config, Metrics: s.metrics, Name: "agent-" + name, TargetName: name, Service: "generators",
+		TargetURL: "http://" + target.Address(), Address: "agent-" + name + ":1", FailureDomain: []string{"milford", "swansea"}[i%2], Dial: s.network.Dial,
+	})
+	require.NoError(s.t, err)
+	l, err := s.network.Listen("agent-" + name + ":1")
+	require.NoError(s.t, err)
+	s.agents = append(s.agents, a)
+	s.kernel.Register("server-"+name, listener.New(listener.Options{Listener: l, Handler: a.Handler()}))
+	s.kernel.Register("agent-"+name, a)
+}
+
+// Heartbeat implements agent.Control.
+func (s *site) Heartbeat(_ context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	return &wire.HeartbeatResponse{WantTarget: s.roster.Announce(r), Revision: 1, Confirmed: !s.cuts.Load(), Fence: s.fence.Load()}, nil
+}
+
+// controlVM is one control VM's view; it may believe that it leads when it doesn't.
+type controlVM struct {
+	s     *site
+	leads atomic.Bool
+	mu    sync.Mutex
+	token uint64
+}
+
+func (v *controlVM) Leading() (uint64, bool) { return 1, v.leads.Load() }
+
+func (v *controlVM) GrantFence(context.Context) (uint64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.token = v.s.fence.Add(1)
+	return v.token, nil
+}
+
+func (v *controlVM) Confirm(context.Context) error  { return nil }
+func (v *controlVM) Manifest() *wire.ManifestRecord { return v.s.config.Current().Record() }
+func (v *controlVM) Drains() []string               { return nil }
+
+func (s *site) startRunner(leads bool) *controlVM {
+	v := &controlVM{s: s}
+	v.leads.Store(leads)
+	r, err := placement.NewRunner(placement.Options{
+		Timers: s.timers, Leader: v, Roster: s.roster, Metrics: s.metrics, Scope: "placement", Dial: s.network.Dial,
+		Limits: placement.Limits{ReadRate: readRate},
+	})
+	require.NoError(s.t, err)
+	require.NoError(s.t, r.Start(context.Background()))
+	s.t.Cleanup(func() { _ = r.Stop(context.Background()) })
+	return v
+}
+
+// copies returns how many engines announce the model.
+func (s *site) copies(model string) int {
+	n := 0
+	for _, t := range s.roster.Targets("generators") {
+		for _, m := range t.GetModels() {
+			if m == model && !t.GetSilent() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// orders returns the orders that reached the engine under the token.
+func orders(e *standin.Standin, token uint64) (list []standin.EngineOrderRecord) {
+	for _, o := range e.Account(0).EngineOrders {
+		if o.Fence == token {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// Guards against engines that start without models and never get them, against
+// reads above the limit of the weight store, and against orders that go on
+// although all models are in place.
+func TestEnginesWithoutModelsGetThem(t *testing.T) {
+	onSite(t, 3, func(s *site) {
+		v := s.startRunner(true)
+		time.Sleep(70 * time.Second)
+		require.Equal(t, 2, s.copies("bunker-7b"))
+		require.Equal(t, 2, s.copies("stem-3b"))
+		reads := s.store.Account(0).Attempts
+		require.Len(t, reads, 4)
+		for i := 1; i < len(reads); i++ {
+			require.GreaterOrEqual(t, reads[i].StartMS, reads[i-1].EndMS, "two reads at once")
+		}
+		sent := 0
+		for _, e := range s.engines {
+			sent += len(orders(e, v.token))
+		}
+		require.Equal(t, 4, sent)
+
+		s.engines[0].Die()
+		time.Sleep(5 * time.Second)
+		require.NoError(t, s.engines[0].Start(context.Background()))
+		time.Sleep(60 * time.Second)
+		require.GreaterOrEqual(t, s.copies("bunker-7b"), 2)
+		require.GreaterOrEqual(t, s.copies("stem-3b"), 2)
+		v.leads.Store(false)
+	})
+}
+
+// Guards against a deposed leader, still sure that it leads, whose orders run at
+// engines that ignore tokens, and against one that goes on after it was told.
+func TestDeposedLeaderIsRefused(t *testing.T) {
+	onSite(t, 2, func(s *site) {
+		old := s.startRunner(true)
+		time.Sleep(70 * time.Second)
+		require.Equal(t, 2, s.copies("bunker-7b"))
+		before := len(orders(s.engines[0], old.token))
+
+		s.fence.Add(1) // another leader's token, which no agent has heard yet
+		s.engines[0].Die()
+		time.Sleep(1500 * time.Millisecond)
+		require.NoError(t, s.engines[0].Start(context.Background()))
+		time.Sleep(60 * time.Second)
+		require.Len(t, orders(s.engines[0], old.token), before, "the deposed leader's order reached the engine")
+		require.Equal(t, int64(1), s.metrics.Totals()["placement_deposed"], "the deposed leader goes on")
+		require.Equal(t, 1, s.copies("bunker-7b"))
+
+		next := s.startRunner(true)
+		time.Sleep(60 * time.Second)
+		require.NotEmpty(t, orders(s.engines[0], next.token))
+		require.Equal(t, 2, s.copies("bunker-7b"))
+	})
+}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -13,6 +13,11 @@
 	// DefaultReadRate is the assumed read limit of the weight store, in bytes per second.
 	DefaultReadRate = 1_000_000_000
 
+	// DefaultQuietTime is how long a copy must have been loaded, and the demand
+	// must have been lower, before the copy may be unloaded. A copy costs a read of
+	// seconds to minutes, so it stays through the pauses between bursts.
+	DefaultQuietTime = 15 * time.Minute
+
 	// retryFirst and retryMost bound the pause after a load that failed on an
 	// engine; modelRetryFirst and modelRetryMost that after a model failed on any
 	// engine, so that a weight store that is down isn't asked for every engine in turn.
@@ -83,6 +88,8 @@
 	// EngineMemory is the memory of an engine for models in bytes. Zero is
 	// unknown: each load is tried, and nothing is unloaded.
 	EngineMemory int64
+	// QuietTime is how long a copy stays at least.
+	QuietTime time.Duration
 }
 
 func (l Limits) withDefaults() Limits {
@@ -92,6 +99,9 @@
 	if l.EngineReadRate <= 0 || l.EngineReadRate > l.ReadRate {
 		l.EngineReadRate = l.ReadRate
 	}
+	if l.QuietTime <= 0 {
+		l.QuietTime = DefaultQuietTime
+	}
 	return l
 }
 
@@ -119,6 +129,8 @@
 	// service and model; copies above it may be unloaded. Models that no stage
 	// needs any more are in it until the quiet time has passed.
 	Wanted map[Key]int
+	// Since holds when each copy was first seen. A copy without a time is new.
+	Since map[Copy]time.Time
 	// Failed holds the failures by engine and model, FailedModels those by model.
 	Failed       map[Copy]Failure
 	FailedModels map[string]Failure
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -31,6 +31,7 @@
 	"github.com/cardamomline/cardamomline/internal/ledger"
 	"github.com/cardamomline/cardamomline/internal/listener"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/placement"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/roster"
 	"github.com/cardamomline/cardamomline/internal/settings"
@@ -50,6 +51,8 @@
 	NodePart    = "node"
 	RosterPart  = "roster"
 	LinkPart    = "transport"
+	// PlacementPart decides which models engines load.
+	PlacementPart = "placement"
 )
 
 // Options changes how a process is put together.
@@ -195,12 +198,21 @@
 	if err != nil {
 		return err
 	}
+	own := b.s.Placement()
+	runner, err := placement.NewRunner(placement.Options{
+		Timers: b.t, Leader: c.Placement(), Roster: ros, Metrics: b.m, Scope: control.PlacementScope,
+		Limits: placement.Limits{ReadRate: own.ReadRate(), EngineReadRate: own.EngineReadRate(), EngineMemory: own.EngineMemory()},
+	})
+	if err != nil {
+		return err
+	}
 	b.admin(c.Ready)
 	b.k.Register(LinkPart, link)
 	b.k.Register(NodePart, node)
 	b.k.Register(RosterPart, ros)
 	b.k.Register(ServerPart, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: c.Handler()}))
 	b.k.Register(ControlPart, c)
+	b.k.Register(PlacementPart, runner)
 	return nil
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -508,8 +508,9 @@
 	return out
 }
 
-// Load returns the newest load report that this VM itself has received from a
-// process, and its time. Load reports aren't part of versions or deltas.
+// Load returns the newest load report of a process that this VM or, by
+// MergeLoads, a peer has received, and its time. Load reports aren't part of
+// versions or deltas.
 func (r *Roster) Load(name string) (load *wire.LoadReport, at time.Time, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -519,3 +520,30 @@
 	}
 	return rec.load, rec.loadAt, true
 }
+
+// Loads returns the load reports of the processes that this VM hears itself,
+// sorted by name. Those of silent processes are left out.
+func (r *Roster) Loads() []*wire.ProcessLoad {
+	var out []*wire.ProcessLoad
+	r.locked(func(time.Time) {
+		for name, rec := range r.records {
+			if rec.load != nil && !rec.silent && rec.sequence.origin() == r.origin {
+				out = append(out, &wire.ProcessLoad{Process: name, Load: rec.load})
+			}
+		}
+	})
+	slices.SortFunc(out, func(a, b *wire.ProcessLoad) int { return strings.Compare(a.GetProcess(), b.GetProcess()) })
+	return out
+}
+
+// MergeLoads takes the load reports of a peer, except for processes that this VM
+// hears itself.
+func (r *Roster) MergeLoads(loads []*wire.ProcessLoad) {
+	r.locked(func(now time.Time) {
+		for _, l := range loads {
+			if rec := r.records[l.GetProcess()]; rec != nil && rec.sequence.origin() != r.origin {
+				rec.load, rec.loadAt = l.GetLoad(), now
+			}
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,13 @@
 	MaxBytes   = 64 << 10 // of the file
 	MaxControl = 7        // control VMs, as many as may be dedicated to control
 	MaxText    = 1024     // bytes of a path or URL
+
+	minReadRate = 1_000                 // bytes per second
+	maxReadRate = 100_000_000_000_000   // bytes per second
+	maxMemory   = 1_000_000_000_000_000 // bytes
+	// defaultReadRate matches the stand-in of the weight store; it is low for a
+	// real one, so that an unset value slows loads down and doesn't overload it.
+	defaultReadRate = 1_000_000_000
 )
 
 // Settings are the settings of one process.
@@ -55,6 +62,7 @@
 	dataFolder    string
 	peers         []string
 	target        Target
+	placement     Placement
 }
 
 // Role returns what the process does.
@@ -91,6 +99,27 @@
 // Target returns the target of an agent; it is zero for other roles.
 func (s *Settings) Target() Target { return s.target }
 
+// Placement returns the limits for loading models; it is zero for other roles
+// than control.
+func (s *Settings) Placement() Placement { return s.placement }
+
+// Placement holds the limits that a control process keeps to when it loads
+// models on engines. They should be the same at all control processes.
+type Placement struct {
+	readRate       int64
+	engineReadRate int64
+	engineMemory   int64
+}
+
+// ReadRate returns the read limit of the weight store in bytes per second.
+func (p Placement) ReadRate() int64 { return p.readRate }
+
+// EngineReadRate returns the rate at which one engine reads, in bytes per second.
+func (p Placement) EngineReadRate() int64 { return p.engineReadRate }
+
+// EngineMemory returns the memory of an engine for models in bytes; 0 is unknown.
+func (p Placement) EngineMemory() int64 { return p.engineMemory }
+
 // Target is the process that an agent stands in front of.
 type Target struct {
 	name    string
@@ -131,7 +160,7 @@
 }
 
 func decode(v strictyaml.Value) *Settings {
-	f := v.Mapping("role", "name", "region", "failure_domain", "listen", "admin", "control", "data_folder", "peers", "target")
+	f := v.Mapping("role", "name", "region", "failure_domain", "listen", "admin", "control", "data_folder", "peers", "target", "placement")
 	if !f.Present() {
 		return nil
 	}
@@ -154,13 +183,16 @@
 		if peers := f.Optional("peers"); len(s.peers) > 0 && s.listen != "" && !slices.Contains(s.peers, s.listen) {
 			peers.Fail("no address "+s.listen, "the process's own listen address among the peers")
 		}
+		s.placement = placement(f.Optional("placement"))
 		refuse(f, "target", "only agents have a target")
 	case RoleAgent:
 		s.target = target(f.Required("target"))
 		refuse(f, "data_folder", "only control processes keep data")
+		refuse(f, "placement", "only control processes place models")
 		refuse(f, "peers", "only control processes have peers")
 	case RoleEntry:
 		refuse(f, "data_folder", "only control processes keep data")
+		refuse(f, "placement", "only control processes place models")
 		refuse(f, "peers", "only control processes have peers")
 		refuse(f, "target", "only agents have a target")
 	}
@@ -185,6 +217,25 @@
 	}
 }
 
+func placement(v strictyaml.Value) Placement {
+	f := v.Mapping("read_rate", "engine_read_rate", "engine_memory")
+	p := Placement{
+		readRate:       int64(f.Optional("read_rate").Size(minReadRate, maxReadRate)),
+		engineReadRate: int64(f.Optional("engine_read_rate").Size(minReadRate, maxReadRate)),
+		engineMemory:   int64(f.Optional("engine_memory").Size(1, maxMemory)),
+	}
+	if p.readRate == 0 {
+		p.readRate = defaultReadRate
+	}
+	if p.engineReadRate > p.readRate {
+		f.Optional("engine_read_rate").Fail("more than read_rate", "at most the read_rate "+strictyaml.Size(p.readRate).String())
+	}
+	if p.engineReadRate == 0 {
+		p.engineReadRate = p.readRate
+	}
+	return p
+}
+
 func addresses(v strictyaml.Value) []string {
 	var list []string
 	for item := range v.Items(1, MaxControl) {
