placement: Make room on engines that serve nothing

Cause: after a model was replaced in the manifest, engines that held only the old model counted as used, and a demand for more copies could not push out surplus ones. The property test then showed plans that unload a copy and load it again: an eviction while an engine with room was only busy, and idle engines filled while room was being made. Change: engines without a needed model are filled, if need be after unloading what no stage needs; evictions wait for busy engines with room and prefer engines that serve nothing; first copies of all models come before second ones. Conclusion: replacement of a model on full engines ends with the new one.

--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -7,10 +7,10 @@
 // of the scope placement.
 //
 // A model that a stage needs gets at least two copies, in different failure
-// domains where there are any, and more by demand. An engine without any model
-// gets one, because it can't serve otherwise. A copy is unloaded only when a
-// model that lacks copies fits nowhere, and only a copy above what the demand
-// asked for during the quiet time.
+// domains where there are any, and more by demand. An engine without a needed
+// model gets one, because it can't serve otherwise. A copy is unloaded only to
+// make room for a needed model, only after the quiet time, and only when it is
+// above the minimum and what the demand asked for during that time.
 //
 // # Usage
 //
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -6,20 +6,27 @@
 	"time"
 )
 
-// Plan returns the orders to give now, the most urgent first. It never changes
-// the state and gives the same orders for the same state.
+// Plan returns the orders to give now, the most urgent first: first copies, then
+// second ones, then those in a second failure domain, then those for the demand.
+// It never changes the state and gives the same orders for the same state.
 func Plan(s *State, now time.Time) []Order {
 	p := newPlanner(s, now)
-	for _, n := range s.Needs {
-		p.cover(n, ReasonMinimum)
+	for copies := 1; copies <= MinCopies; copies++ {
+		for _, n := range s.Needs {
+			p.cover(n.Key, ReasonMinimum, func(c coverage) bool { return c.copies < copies })
+		}
 	}
 	for _, n := range s.Needs {
-		p.cover(n, ReasonDomain)
+		p.cover(n.Key, ReasonDomain, func(c coverage) bool { return len(c.domains) == 1 })
 	}
 	for _, n := range s.Needs {
-		p.cover(n, ReasonDemand)
+		p.cover(n.Key, ReasonDemand, func(c coverage) bool { return c.copies < n.Copies })
+	}
+	// A copy that is unloaded makes room for another; until that is loaded, an
+	// idle engine could take the wrong one.
+	if !p.unloading() {
+		p.fillIdle()
 	}
-	p.fillIdle()
 	return p.orders
 }
 
@@ -108,34 +115,26 @@
 	return c
 }
 
-// lacks reports whether a model needs one more copy for the reason.
-func (c coverage) lacks(n Need, r Reason) bool {
-	switch r {
-	case ReasonMinimum:
-		return c.copies < MinCopies
-	case ReasonDomain:
-		return len(c.domains) == 1
-	case ReasonDemand:
-		return c.copies < n.Copies
-	}
-	return false
-}
-
-// cover orders loads of a model until the reason no longer holds or no engine
-// takes one.
-func (p *planner) cover(n Need, r Reason) {
+// cover orders loads of a model while it lacks copies and engines take them.
+func (p *planner) cover(k Key, r Reason, lacks func(coverage) bool) {
 	for {
-		c := p.coverage(n.Key)
-		if !c.lacks(n, r) || p.budget < p.limits.EngineReadRate || !p.mayTry(n.Model) {
+		c := p.coverage(k)
+		if !lacks(c) || p.budget < p.limits.EngineReadRate || !p.mayTry(k.Model) {
 			return
 		}
 		accept := func(e *slot) bool { return r != ReasonDomain || c.domains[e.Domain] == 0 }
-		if e := p.choose(n.Key, c, accept); e != nil {
-			p.give(e, Order{Action: Load, Model: n.Model, Reason: r})
+		if e := p.choose(k, c, accept); e != nil {
+			p.give(e, Order{Action: Load, Model: k.Model, Reason: r})
 			continue
 		}
-		// Extra copies for the demand don't push other models out.
-		if r == ReasonDemand || !p.makeRoom(n.Key, accept) {
+		// An engine that has room once its order in flight is done is worth the
+		// wait: a copy that is unloaded too early may have to be loaded again.
+		if slices.ContainsFunc(p.slots, func(e *slot) bool { return accept(e) && e.busy && p.suits(e, k) && p.fits(e, k.Model) }) {
+			return
+		}
+		// Engines that serve nothing make room first.
+		idle := func(e *slot) bool { return accept(e) && !p.serves(e) && p.makeRoom(e, k) }
+		if !slices.ContainsFunc(p.slots, idle) && !slices.ContainsFunc(p.slots, func(e *slot) bool { return accept(e) && p.makeRoom(e, k) }) {
 			return
 		}
 	}
@@ -145,12 +144,16 @@
 	return p.s.FailedModels[model].over(p.now, modelRetryFirst, modelRetryMost)
 }
 
-// takes reports whether an engine may be given a load of the model, apart from memory.
-func (p *planner) takes(e *slot, k Key) bool {
-	return e.Usable && !e.busy && e.Service == k.Service && !e.will(k.Model) &&
+// suits reports whether an engine may be given a load of the model, apart from
+// memory and the order in flight.
+func (p *planner) suits(e *slot, k Key) bool {
+	return e.Usable && e.Service == k.Service && !e.will(k.Model) &&
 		p.s.Failed[Copy{Engine: e.Name, Model: k.Model}].over(p.now, retryFirst, retryMost)
 }
 
+// takes reports whether an engine may be given a load of the model now, apart from memory.
+func (p *planner) takes(e *slot, k Key) bool { return !e.busy && p.suits(e, k) }
+
 func (p *planner) used(e *slot) int64 {
 	var sum int64
 	for _, m := range e.models {
@@ -178,21 +181,29 @@
 	return best
 }
 
-// makeRoom orders the unload of a copy that isn't wanted, on an engine where the
-// model then fits, and reports whether it found one.
-func (p *planner) makeRoom(k Key, accept func(*slot) bool) bool {
-	for _, e := range p.slots {
-		if !p.takes(e, k) || !accept(e) {
-			continue
-		}
-		for _, m := range e.models {
-			if p.isSurplus(e, m) && p.used(e)-p.s.Sizes[m]+p.s.Sizes[k.Model] <= p.limits.EngineMemory {
-				p.give(e, Order{Action: Unload, Model: m, Reason: ReasonMemory, For: k.Model})
-				return true
-			}
+// room returns the first surplus copy to unload, when the model fits on the engine
+// without all of them. Further copies go once the first is gone.
+func (p *planner) room(e *slot, k Key) (first string, ok bool) {
+	if !p.takes(e, k) || p.fits(e, k.Model) {
+		return "", false
+	}
+	excess := p.used(e) + p.s.Sizes[k.Model] - p.limits.EngineMemory
+	for _, m := range e.models {
+		if p.isSurplus(e, m) {
+			first = cmp.Or(first, m)
+			excess -= p.s.Sizes[m]
 		}
 	}
-	return false
+	return first, first != "" && excess <= 0
+}
+
+// makeRoom orders the unload that room returns and reports whether there is one.
+func (p *planner) makeRoom(e *slot, k Key) bool {
+	first, ok := p.room(e, k)
+	if ok {
+		p.give(e, Order{Action: Unload, Model: first, Reason: ReasonMemory, For: k.Model})
+	}
+	return ok
 }
 
 // present is the coverage by copies that are loaded now and not about to go.
@@ -235,23 +246,40 @@
 	return slices.ContainsFunc(p.s.Needs, func(n Need) bool { return n.Key == k })
 }
 
-// fillIdle gives each engine without a model the needed model of its service
-// that has the fewest copies for its demand.
+// unloading reports whether an unload is in flight or planned.
+func (p *planner) unloading() bool {
+	return slices.ContainsFunc(p.slots, func(e *slot) bool { return e.reserved != "" })
+}
+
+// fillIdle gives each engine that holds no needed model the one of its service
+// that has the fewest copies for its demand, among those that fit if there are any.
 func (p *planner) fillIdle() {
 	for _, e := range p.slots {
-		if len(e.models) > 0 || e.reserved != "" || p.budget < p.limits.EngineReadRate {
+		if p.budget < p.limits.EngineReadRate {
+			return
+		}
+		if e.reserved != "" || p.serves(e) {
 			continue
 		}
-		if k, ok := p.scarcest(e); ok {
+		if k, ok := p.scarcest(e, func(k Key) bool { return p.fits(e, k.Model) }); ok {
 			p.give(e, Order{Action: Load, Model: k.Model, Reason: ReasonIdle})
+			continue
+		}
+		if k, ok := p.scarcest(e, func(k Key) bool { _, ok := p.room(e, k); return ok }); ok {
+			p.makeRoom(e, k)
 		}
 	}
 }
 
-func (p *planner) scarcest(e *slot) (best Key, found bool) {
+// serves reports whether the engine holds, or is to get, a needed model.
+func (p *planner) serves(e *slot) bool {
+	return slices.ContainsFunc(e.models, func(m string) bool { return p.isNeeded(Key{Service: e.Service, Model: m}) })
+}
+
+func (p *planner) scarcest(e *slot, accept func(Key) bool) (best Key, found bool) {
 	least := 0.0
 	for _, n := range p.s.Needs {
-		if !p.takes(e, n.Key) || !p.fits(e, n.Model) || !p.mayTry(n.Model) {
+		if !p.takes(e, n.Key) || !p.mayTry(n.Model) || !accept(n.Key) {
 			continue
 		}
 		share := float64(p.coverage(n.Key).copies) / float64(max(n.Copies, MinCopies))
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -158,9 +158,29 @@
 		for _, n := range s.Needs {
 			checkCovered(t, s, n)
 		}
+		for i := range s.Engines {
+			checkServes(t, s, &s.Engines[i])
+		}
 	})
 }
 
+// checkServes checks that an engine holds a needed model if one fits at all.
+func checkServes(t *rapid.T, s *State, e *Engine) {
+	var used int64
+	for _, m := range e.Models {
+		used += s.Sizes[m]
+	}
+	for _, n := range s.Needs {
+		if n.Service != e.Service || !e.Usable {
+			continue
+		}
+		if slices.ContainsFunc(s.Needs, func(n Need) bool { return n.Service == e.Service && e.has(n.Model) }) {
+			return
+		}
+		require.False(t, s.Limits.EngineMemory == 0 || used+s.Sizes[n.Model] <= s.Limits.EngineMemory, "%s serves nothing, and %s fits", e.Name, n.Model)
+	}
+}
+
 // checkCovered checks that a needed model has its copies wherever memory allows.
 func checkCovered(t *rapid.T, s *State, n Need) {
 	copies, domains := spread(s, n.Key)
