agent: End the engine orders of an older fencing token

Cause: a load that a deposed leader had ordered went on reading beside those of the next leader, so both together could exceed the weight store's read limit. Change: a newer token, learned from a heartbeat or another order, ends the orders that run under an older one and answers them with stale_fence.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -47,13 +49,21 @@
 	return &wire.CancelResponse{Found: s.a.table.stop(r.GetAttempt())}, nil
 }
 
-// EngineOrder implements wire.Agent.
+// Refusals of EngineOrder.
+const (
+	refusedStale      = "stale_fence"
+	refusedNotLearned = "fence_not_learned"
+)
+
+// EngineOrder implements wire.Agent. It answers when the target has carried the
+// order out, which takes as long as a load.
 func (s *service) EngineOrder(ctx context.Context, r *wire.EngineOrderRequest) (*wire.EngineOrderResponse, error) {
-	ok, why := s.a.fence.admit(r.GetFence())
-	if !ok {
+	ctx, end, why := s.a.fence.admit(ctx, r.GetFence())
+	if why != "" {
 		s.a.o.Metrics.CountReason("agent_engine_order_refusals", why)
 		return &wire.EngineOrderResponse{Refusal: why, Fence: s.a.fence.current()}, nil
 	}
+	defer end()
 	body := struct {
 		Fence   uint64 `json:"fence"`
 		Action  string `json:"action"`
@@ -62,7 +72,11 @@
 		Version string `json:"version,omitempty"`
 		Role    string `json:"role,omitempty"`
 	}{r.GetFence(), r.GetAction(), r.GetModel(), r.GetAdapter(), r.GetVersion(), r.GetRole()}
-	if err := s.a.target.post(ctx, "/v1/engine-orders", body, nil); err != nil {
+	err := s.a.target.post(ctx, "/v1/engine-orders", body, nil)
+	if err != nil && errors.Is(context.Cause(ctx), errNewerFence) {
+		return &wire.EngineOrderResponse{Refusal: refusedStale, Fence: s.a.fence.current()}, nil
+	}
+	if err != nil {
 		return &wire.EngineOrderResponse{Refusal: "target_refused: " + err.Error(), Fence: r.GetFence()}, nil
 	}
 	// The order may have changed the models, by which entries route.
--- a/internal/placement/runner_test.go
+++ b/internal/placement/runner_test.go
@@ -58,16 +58,18 @@
 	engines []*standin.Standin
 	agents  []*agent.Agent
 	fence   atomic.Uint64
-	cuts    atomic.Bool // heartbeats get no confirmed answer
+	// confirmed is whether heartbeats get an answer that a quorum confirmed.
+	confirmed atomic.Bool
 }
 
-func onSite(t *testing.T, engines int, test func(s *site)) {
+func onSite(t *testing.T, engines int, confirmed bool, test func(s *site)) {
 	synctest.Test(t, func(t *testing.T) {
 		ts := timer.NewService()
 		s := &site{
 			t: t, network: standin.NewMemoryNetwork(), timers: ts, roster: roster.New(roster.Options{Timer: ts, Epoch: "one"}),
 			metrics: metrics.New("control"), config: configwatch.New(configwatch.Options{Timers: ts}), kernel: kernel.New(),
 		}
+		s.confirmed.Store(confirmed)
 		require.NoError(t, s.config.Offer(&wire.ManifestRecord{Revision: 1, Manifest: []byte(testManifest)}))
 		s.kernel.Register("metrics", closer{s.metrics})
 		s.store = s.standin(standin.Options{Name: "weights", Kind: standin.KindWeightStore, ReadRate: readRate})
@@ -121,7 +123,7 @@
 
 // Heartbeat implements agent.Control.
 func (s *site) Heartbeat(_ context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
-	return &wire.HeartbeatResponse{WantTarget: s.roster.Announce(r), Revision: 1, Confirmed: !s.cuts.Load(), Fence: s.fence.Load()}, nil
+	return &wire.HeartbeatResponse{WantTarget: s.roster.Announce(r), Revision: 1, Confirmed: s.confirmed.Load(), Fence: s.fence.Load()}, nil
 }
 
 // controlVM is one control VM's view; it may believe that it leads when it doesn't.
@@ -185,7 +187,7 @@
 // reads above the limit of the weight store, and against orders that go on
 // although all models are in place.
 func TestEnginesWithoutModelsGetThem(t *testing.T) {
-	onSite(t, 3, func(s *site) {
+	onSite(t, 3, true, func(s *site) {
 		v := s.startRunner(true)
 		time.Sleep(70 * time.Second)
 		require.Equal(t, 2, s.copies("bunker-7b"))
@@ -214,7 +216,7 @@
 // Guards against a deposed leader, still sure that it leads, whose orders run at
 // engines that ignore tokens, and against one that goes on after it was told.
 func TestDeposedLeaderIsRefused(t *testing.T) {
-	onSite(t, 2, func(s *site) {
+	onSite(t, 2, true, func(s *site) {
 		old := s.startRunner(true)
 		time.Sleep(70 * time.Second)
 		require.Equal(t, 2, s.copies("bunker-7b"))
@@ -235,3 +237,37 @@
 		require.Equal(t, 2, s.copies("bunker-7b"))
 	})
 }
+
+// Guards against reads of a deposed leader that go on beside those of the next
+// one and exceed the limit of the weight store together.
+func TestNewerTokenEndsRunningLoads(t *testing.T) {
+	onSite(t, 2, true, func(s *site) {
+		old := s.startRunner(true)
+		time.Sleep(8 * time.Second)
+		require.Len(t, s.store.Account(0).Attempts, 1)
+		old.leads.Store(false)
+		s.startRunner(true)
+		time.Sleep(70 * time.Second)
+		require.Equal(t, 2, s.copies("bunker-7b"))
+		reads := s.store.Account(0).Attempts
+		require.Equal(t, standin.StateCanceled, reads[0].State)
+		for i := 1; i < len(reads); i++ {
+			require.GreaterOrEqual(t, reads[i].StartMS, reads[i-1].EndMS, "two reads at once")
+		}
+	})
+}
+
+// Guards against a load that counts as failed, and waits for a growing pause,
+// because an agent has not heard the token yet.
+func TestOrderWaitsUntilTheAgentKnowsTheToken(t *testing.T) {
+	onSite(t, 1, false, func(s *site) {
+		v := s.startRunner(true)
+		time.Sleep(7 * time.Second)
+		require.Empty(t, orders(s.engines[0], v.token))
+		require.Positive(t, s.metrics.Totals()["agent_engine_order_refusals/fence_not_learned"])
+		s.confirmed.Store(true)
+		time.Sleep(11 * time.Second)
+		require.Equal(t, 1, s.copies("bunker-7b"))
+		require.Zero(t, s.metrics.Totals()["placement_order_failures/load_model"])
+	})
+}
