--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -279,12 +279,15 @@
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		defer cancel()
 		asked := c.o.Timers.Now()
-		resp, err := client.Roster(ctx, &wire.RosterRequest{Since: since, Epoch: epoch, Process: c.o.Name, Peer: true})
+		// Only the leader places models, by the load of all engines.
+		loads := c.o.Node.Status().Role == replica.Leader
+		resp, err := client.Roster(ctx, &wire.RosterRequest{Since: since, Epoch: epoch, Process: c.o.Name, Peer: true, Loads: loads})
 		if err != nil || c.o.Timers.Since(asked) > forwardTimeout {
 			// An answer that waited while this process was paused tells an old silence.
 			return
 		}
 		c.o.Roster.Merge(resp)
+		c.o.Roster.MergeLoads(resp.GetLoads())
 		since, epoch = resp.GetVersion(), resp.GetEpoch()
 	})
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -136,6 +136,9 @@
 	for {
 		changed := s.c.o.Roster.Changed()
 		resp := s.c.o.Roster.Since(r.GetSince(), r.GetEpoch())
+		if r.GetLoads() {
+			resp.Loads = s.c.o.Roster.Loads()
+		}
 		last := s.c.fresh()
 		resp.Confirmed = last != nil
 		if last != nil {
