replica: Test that Barrier waits for Apply

Cause: no test noticed a Barrier that returned before the state machine had applied what was committed. Change: TestBarrierWaitsForApply with a state machine that takes 1 s for each entry.

--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -24,11 +24,13 @@
 
 // lines is a state machine that keeps the commands in order.
 type lines struct {
-	mu   sync.Mutex
-	list []string
+	pause atomic.Int64 // nanoseconds that Apply takes
+	mu    sync.Mutex
+	list  []string
 }
 
 func (l *lines) Apply(_ uint64, data []byte) any {
+	time.Sleep(time.Duration(l.pause.Load()))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.list = append(l.list, string(data))
@@ -385,6 +387,24 @@
 	}
 }
 
+// Guards against a Barrier that returns while the state machine is still applying
+// what was committed before.
+func TestBarrierWaitsForApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, 3)
+		l := c.leader()
+		require.NoError(t, l.node.Barrier(t.Context()))
+		l.lines.pause.Store(int64(time.Second))
+		commit := l.node.Status().Commit
+		go func() { _, _ = l.node.Propose(t.Context(), []byte("slow")) }()
+		time.Sleep(100 * time.Millisecond)
+		require.Greater(t, l.node.Status().Commit, commit)
+		require.Empty(t, l.lines.all())
+		require.NoError(t, l.node.Barrier(t.Context()))
+		require.Equal(t, []string{"slow"}, l.lines.all())
+	})
+}
+
 // requireLines requires that lines holds none twice and all that are known.
 func requireLines(t *testing.T, lines, known []string) {
 	held := map[string]bool{}
