--- a/internal/capacity/commits.go
+++ b/internal/capacity/commits.go
@@ -23,33 +23,43 @@
 		return err
 	}
 	defer f.stop()
-	leader, follower, err := f.pair(ctx)
-	if err != nil {
-		return err
-	}
 	var next atomic.Int64
 	for _, callers := range []int{1, 8, 32, 128} {
-		before, err := f.read(leader, follower)
-		if err != nil {
-			return err
-		}
-		took := f.claims(ctx, callers, &next)
-		after, err := f.read(leader, follower)
-		if err != nil {
+		q := func(name, unit string) quantity { return quantity{name, unit, "callers", 128} }
+		if err := f.measureClaims(ctx, s, q, float64(callers), callers, &next); err != nil {
 			return err
 		}
-		n := float64(max(1, len(took)))
-		size := float64(callers)
-		q := func(name, unit string) quantity { return quantity{name, unit, "callers", 128} }
-		s.add(q("claims", "1/s"), size, n/after.at.Sub(before.at).Seconds())
-		s.add(q("latency of a claim, p50", "ms"), size, median(took))
-		s.add(q("latency of a claim, p99", "ms"), size, quantile(took, 0.99))
-		s.add(q("processor of the leader for a claim", "µs"), size, float64(after.time[leader]-before.time[leader])/n/1000)
-		s.add(q("processor of a follower for a claim", "µs"), size, float64(after.time[follower]-before.time[follower])/n/1000)
 	}
 	return nil
 }
 
+// measureClaims lets callers claim for a time, and adds what that used.
+func (f *fleet) measureClaims(ctx context.Context, s *series, q func(name, unit string) quantity, size float64, callers int, next *atomic.Int64) error {
+	leader, follower, err := f.pair(ctx)
+	if err != nil {
+		return err
+	}
+	before, err := f.read(leader, follower)
+	if err != nil {
+		return err
+	}
+	took := f.claims(ctx, callers, next)
+	after, err := f.read(leader, follower)
+	if err != nil {
+		return err
+	}
+	if len(took) == 0 {
+		return errors.New("no claim was answered")
+	}
+	n := float64(len(took))
+	s.add(q("claims", "1/s"), size, n/after.at.Sub(before.at).Seconds())
+	s.add(q("latency of a claim, p50", "ms"), size, median(took))
+	s.add(q("latency of a claim, p99", "ms"), size, quantile(took, 0.99))
+	s.add(q("processor of the leader for a claim", "µs"), size, float64(after.time[leader]-before.time[leader])/n/1000)
+	s.add(q("processor of a follower for a claim", "µs"), size, float64(after.time[follower]-before.time[follower])/n/1000)
+	return nil
+}
+
 // claims returns the latencies of all claims in milliseconds.
 func (f *fleet) claims(ctx context.Context, callers int, next *atomic.Int64) []float64 {
 	ctx, cancel := context.WithTimeout(ctx, commitTime)
@@ -74,7 +84,7 @@
 	return all
 }
 
-// replicasGroup measures claims by the number of control VMs.
+// replicasGroup measures the claims of 32 callers by the number of control VMs.
 func replicasGroup(ctx context.Context, o Options, s *series) error {
 	for _, n := range []int{3, 5, 7} {
 		if err := replicasAt(ctx, o, s, n); err != nil {
@@ -91,28 +101,7 @@
 		return err
 	}
 	defer f.stop()
-	leader, follower, err := f.pair(ctx)
-	if err != nil {
-		return err
-	}
-	var next atomic.Int64
-	before, err := f.read(leader, follower)
-	if err != nil {
-		return err
-	}
-	took := f.claims(ctx, callers, &next)
-	after, err := f.read(leader, follower)
-	if err != nil {
-		return err
-	}
-	if len(took) == 0 {
-		return errors.New("no claim was answered")
-	}
 	q := func(name, unit string) quantity { return quantity{name, unit, "replicas", mostReplicas} }
-	size, claims := float64(n), float64(len(took))
-	s.add(q("claims of 32 callers", "1/s"), size, claims/after.at.Sub(before.at).Seconds())
-	s.add(q("latency of a claim, p50", "ms"), size, median(took))
-	s.add(q("processor of the leader for a claim", "µs"), size, float64(after.time[leader]-before.time[leader])/claims/1000)
-	s.add(q("processor of a follower for a claim", "µs"), size, float64(after.time[follower]-before.time[follower])/claims/1000)
-	return nil
+	var next atomic.Int64
+	return f.measureClaims(ctx, s, q, float64(n), callers, &next)
 }
--- a/internal/capacity/config.go
+++ b/internal/capacity/config.go
@@ -75,7 +75,8 @@
 		return err
 	}
 	lasted := time.Since(began)
-	for what, name := range map[string]string{"the leader": leader, "an entry": entry.name, "an agent": agent.name} {
+	for _, x := range []role{{"the leader", leader}, {"an entry", entry.name}, {"an agent", agent.name}} {
+		what, name := x.what, x.process
 		resting := float64(middle.time[name]-before.time[name]) * float64(after.at.Sub(middle.at)) / float64(rest)
 		s.add(q("processor of "+what+" for a change", "ms"), size, (float64(after.time[name]-middle.time[name])-resting)/configChanges/million)
 		now, peak, err := memory(f.children[name].pid())
--- a/internal/capacity/nodes.go
+++ b/internal/capacity/nodes.go
@@ -19,6 +19,11 @@
 	mebi         = 1 << 20
 )
 
+// role names a process in the name of a quantity.
+type role struct {
+	what, process string
+}
+
 // node is a real entry or agent whose control traffic passes a relay.
 type node struct {
 	name  string
@@ -195,12 +200,12 @@
 	s.add(byProcesses("processor of an idle agent", "% of a core"), size, after.share(before, agent.name))
 	s.add(byProcesses("control traffic of an idle entry", "bytes/s"), size, (entry.relay.total()-entryBytes)/seconds)
 	s.add(byProcesses("control traffic of an idle agent", "bytes/s"), size, (agent.relay.total()-agentBytes)/seconds)
-	for what, name := range map[string]string{"the control VM that answers": "control-1", "an idle entry": entry.name, "an idle agent": agent.name} {
-		now, _, err := memory(f.children[name].pid())
+	for _, x := range []role{{"the control VM that answers", "control-1"}, {"an idle entry", entry.name}, {"an idle agent", agent.name}} {
+		now, _, err := memory(f.children[x.process].pid())
 		if err != nil {
 			return err
 		}
-		s.add(byProcesses("memory of "+what, "MiB"), size, now/mebi)
+		s.add(byProcesses("memory of "+x.what, "MiB"), size, now/mebi)
 	}
 	return nil
 }
@@ -306,14 +311,14 @@
 		return err
 	}
 	s.add(byProcesses("answers to polls of the configuration in 5 changes and 2 s", "bytes"), float64(n), c.configs.total()-bytes)
-	for what, name := range map[string]string{"the control VM that answers": "control-1", "an entry": f.entry.name, "an agent": f.agent.name} {
-		now, peak, err := memory(f.children[name].pid())
+	for _, x := range []role{{"the control VM that answers", "control-1"}, {"an entry", f.entry.name}, {"an agent", f.agent.name}} {
+		now, peak, err := memory(f.children[x.process].pid())
 		if err != nil {
 			return err
 		}
-		s.add(byProcesses("memory of "+what, "MiB"), float64(n), now/mebi)
-		s.add(byProcesses("peak memory of "+what, "MiB"), float64(n), peak/mebi)
-		s.add(byProcesses("processor of "+what+" in 5 changes and 2 s", "ms"), float64(n), float64(after.time[name]-before.time[name])/million)
+		s.add(byProcesses("memory of "+x.what, "MiB"), float64(n), now/mebi)
+		s.add(byProcesses("peak memory of "+x.what, "MiB"), float64(n), peak/mebi)
+		s.add(byProcesses("processor of "+x.what+" in 5 changes and 2 s", "ms"), float64(n), float64(after.time[x.process]-before.time[x.process])/million)
 	}
 	return nil
 }
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -229,12 +229,12 @@
 			return err
 		}
 		size := rate * streamTokens
-		for what, name := range map[string]string{"entry": "entry-1", "agent": "agent-engine"} {
-			now, _, err := memory(b.f.children[name].pid())
+		for _, x := range []role{{"entry", "entry-1"}, {"agent", "agent-engine"}} {
+			now, _, err := memory(b.f.children[x.process].pid())
 			if err != nil {
 				return err
 			}
-			s.add(quantity{"streams: memory of the " + what, "MiB", grows, entryTarget}, size, now/mebi)
+			s.add(quantity{"streams: memory of the " + x.what, "MiB", grows, entryTarget}, size, now/mebi)
 		}
 		s.add(quantity{"streams: processor of the entry", "ms/s", grows, entryTarget}, size, l.used.entry)
 		s.add(quantity{"streams: processor of the agent", "ms/s", grows, agentTarget}, size, l.used.agent)
