--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -66,7 +66,12 @@
 }
 
 // Manifest returns the checked manifest.
-func (c *Config) Manifest() *manifest.Manifest { return c.manifest }
+func (c *Config) Manifest() *manifest.Manifest {
+	if c == nil {
+		return nil
+	}
+	return c.manifest
+}
 
 // Record returns the manifest as the control VMs hold it.
 func (c *Config) Record() *wire.ManifestRecord {
@@ -89,13 +94,7 @@
 		record = proto.CloneOf(record)
 		record.Manifest, record.Delta = whole, nil
 	}
-	var m *manifest.Manifest
-	var err error
-	if old == nil {
-		m, err = manifest.Parse("manifest", record.GetManifest())
-	} else {
-		m, err = manifest.ParseNext(old.Manifest(), "manifest", record.GetManifest())
-	}
+	m, err := manifest.ParseNext(old.Manifest(), "manifest", record.GetManifest())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/cardamomline/cardamomline/internal/process"
 	"github.com/cardamomline/cardamomline/internal/settings"
 	"github.com/cardamomline/cardamomline/internal/standin"
@@ -128,9 +130,14 @@
 			return
 		}
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), restartStop)
-		_ = m.Stop(stopCtx)
+		err := m.Stop(stopCtx)
 		cancel()
-		_ = m.Start(context.WithoutCancel(ctx))
+		if err == nil {
+			err = m.Start(context.WithoutCancel(ctx))
+		}
+		if err != nil {
+			klog.ErrorS(err, "Restart failed", "process", m.Name())
+		}
 	}
 }
 
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -235,8 +235,8 @@
 	if record.GetRevision() == r.revision {
 		return r.manifest
 	}
+	m, err := manifest.ParseNext(r.manifest, "manifest", record.GetManifest())
 	r.revision, r.manifest = record.GetRevision(), nil
-	m, err := manifest.Parse("manifest", record.GetManifest())
 	if err != nil {
 		klog.ErrorS(err, "Placement can't read the manifest", "revision", r.revision)
 		return nil
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -53,6 +53,7 @@
 	NodePart    = "node"
 	RosterPart  = "roster"
 	LinkPart    = "transport"
+	JournalPart = "journal"
 	// PlacementPart decides which models engines load.
 	PlacementPart = "placement"
 )
@@ -222,6 +223,8 @@
 		return err
 	}
 	b.admin(c.Ready)
+	// The journal's folder is locked until it is closed, after the node has stopped.
+	b.k.Register(JournalPart, &journalPart{journal: j, done: make(chan struct{})})
 	b.k.Register(LinkPart, link)
 	b.k.Register(NodePart, node)
 	b.k.Register(RosterPart, ros)
@@ -231,6 +234,24 @@
 	return nil
 }
 
+// journalPart closes the journal when the kernel stops.
+type journalPart struct {
+	journal *journal.Journal
+	done    chan struct{}
+}
+
+// Stop implements kernel.Stopper.
+func (p *journalPart) Stop(context.Context) error {
+	defer close(p.done)
+	if err := p.journal.Close(); err != nil {
+		return errors.Wrap(err, "close journal")
+	}
+	return nil
+}
+
+// Done implements kernel.Stopper.
+func (p *journalPart) Done() <-chan struct{} { return p.done }
+
 // seed differs between processes and between starts, so that processes don't
 // choose in step after a common restart.
 func seed(name string) uint64 {
--- a/pkg/manifest/parse.go
+++ b/pkg/manifest/parse.go
@@ -32,8 +32,11 @@
 // ParseNext is Parse for a process that already has a manifest. It takes over
 // the customers whose lines are the same in both files, because parsing them is
 // nearly all of the time that a manifest with thousands of customers takes. The
-// result is that of Parse.
+// result is that of Parse, which it also is without a previous manifest.
 func ParseNext(previous *Manifest, name string, data []byte) (*Manifest, error) {
+	if previous == nil {
+		return Parse(name, data)
+	}
 	p := newParser(name)
 	p.known = previous.customerBySource
 	m, err := p.parse(data)
