--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -132,11 +132,11 @@
 		if slices.ContainsFunc(p.slots, func(e *slot) bool { return accept(e) && e.busy && p.suits(e, k) && p.fits(e, k.Model) }) {
 			return
 		}
-		// Engines that serve nothing make room first.
-		idle := func(e *slot) bool { return accept(e) && !p.serves(e) && p.makeRoom(e, k) }
-		if !slices.ContainsFunc(p.slots, idle) && !slices.ContainsFunc(p.slots, func(e *slot) bool { return accept(e) && p.makeRoom(e, k) }) {
+		e := p.chooseToEmpty(k, c, accept)
+		if e == nil {
 			return
 		}
+		p.makeRoom(e, k)
 	}
 }
 
@@ -181,29 +181,52 @@
 	return best
 }
 
-// room returns the first surplus copy to unload, when the model fits on the engine
-// without all of them. Further copies go once the first is gone.
+// room returns the first surplus copy to unload, one that no stage needs if there
+// is any, when the model fits on the engine without all surplus copies. Further
+// copies go once the first is gone.
 func (p *planner) room(e *slot, k Key) (first string, ok bool) {
 	if !p.takes(e, k) || p.fits(e, k.Model) {
 		return "", false
 	}
 	excess := p.used(e) + p.s.Sizes[k.Model] - p.limits.EngineMemory
 	for _, m := range e.models {
-		if p.isSurplus(e, m) {
-			first = cmp.Or(first, m)
-			excess -= p.s.Sizes[m]
+		if !p.isSurplus(e, m) {
+			continue
+		}
+		excess -= p.s.Sizes[m]
+		if first == "" || p.needed(e, first) && !p.needed(e, m) {
+			first = m
 		}
 	}
 	return first, first != "" && excess <= 0
 }
 
-// makeRoom orders the unload that room returns and reports whether there is one.
-func (p *planner) makeRoom(e *slot, k Key) bool {
-	first, ok := p.room(e, k)
-	if ok {
+// chooseToEmpty returns the engine that makes room: one in a second failure
+// domain, then one that serves nothing, then the first by name.
+func (p *planner) chooseToEmpty(k Key, c coverage, accept func(*slot) bool) *slot {
+	rank := func(e *slot) (n int) {
+		if c.domains[e.Domain] > 0 && len(c.domains) == 1 {
+			n += 2
+		}
+		if p.serves(e) {
+			n++
+		}
+		return n
+	}
+	var best *slot
+	for _, e := range p.slots {
+		if _, ok := p.room(e, k); ok && accept(e) && (best == nil || rank(e) < rank(best)) {
+			best = e
+		}
+	}
+	return best
+}
+
+// makeRoom orders the unload that room returns.
+func (p *planner) makeRoom(e *slot, k Key) {
+	if first, ok := p.room(e, k); ok {
 		p.give(e, Order{Action: Unload, Model: first, Reason: ReasonMemory, For: k.Model})
 	}
-	return ok
 }
 
 // present is the coverage by copies that are loaded now and not about to go.
@@ -273,7 +296,11 @@
 
 // serves reports whether the engine holds, or is to get, a needed model.
 func (p *planner) serves(e *slot) bool {
-	return slices.ContainsFunc(e.models, func(m string) bool { return p.isNeeded(Key{Service: e.Service, Model: m}) })
+	return slices.ContainsFunc(e.models, func(m string) bool { return p.needed(e, m) })
+}
+
+func (p *planner) needed(e *slot, model string) bool {
+	return p.isNeeded(Key{Service: e.Service, Model: model})
 }
 
 func (p *planner) scarcest(e *slot, accept func(Key) bool) (best Key, found bool) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -151,3 +151,21 @@
 	require.False(t, follow())
 	require.Len(t, last.GetChanges(), 1)
 }
+
+// Guards against a leader that plans by load reports which only pass between the
+// VMs: each VM hands on what it hears itself, and keeps that over a peer's report.
+func TestLoadsAreHandedOnOnce(t *testing.T) {
+	r, peer := newRoster("e1", false), newRoster("e2", false)
+	h := heartbeat("engine-1", "i1")
+	h.Load = &wire.LoadReport{Queued: 3}
+	r.Announce(h)
+	peer.Merge(r.Since(0, ""))
+	peer.MergeLoads(r.Loads())
+	load, _, ok := peer.Load("agent-engine-1")
+	require.True(t, ok)
+	require.EqualValues(t, 3, load.GetQueued())
+	require.Empty(t, peer.Loads(), "a report of a peer is handed on as the VM's own")
+	r.MergeLoads([]*wire.ProcessLoad{{Process: "agent-engine-1", Load: &wire.LoadReport{Queued: 9}}})
+	load, _, _ = r.Load("agent-engine-1")
+	require.EqualValues(t, 3, load.GetQueued(), "a peer's report replaces the VM's own")
+}
