placement: Read the test's token without a race

Change: the field of the fake is atomic; the checks are unchanged. Conclusion: a fault of the test, not of the runner.

--- a/internal/placement/runner_test.go
+++ b/internal/placement/runner_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -130,17 +129,15 @@
 type controlVM struct {
 	s     *site
 	leads atomic.Bool
-	mu    sync.Mutex
-	token uint64
+	token atomic.Uint64
 }
 
 func (v *controlVM) Leading() (uint64, bool) { return 1, v.leads.Load() }
 
 func (v *controlVM) GrantFence(context.Context) (uint64, error) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.token = v.s.fence.Add(1)
-	return v.token, nil
+	fence := v.s.fence.Add(1)
+	v.token.Store(fence)
+	return fence, nil
 }
 
 func (v *controlVM) Confirm(context.Context) error  { return nil }
@@ -199,7 +196,7 @@
 		}
 		sent := 0
 		for _, e := range s.engines {
-			sent += len(orders(e, v.token))
+			sent += len(orders(e, v.token.Load()))
 		}
 		require.Equal(t, 4, sent)
 
@@ -220,20 +217,20 @@
 		old := s.startRunner(true)
 		time.Sleep(70 * time.Second)
 		require.Equal(t, 2, s.copies("bunker-7b"))
-		before := len(orders(s.engines[0], old.token))
+		before := len(orders(s.engines[0], old.token.Load()))
 
 		s.fence.Add(1) // another leader's token, which no agent has heard yet
 		s.engines[0].Die()
 		time.Sleep(1500 * time.Millisecond)
 		require.NoError(t, s.engines[0].Start(context.Background()))
 		time.Sleep(60 * time.Second)
-		require.Len(t, orders(s.engines[0], old.token), before, "the deposed leader's order reached the engine")
+		require.Len(t, orders(s.engines[0], old.token.Load()), before, "the deposed leader's order reached the engine")
 		require.Equal(t, int64(1), s.metrics.Totals()["placement_deposed"], "the deposed leader goes on")
 		require.Equal(t, 1, s.copies("bunker-7b"))
 
 		next := s.startRunner(true)
 		time.Sleep(60 * time.Second)
-		require.NotEmpty(t, orders(s.engines[0], next.token))
+		require.NotEmpty(t, orders(s.engines[0], next.token.Load()))
 		require.Equal(t, 2, s.copies("bunker-7b"))
 	})
 }
@@ -262,7 +259,7 @@
 	onSite(t, 1, false, func(s *site) {
 		v := s.startRunner(true)
 		time.Sleep(7 * time.Second)
-		require.Empty(t, orders(s.engines[0], v.token))
+		require.Empty(t, orders(s.engines[0], v.token.Load()))
 		require.Positive(t, s.metrics.Totals()["agent_engine_order_refusals/fence_not_learned"])
 		s.confirmed.Store(true)
 		time.Sleep(11 * time.Second)
