placement: Clear the gauges of a former leader

Result: the tests of placement and control pass with -race; no test reads the gauges. Conclusion: only the leader's gauges are above zero.

--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -179,6 +179,9 @@
 		klog.InfoS("Placement ended", "term", r.term.number, "fence", r.term.fence)
 		r.term.depose()
 		r.term = nil
+		// The next leader reports these.
+		r.o.Metrics.Gauge("placement_orders_in_flight", 0)
+		r.o.Metrics.Gauge("placement_models_short", 0)
 	}
 	if !ok {
 		return false
