control: End waiting polls at a planned stop

Cause: in the rolling restart a control VM took 10 s to stop and then failed with a deadline: its server waits for long polls of up to 10 s. Change: polls end when the control role stops; pollers go to another control VM. Measured: TestStopEndsWaitingPolls fails without the change and passes with it. Conclusion: a planned stop of a control VM no longer waits for its timeout.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -103,8 +103,10 @@
 	// lastDelta is the newest manifest as a delta on the revision asked for last.
 	lastDelta *wire.ManifestRecord
 
-	cancel context.CancelFunc
-	done   chan struct{}
+	// stopping ends the polls that wait, which would hold up the server's stop.
+	stopping chan struct{}
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 // New returns a Control, or an error that names what is missing.
@@ -113,11 +115,12 @@
 		return nil, err
 	}
 	return &Control{
-		o:       o,
-		http:    newHTTP(o.Dial),
-		changed: make(chan struct{}),
-		leaders: make(map[string]wire.Control),
-		done:    make(chan struct{}),
+		o:        o,
+		http:     newHTTP(o.Dial),
+		changed:  make(chan struct{}),
+		leaders:  make(map[string]wire.Control),
+		stopping: make(chan struct{}),
+		done:     make(chan struct{}),
 	}, nil
 }
 
@@ -162,6 +165,7 @@
 // Stop implements kernel.Stopper.
 func (c *Control) Stop(context.Context) error {
 	c.leaving.Store(true)
+	close(c.stopping)
 	c.cancel()
 	<-c.done
 	return nil
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -311,6 +311,28 @@
 	return m.GetManifest()
 }
 
+// Guards against a planned stop that waits for polls, and so for its whole timeout.
+func TestStopEndsWaitingPolls(t *testing.T) {
+	onCluster(t, func(c *cluster) {
+		c.leader()
+		v := c.vms[1]
+		_, err := c.client("operator", c.vms...).Execute(c.context(5*time.Second), manifestChange("one", "ann", 0))
+		require.NoError(c.t, err)
+		time.Sleep(time.Second)
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			_, err := c.client("entry", v).Config(c.context(20*time.Second), &wire.ConfigRequest{KnownRevision: 1, WaitMs: 10_000})
+			require.Error(c.t, err)
+		})
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		require.NoError(c.t, v.kernel.Stop(c.context(20*time.Second)))
+		v.kernel = nil
+		require.Less(c.t, time.Since(began), 2*time.Second)
+		wg.Wait()
+	})
+}
+
 func isLeaving(r *wire.RosterResponse, target string) bool {
 	for _, c := range r.GetChanges() {
 		if c.GetTarget().GetName() == target && c.GetTarget().GetLeaving() {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -165,6 +165,8 @@
 		case <-changed:
 		case <-wait:
 			return resp, nil
+		case <-s.c.stopping:
+			return nil, twirp.NewError(twirp.Unavailable, "this control VM is stopping")
 		case <-ctx.Done():
 			return nil, twirp.WrapError(twirp.NewError(twirp.Canceled, "poll ended"), ctx.Err())
 		}
@@ -185,6 +187,8 @@
 		case <-changed:
 		case <-wait:
 			return s.c.config(r.GetKnownRevision()), nil
+		case <-s.c.stopping:
+			return nil, twirp.NewError(twirp.Unavailable, "this control VM is stopping")
 		case <-ctx.Done():
 			return nil, twirp.WrapError(twirp.NewError(twirp.Canceled, "poll ended"), ctx.Err())
 		}
