--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -131,7 +131,7 @@
 	c := &call{
 		request: r.id, customer: r.customer, class: r.class, service: service, operation: operation,
 		stage: service.Name() + "/" + operation.Name(), input: []byte(p.Input), deadline: r.deadline,
-		policy: r.manifest().Policy(), story: r.story,
+		policy: r.manifest().Policy(), timeline: r.timeline,
 	}
 	if operation.Idempotent() {
 		return r.result(a.e.bounded(ctx, r, refused, func(ctx context.Context) *answer { return a.e.runCall(ctx, c) })), nil
@@ -201,7 +201,7 @@
 
 // runPipeline runs a pipeline whose caller waits for the answer.
 func (e *Entry) runPipeline(ctx context.Context, r *request, p *pipelineRun) *answer {
-	p.request, p.deadline, p.story = r.id, r.deadline, r.story
+	p.request, p.deadline, p.timeline = r.id, r.deadline, r.timeline
 	p.outputs = make(map[string][]byte)
 	out, err := p.run(ctx)
 	if err != nil {
@@ -225,7 +225,7 @@
 		return refused(err)
 	}
 	out := string(r.output)
-	c.story.finished(c.stage, r)
+	c.timeline.finished(c.stage, r)
 	return &answer{outcome: outcomeDone, output: &out, stages: []stageReply{{stage: c.stage, reply: r}}}
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -59,8 +59,8 @@
 	// engine tells that the answer is a stream of tokens.
 	engine bool
 	// onToken receives the tokens when the caller asked for them.
-	onToken func(*wire.Token) error
-	story   *story
+	onToken  func(*wire.Token) error
+	timeline *timeline
 }
 
 // streams reports whether the tokens are needed here: for the caller, or to watch
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -135,7 +135,7 @@
 			o.s.pool.Finish(choice, routing.Canceled{}, o.e.o.Timers.Now())
 			return o.tellRefusal(ctx, result), admission.Dropped{}
 		}
-		o.c.story.claimed(claim)
+		o.c.timeline.claimed(claim)
 		v := o.attempt(ctx, choice, claim)
 		if v.answer != nil {
 			return v.answer, v.outcome
@@ -211,7 +211,7 @@
 	req.Attempt = claim.GetAttempt()
 	req.Incarnation = claim.GetIncarnation()
 	req.OrderId = o.orderID
-	o.c.story.dispatched(o.c.stage, choice, req.GetAttempt())
+	o.c.timeline.dispatched(o.c.stage, choice, req.GetAttempt())
 	began := o.e.o.Timers.Now()
 	// The attempt outlives a caller that closes the connection, because its
 	// outcome must be recorded.
@@ -287,7 +287,7 @@
 }
 
 func (o *orderRun) recordNotRun(claim *wire.ClaimOrder, err *callError) bool {
-	o.c.story.retried(o.c.stage, claim.GetAgent(), err.reason)
+	o.c.timeline.retried(o.c.stage, claim.GetAgent(), err.reason)
 	result := o.record(claimRecord(claim), wire.OrderState_ORDER_STATE_NOT_RUN, nil, err.reason)
 	return result != nil && result.GetRefusal() == ""
 }
@@ -318,7 +318,7 @@
 		return nil
 	}
 	if res.GetRefusal() == "" {
-		o.c.story.settled(r.GetOrderId(), outcomeNames[state], reason)
+		o.c.timeline.settled(r.GetOrderId(), outcomeNames[state], reason)
 	}
 	return res
 }
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -27,7 +27,7 @@
 	maxTokens int
 	deadline  time.Time
 	onToken   func(*wire.Token) error
-	story     *story
+	timeline  *timeline
 	// outputs holds the results of finished stages by name; it may be filled in
 	// advance with results that an earlier run recorded.
 	outputs map[string][]byte
@@ -64,7 +64,7 @@
 			return nil, err
 		}
 		p.ran = true
-		p.story.finished(stage.Name(), r)
+		p.timeline.finished(stage.Name(), r)
 		p.outputs[stage.Name()] = r.output
 		p.replies = append(p.replies, stageReply{stage: stage.Name(), reply: r})
 		if p.onStage != nil {
@@ -131,7 +131,7 @@
 		stage: stage.Name(), model: stage.Model(), input: p.stageInput(stage), deadline: p.deadline,
 		key: p.plan.Key(stage.Name()), expected: allot.Expected, typical: allot.Typical, needs: allot.Needs,
 		limit: allot.Limit, hedgeAfter: allot.HedgeAfter, started: p.ran,
-		policy: p.manifest.Policy(), story: p.story,
+		policy: p.manifest.Policy(), timeline: p.timeline,
 	}
 	if service.Kind() == manifest.KindEngine {
 		c.prefix, c.maxTokens, c.engine = p.prefix, p.maxTokens, true
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -42,7 +42,7 @@
 	class    *manifest.Class
 	began    time.Time
 	deadline time.Time
-	story    *story
+	timeline *timeline
 }
 
 func (r *request) manifest() *manifest.Manifest { return r.cfg.Manifest() }
@@ -93,8 +93,8 @@
 // named gives the request its identity and begins its record.
 func (e *Entry) named(r *request, id, what string) {
 	r.id = id
-	r.story = e.newStory(id)
-	r.story.accepted(r, what)
+	r.timeline = e.newTimeline(id)
+	r.timeline.accepted(r, what)
 }
 
 // mayServe reports why this entry takes no new request now, or nil.
@@ -131,7 +131,7 @@
 	if a.reason != "" {
 		e.o.Metrics.CountReason("reasons", a.reason)
 	}
-	r.story.told(a)
+	r.timeline.told(a)
 	return a
 }
 
--- a/internal/entry/slot.go
+++ b/internal/entry/slot.go
@@ -27,7 +27,7 @@
 		switch d := first.(type) {
 		case admission.Admitted:
 			e.o.Metrics.ObserveStage("queue_seconds", c.stage, c.class.Name(), d.Waited)
-			c.story.admitted(d.Waited)
+			c.timeline.admitted(d.Waited)
 			return d.Ticket, nil
 		case admission.Refused:
 			return nil, &callError{reason: string(d.Reason), detail: refusalDetail(d)}
--- a/internal/entry/story.go
+++ b/internal/entry/timeline.go
@@ -9,60 +9,60 @@
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
-// story records what happens to one request, for explain.
-type story struct {
+// timeline records what happens to one request, for explain.
+type timeline struct {
 	records *explain.Recorder
 	id      string
 }
 
-func (e *Entry) newStory(id string) *story {
-	return &story{records: e.records, id: id}
+func (e *Entry) newTimeline(id string) *timeline {
+	return &timeline{records: e.records, id: id}
 }
 
-func (s *story) add(event explain.Event) {
+func (s *timeline) add(event explain.Event) {
 	s.records.Record(s.id, event)
 }
 
-func (s *story) accepted(r *request, what string) {
+func (s *timeline) accepted(r *request, what string) {
 	s.add(explain.NewAccepted(r.customer.Name(), what, r.class.Name(), r.deadline.Sub(r.began)))
 }
 
-func (s *story) admitted(waited time.Duration) {
+func (s *timeline) admitted(waited time.Duration) {
 	s.add(explain.NewAdmitted(waited))
 }
 
-func (s *story) dispatched(stage string, c routing.Choice, attempt string) {
+func (s *timeline) dispatched(stage string, c routing.Choice, attempt string) {
 	s.add(explain.NewDispatched(stage, c.Target, c.FailureDomain, attempt))
 }
 
-func (s *story) finished(stage string, r *reply) {
+func (s *timeline) finished(stage string, r *reply) {
 	s.add(explain.NewFinished(stage, r.target, r.took))
 }
 
-func (s *story) retried(stage, target, reason string) {
+func (s *timeline) retried(stage, target, reason string) {
 	s.add(explain.NewRetried(stage, target, reason))
 }
 
-func (s *story) hedged(stage, target string, after time.Duration) {
+func (s *timeline) hedged(stage, target string, after time.Duration) {
 	s.add(explain.NewHedged(stage, target, after))
 }
 
-func (s *story) claimed(c *wire.ClaimOrder) {
+func (s *timeline) claimed(c *wire.ClaimOrder) {
 	s.add(explain.NewClaimed(c.GetOrderId(), c.GetAgent(), c.GetAttempt()))
 }
 
-func (s *story) settled(order, outcome, reason string) {
+func (s *timeline) settled(order, outcome, reason string) {
 	s.add(explain.NewSettled(order, outcome, reason))
 }
 
-func (s *story) told(a *answer) {
+func (s *timeline) told(a *answer) {
 	if a.outcome == outcomeNotRun {
 		s.add(explain.NewRefused(a.reason, a.detail))
 	}
 	s.add(explain.NewTold(a.outcome, a.reason))
 }
 
-// Record is the story of one request as an entry's admin page serves it.
+// Record is the timeline of one request as an entry's admin page serves it.
 type Record struct {
 	Request string `json:"request"`
 	Entry   string `json:"entry"`
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -51,7 +51,7 @@
 			if err := t.mayRetry(ctx, next); err != nil {
 				return nil, next.outcome, err
 			}
-			t.c.story.retried(t.c.stage, choice.Target, next.reason)
+			t.c.timeline.retried(t.c.stage, choice.Target, next.reason)
 		}
 	}
 }
@@ -159,7 +159,7 @@
 	t.attempts++
 	t.tried = append(t.tried, choice.Target)
 	t.e.o.Metrics.Count("entry_hedges", 1)
-	t.c.story.hedged(t.c.stage, choice.Target, t.c.hedgeAfter)
+	t.c.timeline.hedged(t.c.stage, choice.Target, t.c.hedgeAfter)
 	return choice, true
 }
 
@@ -189,7 +189,7 @@
 	req.Idempotent = true
 	req.Stream = c.streams()
 	req.CacheSeen = t.s.seen(choice.Target)
-	c.story.dispatched(c.stage, choice, req.GetAttempt())
+	c.timeline.dispatched(c.stage, choice, req.GetAttempt())
 	began := t.e.o.Timers.Now()
 	end := t.e.attempts.Do(ctx, choice.Address, req, t.onToken)
 	return end, t.e.o.Timers.Since(began)
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -139,7 +139,7 @@
 type waitingRun struct {
 	e        *Entry
 	record   *wire.WaitingRecord
-	story    *story
+	timeline *timeline
 	deadline time.Time
 	// last is the name of the pipeline's last stage.
 	last string
@@ -152,7 +152,7 @@
 	}
 	defer e.leave()
 	left := time.Until(time.UnixMilli(record.GetDeadlineMs()))
-	w := &waitingRun{e: e, record: record, story: e.newStory(record.GetId()), deadline: e.o.Timers.Now().Add(left)}
+	w := &waitingRun{e: e, record: record, timeline: e.newTimeline(record.GetId()), deadline: e.o.Timers.Now().Add(left)}
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	go w.renew(ctx, cancel)
@@ -201,7 +201,7 @@
 	p := &pipelineRun{
 		e: w.e, pipeline: pl, manifest: m, request: w.record.GetId(), customer: customer, class: class,
 		prefix: body.GetPrefix(), input: string(body.GetInput()), maxTokens: int(body.GetMaxTokens()),
-		deadline: w.deadline, story: w.story, outputs: outputs, onStage: w.recordStage,
+		deadline: w.deadline, timeline: w.timeline, outputs: outputs, onStage: w.recordStage,
 	}
 	return p.run(ctx)
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -14,11 +14,11 @@
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
-// pause is a time between two events of a story.
+// pause is a time between two events of a timeline.
 type pause time.Duration
 
-// stories are events and pauses, by the name of their text in the archive.
-var stories = map[string][]any{
+// timelines are events and pauses, by the name of their text in the archive.
+var timelines = map[string][]any{
 	"pipeline": {
 		explain.NewAccepted("branch-salto", "quote-answer", "counter", 6*time.Second), pause(3 * time.Millisecond),
 		explain.NewAdmitted(3 * time.Millisecond),
@@ -47,19 +47,19 @@
 	},
 }
 
-// Guards against a story that a manager can't follow: each event must be there
+// Guards against a timeline that a manager can't follow: each event must be there
 // with its time, in plain words.
-func TestStories(t *testing.T) {
-	archive, err := txtar.ParseFile("testdata/stories.txtar")
+func TestTimelines(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/timelines.txtar")
 	require.NoError(t, err)
 	want := map[string]string{}
 	for _, f := range archive.Files {
 		want[f.Name] = string(f.Data)
 	}
-	for name, story := range stories {
+	for name, timeline := range timelines {
 		synctest.Test(t, func(t *testing.T) {
 			r := explain.New(explain.Options{Timer: timer.NewService()})
-			for _, item := range story {
+			for _, item := range timeline {
 				switch i := item.(type) {
 				case pause:
 					time.Sleep(time.Duration(i))
--- a/internal/explain/recorder.go
+++ b/internal/explain/recorder.go
@@ -7,8 +7,8 @@
 //	r := explain.New(explain.Options{Timer: ts})
 //	r.Record(requestID, explain.NewAccepted(customer, pipeline, class, deadline))
 //	r.Record(requestID, explain.NewDispatched(stage, target, failureDomain, attempt))
-//	if story, ok := r.Find(requestID); ok {
-//		fmt.Print(story.Render(time.UTC))
+//	if timeline, ok := r.Find(requestID); ok {
+//		fmt.Print(timeline.Render(time.UTC))
 //	}
 package explain
 
@@ -63,16 +63,16 @@
 type Recorder struct {
 	options Options
 
-	mu      sync.Mutex
-	stories map[string]*Story
-	ring    []string // request ids in order of their first event
-	next    int      // place of the next request in the ring
+	mu        sync.Mutex
+	timelines map[string]*Timeline
+	ring      []string // request ids in order of their first event
+	next      int      // place of the next request in the ring
 }
 
 // New returns an empty Recorder.
 func New(o Options) *Recorder {
 	o = o.withDefaults()
-	return &Recorder{options: o, stories: map[string]*Story{}, ring: make([]string, o.Requests)}
+	return &Recorder{options: o, timelines: map[string]*Timeline{}, ring: make([]string, o.Requests)}
 }
 
 // Record adds an event to a request. The first event of a request makes room
@@ -81,26 +81,26 @@
 	now := r.options.Timer.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.stories[request]
+	s := r.timelines[request]
 	if s == nil {
-		delete(r.stories, r.ring[r.next])
+		delete(r.timelines, r.ring[r.next])
 		r.ring[r.next] = request
 		r.next = (r.next + 1) % len(r.ring)
-		s = &Story{request: request}
-		r.stories[request] = s
+		s = &Timeline{request: request}
+		r.timelines[request] = s
 	}
 	s.add(happening{at: now, event: e}, r.options.Events)
 }
 
 // Find returns what is known of a request.
-func (r *Recorder) Find(request string) (*Story, bool) {
+func (r *Recorder) Find(request string) (*Timeline, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.stories[request]
+	s := r.timelines[request]
 	if s == nil {
 		return nil, false
 	}
-	return &Story{request: s.request, happenings: slices.Clone(s.happenings), left: s.left}, true
+	return &Timeline{request: s.request, happenings: slices.Clone(s.happenings), left: s.left}, true
 }
 
 type happening struct {
@@ -108,14 +108,14 @@
 	event Event
 }
 
-// Story is what happened to one request.
-type Story struct {
+// Timeline is what happened to one request.
+type Timeline struct {
 	request    string
 	happenings []happening
 	left       int // events left out after the first half of those kept
 }
 
-func (s *Story) add(h happening, limit int) {
+func (s *Timeline) add(h happening, limit int) {
 	if len(s.happenings) == limit {
 		s.happenings = slices.Delete(s.happenings, limit/2, limit/2+1)
 		s.left++
@@ -124,11 +124,11 @@
 }
 
 // Request returns the id of the request.
-func (s *Story) Request() string { return s.request }
+func (s *Timeline) Request() string { return s.request }
 
-// Render returns the story as lines of text, each with the clock time in the
+// Render returns the timeline as lines of text, each with the clock time in the
 // location, the time since the line before, and a sentence.
-func (s *Story) Render(location *time.Location) string {
+func (s *Timeline) Render(location *time.Location) string {
 	var b strings.Builder
 	first := s.happenings[0].at
 	fmt.Fprintf(&b, "Request %s on %s (%s):\n", s.request, first.In(location).Format(dateLayout), location)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -82,7 +82,7 @@
 
 // Guards the rules of an order that an operator has to explain: who may claim
 // it, who may settle it, and the sentences that remain.
-func TestOrderStory(t *testing.T) {
+func TestOrderEvents(t *testing.T) {
 	l := newLog(t, ledger.Options{})
 	require.Empty(t, l.claim("r17", "body", "a1").GetRefusal())
 	require.True(t, l.claim("r17", "body", "a1").GetRepeated())
@@ -111,9 +111,9 @@
 
 	r, ok := l.ledger.Order("depot-milford", "r17")
 	require.True(t, ok)
-	var story []string
+	var timeline []string
 	for _, e := range r.GetEvents() {
-		story = append(story, e.GetText())
+		timeline = append(timeline, e.GetText())
 	}
 	require.Equal(t, []string{
 		"Claimed by entry-1 for attempt a1 at agent-1.",
@@ -121,7 +121,7 @@
 		"Claimed by entry-1 for attempt a2 at agent-1.",
 		"Attempt a2 was recorded as unknown.",
 		"rhys settled the order as done (checked at the berth).",
-	}, story)
+	}, timeline)
 	require.Empty(t, l.ledger.Unsettled(10))
 	require.Equal(t, 0, l.ledger.Counts().Open())
 }
