process: Parts find each other by name; the study of quorums is in the command

Cause: reading as a newcomer and a search for unreachable code found that no part used the kernel's look-up, that the unequal quorums and grids of the comparison could not be printed by any command, and that moves off silent connections were not told by explain.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -203,6 +203,11 @@
 // Done implements kernel.Stopper.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
+// Reconfigure follows a newer configuration: the next heartbeat tells of it at once.
+func (a *Agent) Reconfigure(*configwatch.Config) {
+	a.Wake()
+}
+
 // Wake sends the next heartbeat at once, for instance after a new configuration.
 func (a *Agent) Wake() {
 	select {
--- a/internal/capacity/placement.go
+++ b/internal/capacity/placement.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return nil, err
 		}
-		rows, err := quorum.Study(l, []quorum.System{quorum.Majority{}}, quorum.Latency{Within: latencyWithin, Between: latencyBetween})
+		rows, err := quorum.Study(l, quorum.Systems(l.Size()), quorum.Latency{Within: latencyWithin, Between: latencyBetween})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entry/timeline.go
+++ b/internal/entry/timeline.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cardamomline/cardamomline/internal/attempt"
 	"github.com/cardamomline/cardamomline/internal/explain"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -43,6 +44,10 @@
 	s.add(explain.NewRetried(stage, target, reason))
 }
 
+func (s *timeline) moved(stage, from, to string) {
+	s.add(explain.NewMoved(stage, from, to, attempt.SilenceBound))
+}
+
 func (s *timeline) hedged(stage, target string, after time.Duration) {
 	s.add(explain.NewHedged(stage, target, after))
 }
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -25,6 +25,8 @@
 	pace     pace
 	attempts int
 	ran      bool
+	// silent is the target whose connection went silent in the last attempt.
+	silent string
 }
 
 func (t *tries) run(ctx context.Context) (*reply, admission.Outcome, error) {
@@ -34,6 +36,10 @@
 		if err != nil {
 			return nil, admission.Dropped{}, t.fail(reasonNoTarget, err.Error())
 		}
+		if t.silent != "" {
+			t.c.timeline.moved(t.c.stage, t.silent, choice.Target)
+			t.silent = ""
+		}
 		t.attempts++
 		t.tried = append(t.tried, choice.Target)
 		tried := t.sendHedged(ctx, choice)
@@ -51,7 +57,9 @@
 			if err := t.mayRetry(ctx, next); err != nil {
 				return nil, next.outcome, err
 			}
-			t.c.timeline.retried(t.c.stage, choice.Target, next.reason)
+			if t.silent == "" {
+				t.c.timeline.retried(t.c.stage, choice.Target, next.reason)
+			}
 		}
 	}
 }
--- a/internal/entry/verdict.go
+++ b/internal/entry/verdict.go
@@ -51,7 +51,7 @@
 		finish(routing.Failure{})
 		return tryAgain{reason: reasonConnectionLost, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.RefusedCall{Retryable: true}}
 	case *attempt.Lost:
-		return t.judgeLost(ctx, end, latency, finish)
+		return t.judgeLost(ctx, choice, end, latency, finish)
 	}
 	return gaveUp{err: t.fail(reasonTargetFailed, "unknown end of an attempt"), outcome: admission.Dropped{}}
 }
@@ -113,7 +113,7 @@
 	return again
 }
 
-func (t *tries) judgeLost(ctx context.Context, end *attempt.Lost, latency time.Duration, finish func(routing.Outcome)) verdict {
+func (t *tries) judgeLost(ctx context.Context, choice routing.Choice, end *attempt.Lost, latency time.Duration, finish func(routing.Outcome)) verdict {
 	t.ran = true
 	var foreign *attempt.ForeignError
 	var slow *slowError
@@ -121,6 +121,7 @@
 	switch {
 	case end.Silent():
 		t.e.o.Metrics.Count("entry_silent_connections", 1)
+		t.silent = choice.Target
 		finish(routing.SilentConnection{})
 		return tryAgain{reason: reasonConnectionLost, detail: end.Err().Error(), outcome: admission.Dropped{}, cause: budget.SilentCall{}}
 	case ctx.Err() != nil:
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -129,6 +129,19 @@
 	return err
 }
 
+// notify returns a function that tells the part with the name of a new
+// configuration. The part is looked up then, because it is made after its watcher.
+func notify[T any](k *kernel.Kernel, name string, tell func(T, *configwatch.Config)) func(*configwatch.Config) {
+	return func(cfg *configwatch.Config) {
+		part, err := kernel.Lookup[T](k, name)
+		if err != nil {
+			klog.ErrorS(err, "Configuration not passed on", "part", name)
+			return
+		}
+		tell(part, cfg)
+	}
+}
+
 func (b *builder) client() (*controlclient.Client, error) {
 	return controlclient.New(controlclient.Options{Timers: b.t, Addresses: b.s.Control(), Process: b.s.Name()})
 }
@@ -148,12 +161,10 @@
 	if err != nil {
 		return err
 	}
-	var e *entry.Entry
 	watcher := configwatch.New(configwatch.Options{
-		Timers: b.t, Source: client, Process: b.s.Name(),
-		OnChange: func(cfg *configwatch.Config) { e.Reconfigure(cfg) },
+		Timers: b.t, Source: client, Process: b.s.Name(), OnChange: notify(b.k, EntryPart, (*entry.Entry).Reconfigure),
 	})
-	e, err = entry.New(entry.Options{
+	e, err := entry.New(entry.Options{
 		Timers: b.t, Control: client, Config: watcher, Metrics: b.m, Name: b.s.Name(), Region: b.s.Region(),
 		FailureDomain: b.s.FailureDomain(), Address: b.s.Listen(), Admin: b.s.Admin(), Seed: seed(b.s.Name()),
 	})
@@ -172,13 +183,11 @@
 	if err != nil {
 		return err
 	}
-	var a *agent.Agent
 	watcher := configwatch.New(configwatch.Options{
-		Timers: b.t, Source: client, Process: b.s.Name(),
-		OnChange: func(*configwatch.Config) { a.Wake() },
+		Timers: b.t, Source: client, Process: b.s.Name(), OnChange: notify(b.k, AgentPart, (*agent.Agent).Reconfigure),
 	})
 	target := b.s.Target()
-	a, err = agent.New(agent.Options{
+	a, err := agent.New(agent.Options{
 		Timers: b.t, Control: client, Config: watcher, Metrics: b.m, Name: b.s.Name(), TargetName: target.Name(),
 		Service: target.Service(), TargetURL: target.URL(), Address: b.s.Listen(),
 		Region: b.s.Region(), FailureDomain: b.s.FailureDomain(),
