control: Confirm an applied revision at once

Cause: since pollers are spread over the control VMs, a change took 209 to 268 ms to come into force at 22 processes (56 to 83 before): a follower confirms only every 250 ms. Change: a control VM that has applied a newer revision confirms it within 20 ms.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,6 +38,10 @@
 	confirmPeriod = 250 * time.Millisecond
 	confirmBound  = 2 * time.Second
 
+	// appliedPeriod is how often a control VM looks whether it has applied a revision
+	// that is not confirmed yet, so that its pollers don't wait for confirmPeriod.
+	appliedPeriod = 20 * time.Millisecond
+
 	peerPullPeriod = 500 * time.Millisecond
 	forwardTimeout = 900 * time.Millisecond
 	proposeTimeout = 900 * time.Millisecond
@@ -155,6 +159,7 @@
 	c.cancel = cancel
 	var wg sync.WaitGroup
 	wg.Go(func() { c.every(ctx, confirmPeriod, c.confirm) })
+	wg.Go(func() { c.every(ctx, appliedPeriod, c.confirmApplied) })
 	wg.Go(func() { c.every(ctx, expirePeriod, c.expire) })
 	for _, peer := range c.o.Peers {
 		if peer != c.o.Address {
@@ -215,6 +220,14 @@
 	}
 }
 
+// confirmApplied confirms at once what this VM has applied since the last time.
+func (c *Control) confirmApplied(ctx context.Context) {
+	last := c.confirmed.Load()
+	if last != nil && c.o.Ledger.Revision() > last.revision {
+		c.confirm(ctx)
+	}
+}
+
 // fresh returns the last confirmation, or nil when it is too old to pass on.
 func (c *Control) fresh() *confirmation {
 	last := c.confirmed.Load()
