entry, control: Keep targets through the restart of control VMs and agents

A control VM that has just started has not heard most processes, and a restarted agent was known to entries of other control VMs only after up to 500 ms, when the next one left. Change: control VMs follow each other's rosters by long polls; one that started less than 2.5 s ago doesn't count as confirmed for its roster, and an entry then asks another; a call without any target waits up to 1.5 s for one, as its deadline allows.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -42,7 +42,15 @@
 	// that is not confirmed yet, so that its pollers don't wait for confirmPeriod.
 	appliedPeriod = 20 * time.Millisecond
 
-	peerPullPeriod = 500 * time.Millisecond
+	// peerPollWait is how long a peer holds a poll of its roster without news, and
+	// peerPause the time between two polls, in which changes come together.
+	peerPollWait = 500 * time.Millisecond
+	peerPause    = 20 * time.Millisecond
+
+	// rosterWarmUp is the time after its start in which a control VM may not have
+	// heard all processes, whose heartbeats come every second.
+	rosterWarmUp = 2500 * time.Millisecond
+
 	forwardTimeout = 900 * time.Millisecond
 	proposeTimeout = 900 * time.Millisecond
 	dialTimeout    = 300 * time.Millisecond
@@ -112,6 +120,7 @@
 	chain   map[uint64]*wire.ManifestRecord
 	chained uint64
 
+	started time.Time
 	// stopping ends the polls that wait, which would hold up the server's stop.
 	stopping chan struct{}
 	cancel   context.CancelFunc
@@ -157,6 +166,7 @@
 func (c *Control) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
+	c.started = c.o.Timers.Now()
 	var wg sync.WaitGroup
 	wg.Go(func() { c.every(ctx, confirmPeriod, c.confirm) })
 	wg.Go(func() { c.every(ctx, appliedPeriod, c.confirmApplied) })
@@ -321,26 +331,34 @@
 	}
 }
 
-// pullRoster follows the roster of one peer.
+// pullRoster follows the roster of one peer by long polls, so that a change
+// reaches the entries at this VM at once. An empty answer is passed on as well: by
+// it the peer vouches for the processes that it hears.
 func (c *Control) pullRoster(ctx context.Context, peer string) {
 	client := wire.NewControlProtobufClient("http://"+peer, c.http)
 	var since uint64
 	var epoch string
-	c.every(ctx, peerPullPeriod, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-		defer cancel()
+	for ctx.Err() == nil {
 		asked := c.o.Timers.Now()
 		// Only the leader places models, by the load of all engines.
 		loads := c.o.Node.Status().Role == replica.Leader
-		resp, err := client.Roster(ctx, &wire.RosterRequest{Since: since, Epoch: epoch, Process: c.o.Name, Peer: true, Loads: loads})
-		if err != nil || c.o.Timers.Since(asked) > forwardTimeout {
+		callCtx, cancel := context.WithTimeout(ctx, peerPollWait+forwardTimeout)
+		resp, err := client.Roster(callCtx, &wire.RosterRequest{
+			Since: since, Epoch: epoch, WaitMs: peerPollWait.Milliseconds(), Process: c.o.Name, Peer: true, Loads: loads,
+		})
+		cancel()
+		if err != nil {
+			_ = c.o.Timers.Sleep(ctx, peerPollWait)
+			continue
+		}
+		if c.o.Timers.Since(asked) <= peerPollWait+forwardTimeout {
 			// An answer that waited while this process was paused tells an old silence.
-			return
+			c.o.Roster.Merge(resp)
+			c.o.Roster.MergeLoads(resp.GetLoads())
+			since, epoch = resp.GetVersion(), resp.GetEpoch()
 		}
-		c.o.Roster.Merge(resp)
-		c.o.Roster.MergeLoads(resp.GetLoads())
-		since, epoch = resp.GetVersion(), resp.GetEpoch()
-	})
+		_ = c.o.Timers.Sleep(ctx, peerPause)
+	}
 }
 
 // leader returns a client for the leader's address.
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -154,7 +154,7 @@
 			resp.Loads = s.c.o.Roster.Loads()
 		}
 		last := s.c.fresh()
-		resp.Confirmed = last != nil
+		resp.Confirmed = last != nil && s.c.o.Timers.Since(s.c.started) >= rosterWarmUp
 		if last != nil {
 			resp.Revision = last.revision
 		}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -127,7 +127,7 @@
 func (e *Entry) followRoster(ctx context.Context) {
 	var since uint64
 	var epoch string
-	confirmed := e.o.Timers.Now()
+	var confirmed time.Time // zero: an entry that knows nothing takes what it gets
 	for ctx.Err() == nil {
 		resp, err := e.o.Control.Roster(ctx, &wire.RosterRequest{
 			Since: since, Epoch: epoch, WaitMs: rosterWait.Milliseconds(), Process: e.o.Name, Revision: e.o.Config.Revision(),
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -12,6 +12,15 @@
 	"github.com/cardamomline/cardamomline/internal/budget"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/wire"
+	"github.com/cardamomline/cardamomline/pkg/manifest"
+)
+
+const (
+	// noTargetWait is how long a call waits for a target when there is none: about
+	// the time of a heartbeat and its way to the entries. noTargetPause is how often
+	// it looks.
+	noTargetWait  = 1500 * time.Millisecond
+	noTargetPause = 50 * time.Millisecond
 )
 
 // tries are the attempts of one call.
@@ -32,7 +41,7 @@
 func (t *tries) run(ctx context.Context) (*reply, admission.Outcome, error) {
 	for {
 		now := t.e.o.Timers.Now()
-		choice, err := t.pick(now)
+		choice, err := t.pickInTime(ctx, now)
 		if err != nil {
 			return nil, admission.Dropped{}, t.fail(reasonNoTarget, err.Error())
 		}
@@ -64,6 +73,22 @@
 	}
 }
 
+// pickInTime picks a target. When there is none it waits a little, because a
+// restarted target is back within a heartbeat, and most deadlines allow it.
+func (t *tries) pickInTime(ctx context.Context, now time.Time) (routing.Choice, error) {
+	last := now.Add(noTargetWait)
+	for {
+		choice, err := t.pick(now)
+		if err == nil || t.c.policy == manifest.PolicyBaseline || !now.Before(last) || t.c.deadline.Sub(now) < t.c.typical+noTargetPause {
+			return choice, err
+		}
+		if t.e.o.Timers.Sleep(ctx, noTargetPause) != nil {
+			return choice, err
+		}
+		now = t.e.o.Timers.Now()
+	}
+}
+
 // pick chooses a target that was not tried. When there is none, only the last one
 // is left out, and at the end none: one that was full or failed once may answer now.
 func (t *tries) pick(now time.Time) (routing.Choice, error) {
