control: Test the roster of VMs that have just started and of other VMs

Cause: the two mechanisms that keep targets through rolling restarts had no test. Change: TestRosterOfStartedAndOtherVMs.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -345,6 +345,40 @@
 	})
 }
 
+// Guards against entries that take the short roster of a control VM which has just
+// started for the whole one, and against a roster change that reaches the entries
+// of other control VMs late.
+func TestRosterOfStartedAndOtherVMs(t *testing.T) {
+	onCluster(t, func(c *cluster) {
+		c.leader()
+		v, other := c.vms[1], c.vms[2]
+		time.Sleep(3 * time.Second)
+		roster := func(v *vm) *wire.RosterResponse {
+			r, err := c.client("entry", v).Roster(c.context(time.Second), &wire.RosterRequest{})
+			require.NoError(c.t, err)
+			return r
+		}
+		require.True(c.t, roster(v).GetConfirmed())
+		c.crash(v)
+		c.start(v)
+		time.Sleep(time.Second)
+		require.False(c.t, roster(v).GetConfirmed(), "a VM vouches for its roster 1 s after its start")
+		time.Sleep(2 * time.Second)
+		require.True(c.t, roster(v).GetConfirmed())
+
+		seen := roster(other)
+		_, err := c.client("agent", v).Heartbeat(c.context(time.Second), &wire.HeartbeatRequest{
+			Process: &wire.ProcessInfo{Name: "agent-core-1", Role: "agent", Incarnation: "a", Address: "core-1:1"}, TargetName: "core-1",
+		})
+		require.NoError(c.t, err)
+		began := time.Now()
+		seen, err = c.client("entry", other).Roster(c.context(5*time.Second), &wire.RosterRequest{Since: seen.GetVersion(), Epoch: seen.GetEpoch(), WaitMs: 4000})
+		require.NoError(c.t, err)
+		require.Len(c.t, seen.GetChanges(), 1)
+		require.Less(c.t, time.Since(began), 100*time.Millisecond)
+	})
+}
+
 // Guards against a planned stop that waits for polls, and so for its whole timeout.
 func TestStopEndsWaitingPolls(t *testing.T) {
 	onCluster(t, func(c *cluster) {
