process, entry, commands: Let one piece serve where the change had written twins

Change: roster.IsSilent, untilSignal, newRun; the live entries are listed once for each roster change; the unused accessors are gone. Behaviour is the same. Conclusion: left as they are: the plan of a pipeline, which each request builds.

--- a/internal/commands/load.go
+++ b/internal/commands/load.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
@@ -58,7 +56,7 @@
 	if len(c.accounts) > 0 {
 		mix.Accounts = c.accounts
 	}
-	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilSignal(cmd.Context())
 	defer stop()
 	run, err := load.NewRunner(load.Options{Mix: mix}).Run(ctx)
 	if err != nil {
--- a/internal/commands/standin.go
+++ b/internal/commands/standin.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -40,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilSignal(cmd.Context())
 	defer stop()
 	k := kernel.New()
 	var all []*standin.Standin
--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/cardamomline/cardamomline/internal/roster"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -111,7 +111,7 @@
 		Service: p.GetTarget().GetService(), Revision: info.GetRevision(), SilentMs: p.GetSilentMs(), State: "ready",
 	}
 	switch {
-	case time.Duration(p.GetSilentMs())*time.Millisecond >= silentAfter:
+	case roster.IsSilent(p):
 		row.State = "silent"
 	case info.GetLeaving():
 		row.State = "leaving"
@@ -121,9 +121,6 @@
 	return row
 }
 
-// silentAfter is the time without a heartbeat after which a process is shown as silent.
-const silentAfter = 3 * time.Second
-
 func (r *statusResult) text(w io.Writer) error {
 	t := newTable("control_vm", "state", "leader", "term", "applied", "revision", "orders", "waiting")
 	for _, c := range r.Controls {
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -81,10 +81,7 @@
 	if err != nil {
 		return nil, asError(err)
 	}
-	run := &pipelineRun{
-		e: a.e, pipeline: pl, manifest: r.manifest(), customer: r.customer, class: r.class,
-		prefix: text(p.Prefix), input: p.Input, maxTokens: number(p.MaxTokens),
-	}
+	run := a.e.newRun(r, pl, p.Input, text(p.Prefix), number(p.MaxTokens))
 	if r.class.MayWait() {
 		return a.e.submit(ctx, r, run, text(p.SubmissionID)), nil
 	}
@@ -104,13 +101,10 @@
 	}
 	defer func() { _ = stream.Close() }()
 	a.e.named(r, attempt.NewID(), "stream of pipeline "+pl.Name())
-	run := &pipelineRun{
-		e: a.e, pipeline: pl, manifest: r.manifest(), customer: r.customer, class: r.class,
-		prefix: text(p.Prefix), input: p.Input, maxTokens: number(p.MaxTokens),
-		onToken: func(t *wire.Token) error {
-			offset, txt := int(t.GetOffset()), t.GetText()
-			return stream.SendWithContext(ctx, &pipelines.StreamEvent{Event: "token", Offset: &offset, Text: &txt})
-		},
+	run := a.e.newRun(r, pl, p.Input, text(p.Prefix), number(p.MaxTokens))
+	run.onToken = func(t *wire.Token) error {
+		offset, txt := int(t.GetOffset()), t.GetText()
+		return stream.SendWithContext(ctx, &pipelines.StreamEvent{Event: "token", Offset: &offset, Text: &txt})
 	}
 	told := a.e.bounded(ctx, r, refused, func(ctx context.Context) *answer { return a.e.runPipeline(ctx, r, run) })
 	return stream.SendWithContext(ctx, &pipelines.StreamEvent{Event: "answer", Answer: r.result(told)})
@@ -199,6 +193,13 @@
 	return r, service, operation, nil
 }
 
+func (e *Entry) newRun(r *request, pl *manifest.Pipeline, input, prefix string, maxTokens int) *pipelineRun {
+	return &pipelineRun{
+		e: e, pipeline: pl, manifest: r.manifest(), customer: r.customer, class: r.class,
+		prefix: prefix, input: input, maxTokens: maxTokens,
+	}
+}
+
 // runPipeline runs a pipeline whose caller waits for the answer.
 func (e *Entry) runPipeline(ctx context.Context, r *request, p *pipelineRun) *answer {
 	p.request, p.deadline, p.timeline = r.id, r.deadline, r.timeline
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -90,7 +90,7 @@
 	}
 	state := &serviceState{name: s.Name(), pool: routing.NewPool(o), queue: admission.NewQueue(ao), cacheSeen: make(map[string]uint64)}
 	e.services[s.Name()] = state
-	e.syncService(state)
+	e.syncService(state, e.liveEntries())
 	return state
 }
 
@@ -155,16 +155,17 @@
 }
 
 func (e *Entry) syncPools() {
+	entries := e.liveEntries()
 	for _, s := range e.states() {
-		e.syncService(s)
+		e.syncService(s, entries)
 	}
 }
 
 // syncService hands the targets of a service that belong to this entry's subset
 // to its pool, and their slots to its queue.
-func (e *Entry) syncService(s *serviceState) {
+func (e *Entry) syncService(s *serviceState, entries []string) {
 	infos := e.roster.Targets(s.name)
-	keep := e.subset(s, infos)
+	keep := e.subset(s, infos, entries)
 	targets := make([]routing.Target, 0, len(infos))
 	for _, t := range infos {
 		if keep != nil {
@@ -175,19 +176,19 @@
 		targets = append(targets, newTarget(t))
 	}
 	s.pool.Sync(targets, e.o.Timers.Now())
-	s.queue.SetSlots(e.slotShare(s.pool.Slots()))
+	s.queue.SetSlots(slotShare(s.pool.Slots(), len(entries)))
 }
 
 // slotShare is this entry's share of the slots of a service, and at least 1 of any.
-func (e *Entry) slotShare(slots int) int {
+func slotShare(slots, entries int) int {
 	if slots == 0 {
 		return 0
 	}
-	return max(slots/len(e.liveEntries()), 1)
+	return max(slots/entries, 1)
 }
 
 // subset returns the names of the targets that this entry works on, or nil for all.
-func (e *Entry) subset(s *serviceState, infos []*wire.TargetInfo) map[string]struct{} {
+func (e *Entry) subset(s *serviceState, infos []*wire.TargetInfo, entries []string) map[string]struct{} {
 	if len(infos) <= subsetSize {
 		return nil
 	}
@@ -195,8 +196,6 @@
 	for _, t := range infos {
 		names = append(names, t.GetName())
 	}
-	entries := e.liveEntries()
-	slices.Sort(entries)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// The choice takes some 50 ms at the target size, and most changes of the
@@ -212,16 +211,18 @@
 	return keep
 }
 
-// liveEntries returns the names of the entries that take requests, this one included.
+// liveEntries returns the names of the entries that take requests, this one
+// included, in order.
 func (e *Entry) liveEntries() []string {
 	names := []string{e.o.Name}
 	for _, p := range e.roster.Processes() {
 		info := p.GetProcess()
-		live := !info.GetLeaving() && time.Duration(p.GetSilentMs())*time.Millisecond < roster.DefaultSilence
+		live := !info.GetLeaving() && !roster.IsSilent(p)
 		if info.GetRole() == "entry" && info.GetName() != e.o.Name && live {
 			names = append(names, info.GetName())
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -55,9 +55,6 @@
 	fault fault
 }
 
-// Name returns the name of the scenario.
-func (s Scenario) Name() string { return s.name }
-
 const (
 	steadyLoad   = 0.7
 	overloadLoad = 2.0
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -33,9 +33,6 @@
 // Address returns the IP:port of the process.
 func (m *Member) Address() string { return m.settings.Listen() }
 
-// Service returns the service of an agent's target; it is empty for other roles.
-func (m *Member) Service() string { return m.settings.Target().Service() }
-
 // Standin returns the stand-in behind an agent; it is nil for other roles.
 func (m *Member) Standin() *standin.Standin { return m.standin }
 
--- a/internal/process/rollout.go
+++ b/internal/process/rollout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cardamomline/cardamomline/internal/controlclient"
+	"github.com/cardamomline/cardamomline/internal/roster"
 	"github.com/cardamomline/cardamomline/internal/timer"
 )
 
@@ -17,15 +18,11 @@
 
 // Report tells where a revision is in force.
 type Report struct {
-	revision uint64
-	took     time.Duration
-	inForce  []string
-	behind   []string
+	took    time.Duration
+	inForce []string
+	behind  []string
 }
 
-// Revision returns the revision that the report is about.
-func (r *Report) Revision() uint64 { return r.revision }
-
 // Took returns the time until the last process had the revision, or the time waited.
 func (r *Report) Took() time.Duration { return r.took }
 
@@ -77,12 +74,12 @@
 		for _, p := range s.GetRoster() {
 			n := p.GetProcess().GetName()
 			newest[n] = max(newest[n], p.GetProcess().GetRevision())
-			if time.Duration(p.GetSilentMs())*time.Millisecond >= silenceBound {
+			if roster.IsSilent(p) {
 				silent[n] = true
 			}
 		}
 	}
-	report := &Report{revision: revision}
+	report := &Report{}
 	for name, have := range newest {
 		switch {
 		case have >= revision:
@@ -95,6 +92,3 @@
 	slices.Sort(report.behind)
 	return report
 }
-
-// silenceBound is the time without a heartbeat after which a process isn't live.
-const silenceBound = 3 * time.Second
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -112,6 +112,11 @@
 	return c
 }
 
+// IsSilent reports whether a process has not been heard for DefaultSilence.
+func IsSilent(c *wire.RosterChange) bool {
+	return time.Duration(c.GetSilentMs())*time.Millisecond >= DefaultSilence
+}
+
 // sameProcess reports whether two announcements differ at most in the revision,
 // which isn't part of roster versions: each configuration change would
 // otherwise send every process to every reader.
