entry: Ask at once in the drain test, so that it always notices a missing drain

Change: the 20 requests are sent together; the assertions are the same. Conclusion: the leaving mark at the entry is what the test guards.

--- a/internal/entry/pipeline_test.go
+++ b/internal/entry/pipeline_test.go
@@ -197,9 +197,12 @@
 		require.Equal(t, 2, before, "the entry does not prefer one target")
 		s.control.execute(&wire.Command{Kind: &wire.Command_SetDrain{SetDrain: &wire.SetDrain{Target: drained.Name(), Draining: true}}})
 		time.Sleep(3 * time.Second)
+		// Asked at once, so that the load alone would spread them over both engines.
+		var wg sync.WaitGroup
 		for range 20 {
-			ask()
+			wg.Go(ask)
 		}
+		wg.Wait()
 		require.Len(t, drained.Account(0).Attempts, before)
 	})
 }
