entry: Make the drain test wait for the caller, not only for the handler

Stop returns when the handler has ended, but the goroutine that plays the caller may not have stored the answer yet; the check then failed while it held the mutex that this goroutine waits for, so the test hung until the timeout instead of reporting. Ruled out: a fault of the drain itself, the goroutine stood behind the end of post in both traces.

Change: the answer travels over a channel; synctest.Wait lets the caller finish without letting virtual time pass, so a request that outlives the stop is still noticed.

Conclusion: the fault was the test's; the check is as strict as before.

--- a/internal/entry/pipeline_test.go
+++ b/internal/entry/pipeline_test.go
@@ -215,22 +215,22 @@
 		s.pipelineTargets()
 		e := s.addEntry("entry-1")
 		time.Sleep(3 * time.Second)
-		var mu sync.Mutex
-		var a answer
-		var wg sync.WaitGroup
-		wg.Go(func() {
-			_, got := e.post("/v1/pipelines/stem-answer", map[string]any{"deadline_ms": 15_000, "input": "x", "max_tokens": 300})
-			mu.Lock()
-			defer mu.Unlock()
-			a = got
-		})
+		answers := make(chan answer, 1)
+		go func() {
+			_, a := e.post("/v1/pipelines/stem-answer", map[string]any{"deadline_ms": 15_000, "input": "x", "max_tokens": 300})
+			answers <- a
+		}()
 		time.Sleep(100 * time.Millisecond)
 		require.NoError(t, e.kernel.Stop(t.Context()))
-		mu.Lock()
-		require.Equal(t, "done", a.Outcome, "the entry stopped before its request ended")
-		mu.Unlock()
-		wg.Wait()
-		require.Equal(t, "done", a.Outcome, a.Detail)
+		// Stop returns when the handler has ended; Wait lets the caller read the answer
+		// without letting time pass, so a request that outlives the stop is still noticed.
+		synctest.Wait()
+		select {
+		case a := <-answers:
+			require.Equal(t, "done", a.Outcome, a.Detail)
+		default:
+			require.Fail(t, "the entry stopped before its request ended")
+		}
 		code, _ := e.post("/v1/pipelines/stem-answer", map[string]any{"deadline_ms": 1000, "input": "x"})
 		require.Equal(t, http.StatusServiceUnavailable, code)
 	})
