placement: Test growth by demand end to end and measure a pass

Cause: nothing showed that load reported by real agents leads to another copy of a busy model, and the cost of placement at the leader was unknown.

Change: TestBusyModelGetsAnotherCopy saturates the engines of one model through real agents, stand-ins and the roster; BenchmarkPass runs the leader's pass with 370 entries, 850 engines and 6 models. TestLevelsHaveHysteresis has the usual term in its name.

Measured: 2 copies become 3 within 30 s of full load, a burst of 3 s adds none, the copy stays in the pause after the load.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -1,8 +1,18 @@
 package placement
 
 import (
+	"context"
 	"fmt"
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/roster"
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
 // BenchmarkPlan plans for 850 engines and 6 models: nothing to do, all engines
@@ -36,3 +46,61 @@
 		})
 	}
 }
+
+// leader leads one term for ever with the manifest.
+type leader struct{ record *wire.ManifestRecord }
+
+func (l leader) Leading() (uint64, bool)                    { return 1, true }
+func (l leader) GrantFence(context.Context) (uint64, error) { return 1, nil }
+func (l leader) Confirm(context.Context) error              { return nil }
+func (l leader) Manifest() *wire.ManifestRecord             { return l.record }
+func (l leader) Drains() []string                           { return nil }
+
+// manifestOf returns a manifest whose pipelines need so many models.
+func manifestOf(models int) []byte {
+	var list, pipelines strings.Builder
+	for i := range models {
+		fmt.Fprintf(&list, "{name: model-%d, size: 8GB},", i)
+		fmt.Fprintf(&pipelines, "  - {name: pipeline-%d, deadline: 6s, default_class: counter, stages: [{name: generate, service: generators, operation: generate, model: model-%d, expected: 600ms}]}\n", i, i)
+	}
+	return []byte("version: 1\nclasses: [{name: counter, priority: 0, deadline: 2s}]\ncustomers: [{name: depot, key: k, default_class: counter}]\nmodels: [" +
+		list.String() + "]\nservices:\n  - {name: generators, kind: engine, operations: [{name: generate, idempotent: true, timeout: 4s}]}\npipelines:\n" + pipelines.String())
+}
+
+// BenchmarkPass runs the pass that the leader makes once a second, with 370
+// entries and 850 busy engines in the roster and 6 models.
+func BenchmarkPass(b *testing.B) {
+	ts, m := timer.NewService(), metrics.New("control")
+	ros := roster.New(roster.Options{Timer: ts, Epoch: "one", Silence: time.Hour})
+	for i := range 370 {
+		ros.Announce(&wire.HeartbeatRequest{Process: &wire.ProcessInfo{Name: fmt.Sprintf("entry-%d", i), Role: "entry", Incarnation: "one", Ready: true}})
+	}
+	for i := range 850 {
+		name := fmt.Sprintf("engine-%d", i)
+		ros.Announce(&wire.HeartbeatRequest{
+			Process:    &wire.ProcessInfo{Name: "agent-" + name, Role: "agent", Incarnation: "one", Ready: true},
+			TargetName: name, TargetVersion: 1, Load: &wire.LoadReport{Running: 4, Slots: 8},
+			Target: &wire.TargetInfo{
+				Name: name, Kind: "engine", Service: "generators", Models: []string{fmt.Sprintf("model-%d", i%6)}, Slots: 8,
+				AgentAddress: "127.0.0.1:1", Incarnation: "one", FailureDomain: fmt.Sprintf("domain-%d", i%4), Version: 1, Ready: true,
+			},
+		})
+	}
+	r, err := NewRunner(Options{
+		Timers: ts, Leader: leader{&wire.ManifestRecord{Revision: 1, Manifest: manifestOf(6)}}, Roster: ros, Metrics: m, Scope: "placement",
+	})
+	require.NoError(b, err)
+	r.pass(b.Context())
+	require.NotNil(b, r.manifest)
+	r.term.began = r.term.began.Add(-takeoverPause)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.pass(b.Context())
+	}
+	s, ok := r.state()
+	require.True(b, ok)
+	require.Len(b, s.Engines, 850)
+	require.Empty(b, s.Orders, "an order was sent")
+	r.term.depose()
+	require.NoError(b, m.Close())
+}
--- a/internal/placement/demand_test.go
+++ b/internal/placement/demand_test.go
@@ -10,7 +10,7 @@
 
 // Guards against wanted copies that follow every burst and every pause of the
 // demand, which would load and unload models in turn.
-func TestLevelsAreSlowToChange(t *testing.T) {
+func TestLevelsHaveHysteresis(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const quiet = time.Minute
 		k := Key{Service: "generators", Model: "bunker-7b"}
--- a/internal/placement/runner_test.go
+++ b/internal/placement/runner_test.go
@@ -1,9 +1,14 @@
 package placement_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -267,3 +272,48 @@
 		require.Zero(t, s.metrics.Totals()["placement_order_failures/load_model"])
 	})
 }
+
+// saturate keeps all slots of the engines that hold the model busy for a time.
+func (s *site) saturate(model string, d time.Duration) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), d)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}}
+	var wg sync.WaitGroup
+	for _, t := range s.roster.Targets("generators") {
+		if !slices.Contains(t.GetModels(), model) {
+			continue
+		}
+		for i := range t.GetSlots() {
+			body, err := json.Marshal(standin.StageRequest{Attempt: fmt.Sprintf("%s-%d", t.GetName(), i), Request: "r", Customer: "depot-milford", Model: model, Input: "x", MaxTokens: 1_000_000})
+			require.NoError(s.t, err)
+			wg.Go(func() {
+				r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.GetName()+":1/v1/stage/generate", bytes.NewReader(body))
+				if resp, err := client.Do(r); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+// Guards against a busy model that gets no further copy although the engines
+// report their load, against a copy loaded for a short burst, and against one that
+// goes in the pause after the load.
+func TestBusyModelGetsAnotherCopy(t *testing.T) {
+	onSite(t, 4, true, func(s *site) {
+		v := s.startRunner(true)
+		time.Sleep(60 * time.Second)
+		require.Equal(t, 2, s.copies("bunker-7b"))
+		s.saturate("bunker-7b", 3*time.Second)
+		time.Sleep(30 * time.Second)
+		require.Equal(t, 2, s.copies("bunker-7b"), "a burst of 3 s cost a load")
+		s.saturate("bunker-7b", 30*time.Second)
+		require.Equal(t, 3, s.copies("bunker-7b"))
+		require.Equal(t, 2, s.copies("stem-3b"))
+		time.Sleep(5 * time.Minute)
+		require.Equal(t, 3, s.copies("bunker-7b"))
+		v.leads.Store(false)
+	})
+}
