agent, entry: Refuse orders that were addressed long ago

Cause: an agent's table forgets a barred or ended attempt 10 minutes after its end. An entry that was frozen between its claim and its send for longer than that, and resumed, found no record there, and the order ran a second time after another entry had run it. Ruled out: the incarnation and the revision don't change in that time, and the time left travels as a duration.

Change: an entry asks the agent for its clock (Agent.Clock) before it claims an order and sends the answer with the attempt; the agent refuses an order that was addressed more than a minute ago by its own clock. Clocks of different VMs are never compared. An agent that doesn't answer is passed over before the claim, and a request that ends without a claim reads the record before it tells not run.

Measured: TestFrozenEntryResumesAfterItsClaim/15m0s ran the order twice before and once after; its 3 s case runs the order twice when the bar is taken out. TestOutcomeAfterUnknownIsRecorded fails when settling in the background is taken out.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,6 +94,7 @@
 type Agent struct {
 	o           Options
 	incarnation string
+	began       time.Time
 	target      *target
 	table       *table
 	leaving     atomic.Bool
@@ -123,6 +124,7 @@
 	return &Agent{
 		o:           o,
 		incarnation: attempt.NewID(),
+		began:       o.Timers.Now(),
 		target:      newTarget(o.TargetURL, o.Dial),
 		table:       newTable(o.Timers.Now),
 		cache:       &cacheLog{},
@@ -134,6 +136,9 @@
 // Incarnation returns the random identity of this start.
 func (a *Agent) Incarnation() string { return a.incarnation }
 
+// clockMs returns the time since this incarnation began in milliseconds, never 0.
+func (a *Agent) clockMs() int64 { return a.o.Timers.Since(a.began).Milliseconds() + 1 }
+
 // Handler returns the HTTP handler of the data path and of the twirp service.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -86,6 +86,7 @@
 	return &wire.AttemptRequest{
 		Attempt: id, Request: "request-" + id, Customer: "depot-milford", OrderId: "order-" + id, Operation: "release_fuel",
 		Incarnation: b.agent.Incarnation(), Input: []byte("release 40 t"), TimeLeftMs: 2000, Revision: 5,
+		AddressedAtMs: b.agent.clockMs(),
 	}
 }
 
@@ -128,6 +129,10 @@
 		old := b.request("old")
 		old.Incarnation = "the incarnation before"
 		require.Equal(b.t, attempt.ReasonOtherIncarnation, b.send(b.t.Context(), old).GetRefused().GetReason())
+		// The table forgets the bar before the held order arrives.
+		held := b.request("barred")
+		time.Sleep(resultRetention + time.Minute)
+		require.Equal(b.t, attempt.ReasonOutdated, b.send(b.t.Context(), held).GetRefused().GetReason())
 		require.Zero(b.t, b.ran())
 
 		require.Empty(b.t, b.send(b.t.Context(), b.request("once")).GetResult().GetError())
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -56,6 +56,8 @@
 		return &wire.Refused{Reason: attempt.ReasonBadRequest, Detail: "attempt, operation and time left are required"}
 	case req.GetIncarnation() != a.incarnation:
 		return &wire.Refused{Reason: attempt.ReasonOtherIncarnation, Retryable: true, Detail: "the agent was restarted after this attempt was addressed"}
+	case !req.GetIdempotent() && a.isOutdated(req):
+		return &wire.Refused{Reason: attempt.ReasonOutdated, Detail: "the order was addressed to this agent too long ago to start now"}
 	case a.isLeaving():
 		return &wire.Refused{Reason: attempt.ReasonLeaving, Retryable: true, Detail: "the target is leaving"}
 	case cfg == nil:
@@ -68,6 +70,13 @@
 	return nil
 }
 
+// isOutdated reports whether an order was addressed more than orderLifetime ago.
+// Only the agent's own clock counts.
+func (a *Agent) isOutdated(req *wire.AttemptRequest) bool {
+	age := time.Duration(a.clockMs()-req.GetAddressedAtMs()) * time.Millisecond
+	return req.GetAddressedAtMs() <= 0 || age > orderLifetime
+}
+
 func (a *Agent) acceptLimit() int {
 	info := a.info.Load()
 	if info == nil {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -41,6 +41,11 @@
 	return &wire.ConfigResponse{Manifest: s.a.o.Config.RecordFor(r.GetKnownRevision()), Revision: s.a.o.Config.Revision()}, nil
 }
 
+// Clock implements wire.Agent.
+func (s *service) Clock(context.Context, *wire.ClockRequest) (*wire.ClockResponse, error) {
+	return &wire.ClockResponse{Incarnation: s.a.incarnation, ClockMs: s.a.clockMs(), Revision: s.a.o.Config.Revision()}, nil
+}
+
 // Cancel implements wire.Agent.
 func (s *service) Cancel(_ context.Context, r *wire.CancelRequest) (*wire.CancelResponse, error) {
 	if r.GetIncarnation() != s.a.incarnation {
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -13,6 +13,11 @@
 	// that an entry can settle an order after it lost the answer.
 	resultRetention = 10 * time.Minute
 
+	// orderLifetime is how long after it was addressed an order may start here. It is
+	// far below resultRetention, so that an order from an entry that was frozen, or
+	// from a slow network, never starts after the table has forgotten it.
+	orderLifetime = time.Minute
+
 	// maxAttempts bounds the table. At 100 attempts a second it spans 10 minutes.
 	maxAttempts = 60_000
 
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -54,6 +54,7 @@
 	ReasonLeaving          = "leaving"
 	ReasonDuplicate        = "duplicate_attempt"
 	ReasonBarred           = "barred"
+	ReasonOutdated         = "outdated"
 	ReasonOverloaded       = "overloaded"
 	ReasonNotReady         = "not_ready"
 	ReasonBadRequest       = "bad_request"
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cardamomline/cardamomline/internal/admission"
 	"github.com/cardamomline/cardamomline/internal/agent"
 	"github.com/cardamomline/cardamomline/internal/attempt"
@@ -14,6 +16,8 @@
 )
 
 const (
+	// addressTimeout bounds the question for an agent's clock.
+	addressTimeout = 400 * time.Millisecond
 	// claimTimeout bounds the commit of a claim. After it the attempt is dropped
 	// unsent, so "not run" is true.
 	claimTimeout = 1500 * time.Millisecond
@@ -125,6 +129,11 @@
 			return o.refuse(ctx, last), admission.Dropped{}
 		}
 		o.tried = append(o.tried, choice.Target)
+		addressedAt, err := o.address(ctx, choice)
+		if err != nil {
+			last = &callError{reason: reasonConnectionLost, detail: err.Error()}
+			continue
+		}
 		claim := o.newClaim(choice)
 		result, err := o.claim(ctx, claim)
 		if err != nil {
@@ -136,13 +145,32 @@
 			return o.tellRefusal(ctx, result), admission.Dropped{}
 		}
 		o.c.timeline.claimed(claim)
-		v := o.attempt(ctx, choice, claim)
+		v := o.attempt(ctx, choice, claim, addressedAt)
 		if v.answer != nil {
 			return v.answer, v.outcome
 		}
 		last = v.notRun
 	}
-	return refused(last), admission.Dropped{}
+	return o.refuse(ctx, last), admission.Dropped{}
+}
+
+// address asks the chosen agent for its clock, before the claim. The agent refuses
+// the order a while later, so that an entry that was frozen can't start it then.
+func (o *orderRun) address(ctx context.Context, choice routing.Choice) (clockMs int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
+	defer cancel()
+	agent := wire.NewAgentProtobufClient("http://"+choice.Address, o.settleHTTP(choice.Address))
+	resp, err := agent.Clock(ctx, &wire.ClockRequest{Sender: o.e.o.Name, Revision: o.e.o.Config.Revision()})
+	now := o.e.o.Timers.Now()
+	switch {
+	case err != nil:
+		o.s.pool.Finish(choice, routing.Failure{}, now)
+		return 0, errors.Wrapf(err, "ask agent of %s for its clock", choice.Target)
+	case resp.GetIncarnation() != choice.Incarnation:
+		o.s.pool.Finish(choice, routing.Leaving{}, now)
+		return 0, errors.Errorf("agent of %s was restarted", choice.Target)
+	}
+	return resp.GetClockMs(), nil
 }
 
 func (o *orderRun) newClaim(choice routing.Choice) *wire.ClaimOrder {
@@ -199,7 +227,7 @@
 	notRun  *callError
 }
 
-func (o *orderRun) attempt(ctx context.Context, choice routing.Choice, claim *wire.ClaimOrder) sent {
+func (o *orderRun) attempt(ctx context.Context, choice routing.Choice, claim *wire.ClaimOrder, addressedAt int64) sent {
 	left := min(o.c.deadline.Sub(o.e.o.Timers.Now()), o.c.operation.Timeout())
 	if left <= 0 || left < o.c.expected || ctx.Err() != nil {
 		// Sent now, the order would most likely end as unknown.
@@ -212,6 +240,7 @@
 	req.Attempt = claim.GetAttempt()
 	req.Incarnation = claim.GetIncarnation()
 	req.OrderId = o.orderID
+	req.AddressedAtMs = addressedAt
 	o.c.timeline.dispatched(o.c.stage, choice, req.GetAttempt())
 	began := o.e.o.Timers.Now()
 	// The attempt outlives a caller that closes the connection, because its
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cardamomline/cardamomline/internal/standin"
+	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
 // orderService is three targets of orders-core.
@@ -224,3 +225,73 @@
 		require.LessOrEqual(t, s.effects("release-1"), 1)
 	})
 }
+
+// Guards P2 and P4: an answer that comes after the caller was told "unknown" is
+// forgotten, so that the outcome is never known or the order runs again.
+func TestOutcomeAfterUnknownIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		defer s.stop()
+		s.orderService(500 * time.Millisecond)
+		e := s.addEntry("entry-1")
+		time.Sleep(3 * time.Second)
+		body := map[string]any{"deadline_ms": 1000, "order_id": "release-1", "input": "release 40 t"}
+		time.AfterFunc(100*time.Millisecond, func() { e.data.loseAnswer.Store(true) })
+		_, a := e.post(orderPath, body)
+		require.Equal(t, "unknown", a.Outcome, a.Detail)
+		e.data.loseAnswer.Store(false)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, s.effects("release-1"))
+		record, ok := s.control.ledger.Order("depot-milford", "release-1")
+		require.True(t, ok)
+		require.Equal(t, wire.OrderState_ORDER_STATE_DONE, record.GetState())
+		_, a = e.post(orderPath, body)
+		require.Equal(t, "done", a.Outcome, a.Detail)
+		require.True(t, a.Repeated)
+		require.Equal(t, 1, s.effects("release-1"))
+	})
+}
+
+// Guards P3 and P4: an entry that was frozen between its claim and its send
+// resumes after another entry has barred the attempt and run the order, at once
+// or when the agent no longer remembers the attempt.
+func TestFrozenEntryResumesAfterItsClaim(t *testing.T) {
+	for _, frozen := range []time.Duration{3 * time.Second, 15 * time.Minute} {
+		t.Run(frozen.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { resumeAfterClaim(t, frozen) })
+		})
+	}
+}
+
+func resumeAfterClaim(t *testing.T, pause time.Duration) {
+	s := newSystem(t)
+	defer s.stop()
+	s.orderService(20 * time.Millisecond)
+	frozen, other := s.addEntry("entry-1"), s.addEntry("entry-2")
+	time.Sleep(3 * time.Second)
+	body := map[string]any{"deadline_ms": 2500, "order_id": "release-1", "input": "release 40 t"}
+	frozen.control.holdAfterClaim.Store(frozen.data)
+	var wg sync.WaitGroup
+	wg.Go(func() { frozen.post(orderPath, body) })
+	time.Sleep(100 * time.Millisecond)
+	record, ok := s.control.ledger.Order("depot-milford", "release-1")
+	require.True(t, ok, "the frozen entry has no claim")
+	require.Equal(t, wire.OrderState_ORDER_STATE_CLAIMED, record.GetState())
+	first := record.GetAttempt()
+
+	_, a := other.post(orderPath, body)
+	require.Equal(t, "not_run", a.Outcome, a.Detail)
+	require.Zero(t, s.effects("release-1"))
+	_, a = other.post(orderPath, body)
+	require.Equal(t, "done", a.Outcome, a.Detail)
+	require.Equal(t, 1, s.effects("release-1"))
+	record, _ = s.control.ledger.Order("depot-milford", "release-1")
+	require.NotEqual(t, first, record.GetAttempt())
+
+	wg.Wait()
+	time.Sleep(pause)
+	frozen.data.hold.Store(false)
+	require.Positive(t, frozen.data.release(t), "the frozen entry has sent nothing")
+	time.Sleep(3 * time.Second)
+	require.Equal(t, 1, s.effects("release-1"))
+}
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomline/cardamomline/internal/agent"
+	"github.com/cardamomline/cardamomline/internal/attempt"
 	"github.com/cardamomline/cardamomline/internal/configwatch"
 	"github.com/cardamomline/cardamomline/internal/controlclient"
 	"github.com/cardamomline/cardamomline/internal/entry"
@@ -352,6 +354,28 @@
 	loseAnswer atomic.Bool // requests arrive, answers are lost
 	// generation is raised to silence the connections that are open now.
 	generation atomic.Int64
+	// hold keeps attempts until release, as a frozen sender does, and loses all else.
+	hold atomic.Bool
+	mu   sync.Mutex
+	held map[*faultyConn][]byte
+	// holdAfterClaim is set on a link to the control VMs: the other link holds what
+	// is written once an order is claimed.
+	holdAfterClaim atomic.Pointer[link]
+}
+
+// release sends what was held over new connections, because the agent has closed
+// the old ones, and returns the number of connections.
+func (l *link) release(t *testing.T) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, data := range l.held {
+		n, err := c.redial()
+		require.NoError(t, err)
+		_, err = n.Write(data)
+		require.NoError(t, err)
+		go func() { _, _ = io.Copy(io.Discard, n) }()
+	}
+	return len(l.held)
 }
 
 // controlTransport calls the fake control VM without a network.
@@ -375,6 +399,11 @@
 	in.Header = r.Header
 	w := httptest.NewRecorder()
 	wire.NewControlServer(t.control).ServeHTTP(w, in)
+	if t.link != nil && strings.HasSuffix(r.URL.Path, "/Execute") {
+		if data := t.link.holdAfterClaim.Load(); data != nil {
+			data.hold.Store(true)
+		}
+	}
 	if t.link != nil && t.link.loseAnswer.Load() {
 		return nil, errLost
 	}
@@ -396,7 +425,8 @@
 		if own == nil {
 			return c, nil
 		}
-		return &faultyConn{Conn: c, link: own, generation: own.generation.Load()}, nil
+		redial := func() (net.Conn, error) { return n.Dial(context.Background(), network, address) }
+		return &faultyConn{Conn: c, link: own, generation: own.generation.Load(), redial: redial}, nil
 	}
 }
 
@@ -407,6 +437,23 @@
 	net.Conn
 	link       *link
 	generation int64
+	redial     func() (net.Conn, error)
+}
+
+// Write implements net.Conn.
+func (c *faultyConn) Write(b []byte) (int, error) {
+	if !c.link.hold.Load() {
+		return c.Conn.Write(b)
+	}
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	if c.link.held == nil {
+		c.link.held = make(map[*faultyConn][]byte)
+	}
+	if _, more := c.link.held[c]; more || bytes.HasPrefix(b, []byte("POST "+attempt.Path)) {
+		c.link.held[c] = append(c.link.held[c], b...)
+	}
+	return len(b), nil
 }
 
 func (c *faultyConn) Read(b []byte) (int, error) {
