--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -44,9 +44,8 @@
 }
 
 // table remembers the attempts of this incarnation. An attempt id starts at most
-// once, and a barred one never starts. Records of orders are kept for the whole
-// retention time; others only while they run, so that duplicates are recognised
-// for as long as their entry may still send them.
+// once, and a barred one never starts. Records are kept for resultRetention after
+// their end, outputs only those of orders.
 type table struct {
 	now      func() time.Time
 	mu       sync.Mutex
