roster, load, report, standin: Use the usual terms for soft state and dropped records

Cause: the read-through found figurative words: processes that are heard and vouched for, accounts that forget.

Change: a record has the time it was last seen, a control VM confirms processes, accounts drop records; the report's JSON field forgotten is named dropped. No behaviour changes.

--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -20,13 +20,13 @@
 
 // Complete reports whether the accounts hold everything that the stand-ins did.
 func (e Evidence) Complete() bool {
-	return len(e.Accounts) > 0 && e.Missing == 0 && e.forgotten() == 0
+	return len(e.Accounts) > 0 && e.Missing == 0 && e.dropped() == 0
 }
 
-func (e Evidence) forgotten() int {
+func (e Evidence) dropped() int {
 	sum := 0
 	for i := range e.Accounts {
-		sum += e.Accounts[i].ForgottenAttempts + e.Accounts[i].ForgottenEffects
+		sum += e.Accounts[i].DroppedAttempts + e.Accounts[i].DroppedEffects
 	}
 	return sum
 }
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -185,7 +185,7 @@
 }
 
 // since removes the attempts that the accounts before already have, and the
-// records that were forgotten before.
+// records that were dropped before.
 func since(all, before []standin.Account) []standin.Account {
 	earlier := make(map[string]standin.Account)
 	for _, a := range before {
@@ -203,8 +203,8 @@
 			}
 		}
 		all[i].Attempts = kept
-		all[i].ForgottenAttempts = max(0, all[i].ForgottenAttempts-int(old.NextSequence))
-		all[i].ForgottenEffects -= old.ForgottenEffects
+		all[i].DroppedAttempts = max(0, all[i].DroppedAttempts-int(old.NextSequence))
+		all[i].DroppedEffects -= old.DroppedEffects
 	}
 	return all
 }
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -188,7 +188,7 @@
 
 func checked(records []Record, e Evidence) report.Checked {
 	c := report.Checked{
-		Accounts: len(e.Accounts), MissingAccounts: e.Missing, Forgotten: e.forgotten(), Complete: e.Complete(),
+		Accounts: len(e.Accounts), MissingAccounts: e.Missing, Dropped: e.dropped(), Complete: e.Complete(),
 	}
 	orders := make(map[string]bool)
 	for i := range records {
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -18,7 +18,7 @@
 		r.Started.UTC().Format("2 January 2006, 15:04 UTC"), r.Seconds, r.Sent)
 	if !r.Checked.Complete {
 		fmt.Fprintf(w, "The figures are incomplete: %d accounts could not be read and %d records were no longer kept.\n\n",
-			r.Checked.MissingAccounts, r.Checked.Forgotten)
+			r.Checked.MissingAccounts, r.Checked.Dropped)
 	}
 	fmt.Fprintf(w, "All work took %s machine seconds. %s of it went into results that no caller used.\n\n",
 		seconds(r.BusyMS()), percent(r.UnusedShare()))
--- a/internal/report/run.go
+++ b/internal/report/run.go
@@ -94,8 +94,8 @@
 	MissingAccounts int  `json:"missing_accounts"`
 	Effects         int  `json:"effects"`
 	Attempts        int  `json:"attempts"`
-	Forgotten       int  `json:"forgotten"` // account records beyond the bound on memory
-	Complete        bool `json:"complete"`  // every account was read and none has forgotten records
+	Dropped         int  `json:"dropped"`  // account records beyond the bound on memory
+	Complete        bool `json:"complete"` // every account was read and none has dropped records
 }
 
 // Kinds of violations.
--- a/internal/report/tables.go
+++ b/internal/report/tables.go
@@ -35,8 +35,8 @@
 
 func invariants(w io.Writer, r *Run) {
 	c := r.Checked
-	fmt.Fprintf(w, "\ninvariants: checked %d answers and %d orders against %d accounts (%d missing, %d records forgotten) with %d effects and %d attempts\n",
-		c.Answers, c.Orders, c.Accounts, c.MissingAccounts, c.Forgotten, c.Effects, c.Attempts)
+	fmt.Fprintf(w, "\ninvariants: checked %d answers and %d orders against %d accounts (%d missing, %d records dropped) with %d effects and %d attempts\n",
+		c.Answers, c.Orders, c.Accounts, c.MissingAccounts, c.Dropped, c.Effects, c.Attempts)
 	if !c.Complete {
 		fmt.Fprintln(w, "incomplete: the accounts don't hold everything that ran, so a violation may be unseen")
 	}
--- a/internal/roster/merge.go
+++ b/internal/roster/merge.go
@@ -27,15 +27,15 @@
 			changes = changes[n:]
 		}
 		r.forgetSources(now)
-		// Records that fell silent while the peer was out of reach are vouched for again.
+		// Records that became silent while the peer was out of reach are confirmed again.
 		r.due = now
 		r.sweep(now)
 	})
 }
 
 // follow notes the control VM that is followed. Records that a full list
-// doesn't contain count as heard now, so that they fall silent after the bound
-// unless the control VM, perhaps just restarted, hears of them.
+// doesn't contain count as seen now, so that they become silent after the bound
+// unless the control VM, perhaps just restarted, learns of them.
 func (r *Roster) follow(now time.Time, response *wire.RosterResponse) {
 	if !response.GetFull() && response.GetEpoch() == r.source {
 		return
@@ -44,7 +44,7 @@
 	for _, rec := range r.records {
 		rec.listed = ""
 		if !rec.silent {
-			rec.heard = now
+			rec.lastSeen = now
 		}
 	}
 }
@@ -120,8 +120,9 @@
 }
 
 // mergeSame takes another report of the announcement that is already known.
-// Only the VM that hears the process can tell more about it: an echo through
-// another peer says nothing new. A follower believes the VM that it follows.
+// Only the VM that gets the process's heartbeats can tell more about it: an echo
+// through another peer says nothing new. A follower takes over what the VM that
+// it follows says.
 func (r *Roster) mergeSame(now time.Time, name string, rec *record, c *wire.RosterChange, epoch string) {
 	theirs, silent := split(c.GetSequence())
 	if !r.options.Follow && theirs.origin() != originOf(epoch) {
@@ -130,7 +131,7 @@
 	rec.listed = epoch
 	rec.reported = silent
 	if silent {
-		rec.heard = now.Add(-silentFor(c))
+		rec.lastSeen = now.Add(-silentFor(c))
 	}
 	if rec.silent != silent {
 		r.setSilent(name, rec, silent)
@@ -146,7 +147,7 @@
 
 // prefers reports whether the change is newer than the record: a replaced
 // incarnation never is, one that replaced the record's is, and otherwise the
-// one that was heard last. A follower believes the VM that it follows, except
+// one that was seen last. A follower takes over what its VM says, except
 // that a stale incarnation never comes back.
 func (r *Roster) prefers(now time.Time, rec *record, c *wire.RosterChange, replaced []*wire.RosterChange) bool {
 	theirs, _ := split(c.GetSequence())
@@ -156,7 +157,7 @@
 	if r.options.Follow || supersedes(replaced, rec) {
 		return true
 	}
-	if ours := now.Sub(rec.heard).Milliseconds(); ours != c.GetSilentMs() {
+	if ours := now.Sub(rec.lastSeen).Milliseconds(); ours != c.GetSilentMs() {
 		return c.GetSilentMs() < ours
 	}
 	return theirs > rec.sequence
@@ -171,12 +172,12 @@
 	rec.drained = isDrained(c)
 	rec.target = describe(c.GetTarget(), rec.process, rec.silent, r.isDrained(rec, c.GetTarget()))
 	rec.listed = epoch
-	if heard := now.Add(-silentFor(c)); r.options.Follow || old != rec.incarnation() || heard.After(rec.heard) {
-		rec.heard = heard
+	if seen := now.Add(-silentFor(c)); r.options.Follow || old != rec.incarnation() || seen.After(rec.lastSeen) {
+		rec.lastSeen = seen
 	}
 	if old != rec.incarnation() {
-		// A follower may just have changed to a VM that lags behind, so its change
-		// of mind says nothing about which incarnation is the newer one.
+		// A follower may just have changed to a VM that lags behind, so a change
+		// of its answer says nothing about which incarnation is the newer one.
 		if !r.options.Follow {
 			rec.replace(old, max(top+1, rec.sequence.generation()), now)
 		}
@@ -186,7 +187,7 @@
 	r.touch(name, rec)
 }
 
-// reject keeps the record. A VM that hears the process itself then announces
+// reject keeps the record. A VM that gets the process's heartbeats then announces
 // its own record again, because the peer may have preferred the other one and
 // wouldn't otherwise be told.
 func (r *Roster) reject(now time.Time, name string, rec *record, c *wire.RosterChange) {
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -31,7 +31,7 @@
 	load     *wire.LoadReport
 	loadAt   time.Time
 	sequence sequence
-	heard    time.Time // last heartbeat, as far as it is known here
+	lastSeen time.Time // last heartbeat, as far as it is known here
 	silent   bool
 	// reported is set when the origin itself reported the silence.
 	reported bool
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,13 +3,13 @@
 // Processes announce themselves to one control VM by heartbeats. Control VMs
 // merge each other's changes, and entries follow one control VM at a time. All
 // times are durations on the receiver's own clock: a change says how long ago
-// the process was last heard, never when.
+// the process was last seen, never when.
 //
 // A record remembers the incarnations that were replaced; they travel with it as
 // removed changes, so that a peer doesn't take a late heartbeat of one for a new
-// process. Where two records don't know of each other, the one that was heard
-// last wins. A control VM vouches for the processes that it hears
-// itself, and for no others, each time that a peer merges its answer; so
+// process. Where two records don't know of each other, the one that was seen
+// last wins. A control VM confirms the processes whose heartbeats it gets
+// itself, and no others, each time that a peer merges its answer; so
 // silence can't be hidden by two peers that repeat each other.
 //
 // # Usage
@@ -62,7 +62,7 @@
 type Options struct {
 	// Timer is the source of time.
 	Timer *timer.Service
-	// Epoch names this life of the roster. It must differ after each restart.
+	// Epoch identifies this start of the roster. It must differ after each restart.
 	Epoch string
 	// Silence is the time without a heartbeat after which a process is silent. It
 	// must be the same on all control VMs.
@@ -70,7 +70,7 @@
 	// Removal is the time without a heartbeat after which a process is forgotten.
 	Removal time.Duration
 	// Follow is set at an entry, which merges the answers of one control VM at a
-	// time: it believes their silence, and keeps the last state while it can't
+	// time: it takes over their silence, and keeps the last state while it can't
 	// reach any control VM.
 	Follow bool
 }
@@ -181,7 +181,7 @@
 // Done returns a channel that is closed when the roster has stopped.
 func (r *Roster) Done() <-chan struct{} { return r.done }
 
-// locked calls f under the lock, after the processes that fell silent were marked.
+// locked calls f under the lock, after the silent processes were marked.
 func (r *Roster) locked(f func(now time.Time)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -230,7 +230,7 @@
 	target = describe(target, p, false, r.isDrained(rec, target))
 	same := rec.version != 0 && !rec.silent && rec.sequence.origin() == r.origin &&
 		sameProcess(rec.process, p) && (target == rec.target || proto.Equal(target, rec.target))
-	rec.process, rec.heard, rec.silent, rec.reported = p, now, false, false
+	rec.process, rec.lastSeen, rec.silent, rec.reported = p, now, false, false
 	if h.GetLoad() != nil {
 		rec.load, rec.loadAt = h.GetLoad(), now
 	}
@@ -313,22 +313,22 @@
 }
 
 // evidence returns the last time at which the process is known to have been
-// heard, by this VM or by the peer that hears it.
+// seen, by this VM or by the peer that gets its heartbeats.
 func (r *Roster) evidence(now time.Time, rec *record) time.Time {
 	if r.options.Follow {
 		if rec.listed == r.source && !rec.reported {
 			return now
 		}
-		return rec.heard
+		return rec.lastSeen
 	}
-	vouched := r.sources[rec.sequence.origin()]
-	if !rec.reported && vouched.After(rec.heard) {
-		return vouched
+	confirmed := r.sources[rec.sequence.origin()]
+	if !rec.reported && confirmed.After(rec.lastSeen) {
+		return confirmed
 	}
-	return rec.heard
+	return rec.lastSeen
 }
 
-// sweep marks records whose process fell silent and removes long-gone ones.
+// sweep marks records whose process became silent and removes long-gone ones.
 func (r *Roster) sweep(now time.Time) {
 	if r.due.IsZero() || now.Before(r.due) {
 		return
@@ -415,7 +415,7 @@
 	for _, p := range rec.past {
 		out = append(out, removedChange(name, p.incarnation, newSequence(p.generation, 0, 0)))
 	}
-	return append(out, r.change(rec, now.Sub(rec.heard)))
+	return append(out, r.change(rec, now.Sub(rec.lastSeen)))
 }
 
 func removedChange(name, incarnation string, s sequence) *wire.RosterChange {
@@ -493,7 +493,7 @@
 }
 
 // Processes returns all processes, sorted by name. Their silent_ms is the time
-// since this VM or the peer that hears the process vouched for it. The messages
+// since this VM or the peer that gets the heartbeats confirmed it. The messages
 // must not be changed.
 func (r *Roster) Processes() []*wire.RosterChange {
 	var out []*wire.RosterChange
@@ -521,7 +521,7 @@
 	return rec.load, rec.loadAt, true
 }
 
-// Loads returns the load reports of the processes that this VM hears itself,
+// Loads returns the load reports of the processes whose heartbeats this VM gets,
 // sorted by name. Those of silent processes are left out.
 func (r *Roster) Loads() []*wire.ProcessLoad {
 	var out []*wire.ProcessLoad
@@ -536,8 +536,8 @@
 	return out
 }
 
-// MergeLoads takes the load reports of a peer, except for processes that this VM
-// hears itself.
+// MergeLoads takes the load reports of a peer, except for processes whose heartbeats this
+// VM gets itself.
 func (r *Roster) MergeLoads(loads []*wire.ProcessLoad) {
 	r.locked(func(now time.Time) {
 		for _, l := range loads {
--- a/internal/roster/sequence.go
+++ b/internal/roster/sequence.go
@@ -15,7 +15,7 @@
 
 // sequence identifies one announcement of a process. The generation counts its
 // incarnations, the counter the announcements that changed something, and the
-// origin is the control VM that heard it. An announcement that returns to a VM
+// origin is the control VM that received it. An announcement that returns to a VM
 // through its peers has the same sequence, so it's recognised and can't refresh itself.
 type sequence uint64
 
--- a/internal/standin/account.go
+++ b/internal/standin/account.go
@@ -56,19 +56,19 @@
 	Tokens    int     `json:"tokens"`
 }
 
-// Account is everything that a stand-in did. Forgotten counts say how many of
+// Account is everything that a stand-in did. Dropped counts say how many of
 // the oldest records the bound on memory has removed.
 type Account struct {
-	Name              string              `json:"name"`
-	Service           string              `json:"service"`
-	Kind              Kind                `json:"kind"`
-	NextSequence      uint64              `json:"next_sequence"`
-	Effects           []Effect            `json:"effects"`
-	Attempts          []AttemptRecord     `json:"attempts"`
-	Totals            []Total             `json:"totals"`
-	EngineOrders      []EngineOrderRecord `json:"engine_orders,omitempty"`
-	ForgottenEffects  int                 `json:"forgotten_effects"`
-	ForgottenAttempts int                 `json:"forgotten_attempts"`
+	Name            string              `json:"name"`
+	Service         string              `json:"service"`
+	Kind            Kind                `json:"kind"`
+	NextSequence    uint64              `json:"next_sequence"`
+	Effects         []Effect            `json:"effects"`
+	Attempts        []AttemptRecord     `json:"attempts"`
+	Totals          []Total             `json:"totals"`
+	EngineOrders    []EngineOrderRecord `json:"engine_orders,omitempty"`
+	DroppedEffects  int                 `json:"dropped_effects"`
+	DroppedAttempts int                 `json:"dropped_attempts"`
 }
 
 type effectKey struct{ customer, order, operation string }
@@ -77,16 +77,16 @@
 
 // book keeps an Account. It is safe for concurrent use.
 type book struct {
-	mu               sync.Mutex
-	limit            int
-	attempts         []AttemptRecord // a ring of limit records, indexed by sequence
-	byAttempt        map[string]uint64
-	next             uint64
-	effects          map[effectKey]*Effect
-	effectOrder      []effectKey
-	forgottenEffects int
-	totals           map[totalKey]*Total
-	orders           []EngineOrderRecord
+	mu             sync.Mutex
+	limit          int
+	attempts       []AttemptRecord // a ring of limit records, indexed by sequence
+	byAttempt      map[string]uint64
+	next           uint64
+	effects        map[effectKey]*Effect
+	effectOrder    []effectKey
+	droppedEffects int
+	totals         map[totalKey]*Total
+	orders         []EngineOrderRecord
 }
 
 func newBook(limit int) *book {
@@ -119,7 +119,7 @@
 }
 
 // end records how an attempt ended. The totals stay exact when the record itself
-// has been forgotten.
+// has been dropped.
 func (b *book) end(seq uint64, operation string, r StageRequest, w work, state string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -170,7 +170,7 @@
 	for len(b.effectOrder) > b.limit {
 		delete(b.effects, b.effectOrder[0])
 		b.effectOrder = b.effectOrder[1:]
-		b.forgottenEffects++
+		b.droppedEffects++
 	}
 }
 
@@ -209,7 +209,7 @@
 	defer b.mu.Unlock()
 	a := Account{
 		NextSequence: b.next, Effects: []Effect{}, Attempts: []AttemptRecord{}, Totals: []Total{},
-		EngineOrders: slices.Clone(b.orders), ForgottenEffects: b.forgottenEffects, ForgottenAttempts: int(b.next) - len(b.attempts),
+		EngineOrders: slices.Clone(b.orders), DroppedEffects: b.droppedEffects, DroppedAttempts: int(b.next) - len(b.attempts),
 	}
 	for _, key := range b.effectOrder {
 		e := *b.effects[key]
@@ -217,7 +217,7 @@
 		e.Requests = slices.Clone(e.Requests)
 		a.Effects = append(a.Effects, e)
 	}
-	for seq := max(from, uint64(a.ForgottenAttempts)); seq < b.next; seq++ {
+	for seq := max(from, uint64(a.DroppedAttempts)); seq < b.next; seq++ {
 		a.Attempts = append(a.Attempts, b.attempts[seq%uint64(b.limit)])
 	}
 	for _, t := range b.totals {
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -206,7 +206,7 @@
 			require.Len(t, e.Attempts, 5)
 		}
 		require.Len(t, a.Attempts, 5)
-		require.Equal(t, 15, a.ForgottenAttempts)
+		require.Equal(t, 15, a.DroppedAttempts)
 		require.Equal(t, []standin.Total{{
 			Customer: "depot-milford", Operation: "release_fuel", Attempts: 20, Finished: 20, BusyMS: 2000,
 		}}, a.Totals)
@@ -217,7 +217,7 @@
 			require.NoError(t, err)
 		}
 		require.Len(t, s.Account(0).Effects, 5)
-		require.Equal(t, 1, s.Account(0).ForgottenEffects)
+		require.Equal(t, 1, s.Account(0).DroppedEffects)
 	})
 }
 
