replica: Hand leadership over at a planned stop

Cause: a leader that stopped as planned left the others without a leader until an election timeout had passed.

Change: the core takes a HandOver event. The leader lets new proposals wait, commits its log, and asks the voter that holds all of it and answered last to stand at once (HandOverRequest, repeated each heartbeat period). Its vote requests carry hand_over, so neither the old leader nor voters that still hear it refuse them; votes are granted by the same rules as before. The request names the end of the log, so that a delayed one of a hand-over that was given up is ignored. One election timeout bounds the whole. Proposals and reads that waited are refused with the new leader's address, which the control role forwards to. Control.Stop hands over before it ends its polls and its server.

Each test fails without its mechanism, tried on a scratch copy: voters ignoring the flag, asking only once, accepting proposals or dropping those that waited (TestHandOver); no check of the log's end (TestDelayedHandOverRequestIsIgnored); no end without other voters (TestHandOverWithoutSuccessor); answering before the new leader is known (TestNodeHandsOver); no hand-over in Stop (TestPlannedStopHandsOver); asking a voter without the whole log, asking before the commit, no deadline, reads that don't wait (TestCoresAgreeUnderFaults with hand-overs among its faults).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -183,15 +183,28 @@
 	return nil
 }
 
-// Stop implements kernel.Stopper.
-func (c *Control) Stop(context.Context) error {
+// Stop implements kernel.Stopper. A leader hands over first, while this VM still
+// answers and forwards the calls that wait for the new leader.
+func (c *Control) Stop(ctx context.Context) error {
 	c.leaving.Store(true)
+	c.handOver(ctx)
 	close(c.stopping)
 	c.cancel()
 	<-c.done
 	return nil
 }
 
+func (c *Control) handOver(ctx context.Context) {
+	if c.o.Node.Status().Role != replica.Leader {
+		return
+	}
+	if err := c.o.Node.HandOver(ctx); err != nil {
+		klog.InfoS("Leadership not handed over, an election follows", "err", err)
+		return
+	}
+	klog.InfoS("Leadership handed over", "leader", c.o.Node.Status().LeaderAddress)
+}
+
 // Done implements kernel.Stopper.
 func (c *Control) Done() <-chan struct{} { return c.done }
 
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -132,6 +132,7 @@
 	round        uint64
 	newReads     []uint64
 	reads        []readBatch
+	handOver     *handOver // the hand-over under way, or nil
 
 	// Output under construction.
 	out         Output
@@ -223,6 +224,8 @@
 		c.onBootstrap(e)
 	case Join:
 		c.onJoin(e.Member)
+	case HandOver:
+		c.onHandOver(e.ID)
 	}
 }
 
@@ -235,6 +238,7 @@
 		c.replicateAll()
 		c.confirmReads()
 	}
+	c.advanceHandOver()
 	c.collectWrite()
 	c.collectCommitted()
 	if c.sequence > c.persisted {
@@ -309,6 +313,10 @@
 }
 
 func (c *Core) onPropose(p Propose) {
+	if c.handOver != nil {
+		c.handOver.proposals = append(c.handOver.proposals, p)
+		return
+	}
 	if c.role != Leader {
 		c.out.Refused = append(c.out.Refused, p.ID)
 		return
@@ -413,6 +421,8 @@
 		c.onSnapshotRequest(from, k.SnapshotRequest)
 	case *wire.ReplicaMessage_SnapshotResponse:
 		c.onSnapshotResponse(from, k.SnapshotResponse)
+	case *wire.ReplicaMessage_HandOverRequest:
+		c.onHandOverRequest(k.HandOverRequest)
 	}
 }
 
@@ -422,7 +432,7 @@
 	switch k := m.Kind.(type) {
 	case *wire.ReplicaMessage_VoteRequest:
 		// A member that merely lost touch must not unseat a working leader.
-		if c.role == Leader || c.leader != "" && c.elapsed < c.o.ElectionTicks {
+		if !k.VoteRequest.HandOver && (c.role == Leader || c.leader != "" && c.elapsed < c.o.ElectionTicks) {
 			return false
 		}
 		if k.VoteRequest.PreVote {
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -28,7 +28,10 @@
 
 // Guards against disagreement, lost or unconfirmed commits, stale reads and
 // clusters that don't recover, under any mix of faults that loses one disk at a time.
-func TestCoresAgreeUnderFaults(t *testing.T) {
+func TestCoresAgreeUnderFaults(t *testing.T) { checkSeeds(t, checkFaults) }
+
+// checkSeeds runs a property test once with each of the fixed seeds.
+func checkSeeds(t *testing.T, check func(*rapid.T)) {
 	require.NoError(t, flag.Set("rapid.nofailfile", "true"))
 	seeds := fixedSeeds
 	if os.Getenv("RAPID_SEED") != "" {
@@ -41,7 +44,7 @@
 		if os.Getenv("RAPID_CHECKS") == "" {
 			require.NoError(t, flag.Set("rapid.checks", fixedChecks))
 		}
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { rapid.Check(t, checkFaults) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { rapid.Check(t, check) })
 	}
 }
 
@@ -64,7 +67,13 @@
 		"freeze":      func(t *rapid.T) { pick(t).frozen = true },
 		"thaw":        func(t *rapid.T) { pick(t).frozen = false },
 		"snapshot":    func(t *rapid.T) { s.takeSnapshot(pick(t)) },
-		"crash":       func(t *rapid.T) { s.crash(pick(t), rapid.IntRange(0, 3).Draw(t, "kept")) },
+		"hand over":   func(t *rapid.T) { s.handOver(pick(t)) },
+		"all hand over": func(*rapid.T) {
+			for _, v := range s.vms {
+				s.handOver(v)
+			}
+		},
+		"crash": func(t *rapid.T) { s.crash(pick(t), rapid.IntRange(0, 3).Draw(t, "kept")) },
 		"restart": func(t *rapid.T) {
 			if v := pick(t); v.core == nil {
 				s.restart(v)
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -3,6 +3,7 @@
 import "github.com/cardamomline/cardamomline/internal/wire"
 
 func (c *Core) tick() {
+	c.handOverTick()
 	if c.role == Leader {
 		c.leaderTick()
 		return
@@ -13,7 +14,7 @@
 	}
 	c.leader = ""
 	if c.config().isVoter(c.id) {
-		c.campaign(PreCandidate)
+		c.campaign(PreCandidate, false)
 	}
 }
 
@@ -62,8 +63,9 @@
 	}
 }
 
-// campaign asks the voters for pre-votes, which change nothing, or for votes.
-func (c *Core) campaign(role Role) {
+// campaign asks the voters for pre-votes, which change nothing, or for votes. The
+// voters are told when the leader asked for it by a hand-over.
+func (c *Core) campaign(role Role, handOver bool) {
 	c.role = role
 	c.votes = map[string]bool{}
 	c.restartTimeout()
@@ -75,7 +77,7 @@
 		c.termLeader = ""
 		c.stateDirty = true
 	}
-	request := &wire.VoteRequest{LastIndex: c.log.last(), LastTerm: c.log.lastTerm(), PreVote: preVote}
+	request := &wire.VoteRequest{LastIndex: c.log.last(), LastTerm: c.log.lastTerm(), PreVote: preVote, HandOver: handOver}
 	for _, v := range c.config().voters() {
 		if v.Id != c.id {
 			// Even a pre-vote makes the cluster known, so its forming has to be durable.
@@ -100,7 +102,7 @@
 		return
 	}
 	if c.role == PreCandidate {
-		c.campaign(Candidate)
+		c.campaign(Candidate, false)
 		return
 	}
 	c.becomeLeader()
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -33,6 +33,15 @@
 	return fmt.Sprintf("leadership of term %d ended before the proposal committed", e.term)
 }
 
+// HandOverError reports that no voter took the leadership over within one
+// election timeout, or that no other voter answers.
+type HandOverError struct{}
+
+// Error implements error.
+func (e *HandOverError) Error() string {
+	return "no voter took the leadership over"
+}
+
 // StoppedError reports that the replica has stopped.
 type StoppedError struct {
 	cause error
--- a/internal/replica/event.go
+++ b/internal/replica/event.go
@@ -49,6 +49,11 @@
 func (SnapshotTaken) event() {}
 func (Bootstrap) event()     {}
 func (Join) event()          {}
+func (HandOver) event()      {}
+
+// HandOver asks a leader to hand its leadership to another voter. ID is echoed in
+// the Output, also by a replica that doesn't lead.
+type HandOver struct{ ID uint64 }
 
 // Output is what Core asks its runner to do, in this order: queue Write, send
 // Messages, restore Snapshot, apply Committed, answer the rest.
@@ -67,6 +72,9 @@
 	// Reads are confirmed; RefusedReads are not and never will be.
 	Reads        []ReadState
 	RefusedReads []uint64
+	// HandedOver and HandOverFailed answer HandOver.
+	HandedOver     []uint64
+	HandOverFailed []uint64
 	// SteppedDown says that leadership ended, so proposals under way are uncertain.
 	SteppedDown bool
 }
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -112,7 +112,7 @@
 }
 
 func (c *Core) mayChangeMembers() bool {
-	return c.role == Leader && c.commit >= c.termStart && c.commit >= c.config().index
+	return c.role == Leader && c.handOver == nil && c.commit >= c.termStart && c.commit >= c.config().index
 }
 
 func (c *Core) onJoin(member *wire.Member) {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -343,6 +343,12 @@
 	for _, id := range append(out.Refused, out.RefusedReads...) {
 		n.calls.finish(id, callResult{err: &NotLeaderError{leader: n.core.Status().LeaderAddress}})
 	}
+	for _, id := range out.HandedOver {
+		n.calls.finish(id, callResult{})
+	}
+	for _, id := range out.HandOverFailed {
+		n.calls.finish(id, callResult{err: &HandOverError{}})
+	}
 	held := n.sendReady(out.Messages)
 	if out.Write != nil || len(held) > 0 {
 		n.writer.put(writeJob{write: out.Write, messages: held})
--- a/internal/replica/reads.go
+++ b/internal/replica/reads.go
@@ -1,6 +1,10 @@
 package replica
 
 func (c *Core) onRead(id uint64) {
+	if c.role != Leader && c.handOver != nil {
+		c.handOver.reads = append(c.handOver.reads, id)
+		return
+	}
 	if c.role != Leader {
 		c.out.RefusedReads = append(c.out.RefusedReads, id)
 		return
@@ -43,10 +47,16 @@
 	return 0
 }
 
+// refuseReads refuses the reads under way; during a hand-over they wait for its end.
 func (c *Core) refuseReads() {
-	c.out.RefusedReads = append(c.out.RefusedReads, c.newReads...)
+	ids := c.newReads
 	for _, b := range c.reads {
-		c.out.RefusedReads = append(c.out.RefusedReads, b.ids...)
+		ids = append(ids, b.ids...)
 	}
 	c.newReads, c.reads = nil, nil
+	if c.handOver != nil {
+		c.handOver.reads = append(c.handOver.reads, ids...)
+		return
+	}
+	c.out.RefusedReads = append(c.out.RefusedReads, ids...)
 }
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -35,6 +35,8 @@
 	applied  uint64
 	state    uint64
 	accepted map[uint64]uint64 // index to term of proposals this process accepted
+	refused  int               // proposals this process refused
+	handing  int               // ticks since a hand-over began that isn't answered, or -1
 	reads    map[uint64]uint64 // read id to the lowest index it may see
 	served   map[uint64]bool   // ids of confirmed reads
 	list     uint64            // index of the newest member list this leader appended
@@ -114,7 +116,7 @@
 	s.o.Seed = s.random.Uint64()
 	core, err := replica.NewCore(contents, s.o)
 	require.NoError(s.t, err)
-	*v = simVM{address: v.address, id: v.id, core: core, accepted: map[uint64]uint64{}, reads: map[uint64]uint64{}, served: map[uint64]bool{}}
+	*v = simVM{address: v.address, id: v.id, core: core, handing: -1, accepted: map[uint64]uint64{}, reads: map[uint64]uint64{}, served: map[uint64]bool{}}
 	if snap := contents.Snapshot; snap != nil {
 		s.restore(v, snap)
 	}
@@ -141,6 +143,8 @@
 	for _, a := range out.Accepted {
 		v.accepted[a.Index] = a.Term
 	}
+	v.refused += len(out.Refused)
+	s.noteHandOver(v, out, events)
 	if out.Snapshot != nil {
 		s.restore(v, out.Snapshot)
 	}
@@ -171,6 +175,41 @@
 	}
 }
 
+// noteHandOver checks that only a voter that holds the whole log is asked to stand,
+// after all of the log is committed, that a hand-over is answered within one
+// election timeout, and that its success means that another member leads.
+func (s *sim) noteHandOver(v *simVM, out replica.Output, events []replica.Event) {
+	for _, m := range out.Messages {
+		if r := m.Body.GetHandOverRequest(); r != nil {
+			require.Equal(s.t, v.core.Status().Commit, r.LastIndex, "all is committed before %s is asked to stand", m.To)
+			require.True(s.t, s.holds(m.To, &wire.LogEntry{Index: r.LastIndex, Term: m.Body.Term}), "%s holds the whole log", m.To)
+		}
+	}
+	if len(out.HandedOver) > 0 {
+		require.NotEqual(s.t, replica.Leader, v.core.Status().Role, "%s leads after its hand-over", v.address)
+	}
+	if len(out.HandedOver)+len(out.HandOverFailed) > 0 {
+		v.handing = -1
+		return
+	}
+	if v.handing >= 0 {
+		require.Empty(s.t, out.Refused, "proposals wait until the new leader is known")
+		require.Empty(s.t, out.RefusedReads, "reads wait until the new leader is known")
+	}
+	if v.handing >= 0 && slices.Contains(events, replica.Event(replica.Tick{})) {
+		v.handing++
+		require.Less(s.t, v.handing, s.o.ElectionTicks, "%s answers its hand-over in time", v.address)
+	}
+}
+
+// handOver asks the VM to hand its leadership over, unless it is doing so.
+func (s *sim) handOver(v *simVM) {
+	if v.leads() && v.handing < 0 {
+		v.handing = 0
+		s.step(v, replica.HandOver{ID: 1})
+	}
+}
+
 func (s *sim) commit(v *simVM, e *wire.LogEntry, status replica.Status) {
 	require.Equal(s.t, v.applied+1, e.Index, "entries are applied in order")
 	h := fnv.New64a()
