control: Bound the log's time by monotonic clocks

Cause: entries were stamped with the leader's wall clock. A clock that jumped ahead expired leases and retained orders at once and then stopped the log's time until real time caught up.

Change: the stamp follows the leader's monotonic clock and comes closer to its wall clock by at most 1/8 of the time that passes. A new leader goes on from the newest entry and the moment at which it saw that one applied, and stamps only after a barrier in its term, because entries of earlier leaders must be applied first; a proposal names the term of its stamp and is refused in another one (Node.ProposeInTerm). The expiry of orders and the question whether a request can be leased go by the log's time as well.

Result: between any two entries the log's time advances by at most 9/8 of real time, and by at least 7/8 but for what each change of leader sets it back.

No test fails without the barrier; it was not tried.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -84,6 +84,8 @@
 	Peers []string
 	// Retention is how long final outcomes are kept; 7 days when zero.
 	Retention time.Duration
+	// Wall replaces the wall clock in tests.
+	Wall func() time.Time
 	// Dial replaces the network dialer towards the other control VMs in tests.
 	Dial Dialer
 }
@@ -92,6 +94,9 @@
 	if o.Timers == nil || o.Node == nil || o.Ledger == nil || o.Roster == nil || o.Metrics == nil {
 		return errors.New("control: a required part is missing")
 	}
+	if o.Wall == nil {
+		o.Wall = o.Timers.Now
+	}
 	if o.Retention == 0 {
 		o.Retention = 7 * 24 * time.Hour
 	}
@@ -120,6 +125,9 @@
 	chain   map[uint64]*wire.ManifestRecord
 	chained uint64
 
+	clock logClock
+	// created is the origin of the monotonic time that clock reads.
+	created time.Time
 	started time.Time
 	// stopping ends the polls that wait, which would hold up the server's stop.
 	stopping chan struct{}
@@ -135,6 +143,7 @@
 	return &Control{
 		o:        o,
 		http:     newHTTP(o.Dial),
+		created:  o.Timers.Now(),
 		changed:  make(chan struct{}),
 		leaders:  make(map[string]wire.Control),
 		chain:    make(map[uint64]*wire.ManifestRecord),
@@ -170,6 +179,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { c.every(ctx, confirmPeriod, c.confirm) })
 	wg.Go(func() { c.every(ctx, appliedPeriod, c.confirmApplied) })
+	wg.Go(func() { c.every(ctx, observePeriod, func(context.Context) { c.clock.observe(c.reading()) }) })
 	wg.Go(func() { c.every(ctx, expirePeriod, c.expire) })
 	for _, peer := range c.o.Peers {
 		if peer != c.o.Address {
@@ -279,23 +289,31 @@
 	if c.o.Node.Status().Role != replica.Leader {
 		return
 	}
-	before := c.o.Timers.Now().Add(-c.o.Retention).UnixMilli()
+	_, now, err := c.stamp(ctx)
+	if err != nil {
+		return
+	}
+	before := now - c.o.Retention.Milliseconds()
 	cmd := &wire.Command{Kind: &wire.Command_Expire{Expire: &wire.Expire{BeforeMs: before, Max: expireBatch}}}
 	_, _ = c.propose(ctx, cmd)
 }
 
-// propose stamps a command with the leader's time and commits it.
+// propose stamps a command with the log's time and commits it.
 func (c *Control) propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	cmd = c.shorten(cmd)
-	cmd.AtMs = c.o.Timers.Now().UnixMilli()
+	term, now, err := c.stamp(ctx)
+	if err != nil {
+		return nil, err
+	}
+	cmd.AtMs = now
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode command")
 	}
 	began := c.o.Timers.Now()
-	answer, err := c.o.Node.Propose(ctx, data)
+	answer, err := c.o.Node.ProposeInTerm(ctx, term, data)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -45,8 +45,12 @@
 	roster  *roster.Roster
 	// cut isolates the VM from the other control VMs, but not from its clients.
 	cut atomic.Bool
+	// wrong is how far the VM's wall clock is ahead, in nanoseconds.
+	wrong atomic.Int64
 }
 
+func (v *vm) wall() time.Time { return time.Now().Add(time.Duration(v.wrong.Load())) }
+
 // cluster is three control VMs on virtual time over a network in memory.
 type cluster struct {
 	t       *testing.T
@@ -100,7 +104,7 @@
 	})
 	require.NoError(c.t, err)
 	v.roster = roster.New(roster.Options{Timer: c.timers, Epoch: v.address + time.Now().String()})
-	ctl, err := control.New(control.Options{Timers: c.timers, Node: v.node, Ledger: v.ledger, Roster: v.roster, Metrics: m, Name: v.address, Address: v.address, Peers: peers, Dial: dial})
+	ctl, err := control.New(control.Options{Timers: c.timers, Node: v.node, Ledger: v.ledger, Roster: v.roster, Metrics: m, Name: v.address, Address: v.address, Peers: peers, Dial: dial, Wall: v.wall})
 	require.NoError(c.t, err)
 	runner, err := placement.NewRunner(placement.Options{Timers: c.timers, Leader: ctl.Placement(), Roster: v.roster, Metrics: m, Scope: control.PlacementScope, Dial: c.network.Dial})
 	require.NoError(c.t, err)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -49,7 +49,7 @@
 	if _, ok := cmd.GetKind().(*wire.Command_LeaseWaiting); !ok {
 		return false
 	}
-	return c.o.Node.Status().Role == replica.Leader && !c.o.Ledger.Leasable(c.o.Timers.Now().UnixMilli())
+	return c.o.Node.Status().Role == replica.Leader && !c.o.Ledger.Leasable(c.logNow())
 }
 
 // Query implements wire.Control.
@@ -133,7 +133,7 @@
 		resp.Fence = last.fence
 	}
 	resp.Draining = s.c.isDrained(r.GetTargetName())
-	resp.Waiting = s.c.o.Ledger.Leasable(s.c.o.Timers.Now().UnixMilli())
+	resp.Waiting = s.c.o.Ledger.Leasable(s.c.logNow())
 	return resp, nil
 }
 
--- /dev/null
+++ b/internal/control/wallclock_test.go
@@ -0,0 +1,53 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// Guards against a leader whose wall clock is a year ahead or behind and that takes
+// a lease or a retained order away early, or never ends the lease of a dead entry.
+// The leases are those of the entry role: 6 s.
+func TestWrongWallClock(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	for _, wrong := range []time.Duration{year, -year} {
+		t.Run(fmt.Sprint(wrong), func(t *testing.T) {
+			onCluster(t, func(c *cluster) {
+				l := c.leader()
+				client := c.client("entry-1", c.vms...)
+				execute := func(cmd *wire.Command) *wire.Result {
+					r, err := client.Execute(c.context(5*time.Second), cmd)
+					require.NoError(c.t, err)
+					require.Empty(c.t, r.GetRefusal())
+					return r
+				}
+				lease := func(entry string) int {
+					return len(execute(&wire.Command{Kind: &wire.Command_LeaseWaiting{LeaseWaiting: &wire.LeaseWaiting{Entry: entry, Max: 1, LeaseMs: 6000}}}).GetWaiting())
+				}
+				execute(&wire.Command{Kind: &wire.Command_ClaimOrder{ClaimOrder: &wire.ClaimOrder{Customer: "c", OrderId: "o", Attempt: "a", Agent: "g", Incarnation: "i"}}})
+				execute(&wire.Command{Kind: &wire.Command_RecordOutcome{RecordOutcome: &wire.RecordOutcome{Customer: "c", OrderId: "o", Attempt: "a", State: wire.OrderState_ORDER_STATE_DONE}}})
+				execute(&wire.Command{Kind: &wire.Command_SubmitWaiting{SubmitWaiting: &wire.SubmitWaiting{Id: "w", Customer: "c", Pipeline: "p", SubmissionId: "s"}}})
+				require.Equal(c.t, 1, lease("entry-1"))
+				began := time.Now()
+				l.wrong.Store(int64(wrong))
+				time.Sleep(2 * time.Second)
+				require.Zero(c.t, lease("entry-2"), "taken away by the leader whose clock jumped")
+				c.crash(l)
+				next := c.leader()
+				next.wrong.Store(int64(wrong))
+				time.Sleep(5*time.Second - time.Since(began))
+				require.Zero(c.t, lease("entry-2"), "taken away by the next leader")
+				time.Sleep(8*time.Second - time.Since(began))
+				require.Equal(c.t, 1, lease("entry-2"), "the lease of a dead entry never ends")
+				time.Sleep(30 * time.Second)
+				_, kept := next.ledger.Order("c", "o")
+				require.True(c.t, kept, "the order was expired early")
+			})
+		})
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -245,6 +245,14 @@
 	return l.s.fences[scope].GetFence()
 }
 
+// Time returns the log's time in milliseconds since the Unix epoch, which is the
+// largest time stamp applied so far, and the index of the last command applied.
+func (l *Ledger) Time() (ms int64, index uint64) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.s.nowMS, l.s.index
+}
+
 // Leasable reports whether a waiting request may be leased at a time in
 // milliseconds. It may report true for one that was just renewed.
 func (l *Ledger) Leasable(nowMS int64) bool {
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -317,7 +317,7 @@
 		c.handOver.proposals = append(c.handOver.proposals, p)
 		return
 	}
-	if c.role != Leader {
+	if c.role != Leader || p.Term != 0 && p.Term != c.term {
 		c.out.Refused = append(c.out.Refused, p.ID)
 		return
 	}
--- a/internal/replica/event.go
+++ b/internal/replica/event.go
@@ -14,10 +14,12 @@
 // Receive hands over messages from another member.
 type Receive struct{ Envelope *wire.Envelope }
 
-// Propose asks to append a command. ID is echoed in the Output.
+// Propose asks to append a command, in any term or only in the one named. ID is
+// echoed in the Output.
 type Propose struct {
 	ID   uint64
 	Data []byte
+	Term uint64
 }
 
 // Read asks for a read index that a quorum has confirmed.
--- a/internal/replica/handover_test.go
+++ b/internal/replica/handover_test.go
@@ -102,6 +102,8 @@
 		require.ErrorAs(t, err, &elsewhere)
 		next := c.vms[elsewhere.Leader()]
 		require.NotNil(t, next, fmt.Sprint(err))
+		_, err = next.node.ProposeInTerm(t.Context(), next.node.Status().Term-1, []byte("of another term"))
+		require.ErrorAs(t, err, &elsewhere)
 		_, err = next.node.Propose(t.Context(), []byte("after"))
 		require.NoError(t, err)
 		require.Less(t, time.Since(began), 12*replica.TickPeriod, "one election timeout")
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -251,11 +251,17 @@
 // command may or may not commit. After a *StoppedError or the error of ctx it
 // may commit as well.
 func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	return n.ProposeInTerm(ctx, 0, data)
+}
+
+// ProposeInTerm is Propose for a command that is valid only while this replica
+// leads in the term; 0 is any term.
+func (n *Node) ProposeInTerm(ctx context.Context, term uint64, data []byte) (any, error) {
 	if n.life.Err() != nil {
 		return nil, n.stopError()
 	}
 	id, c := n.calls.open()
-	n.inbox.put(Propose{ID: id, Data: data})
+	n.inbox.put(Propose{ID: id, Data: data, Term: term})
 	return n.wait(ctx, id, c)
 }
 
