commands: List members and remove one that is gone

Cause: a control VM that is gone for good went on counting for the quorum; only a replacement at the same address took it out.

Change: `members` lists id, address, failure domain, voter or learner, leader, who answers and who is caught up, from the leader's view where one answers, else with "unknown". `members remove ID` calls Control.RemoveMember, which is forwarded to the leader and answered after the commit. The core refuses it for an unknown id, for the leader, while another member change runs, when fewer of the remaining voters than a quorum would be reachable, and for a member that still answers, because that would join again at once. MemberStatus carries caught_up.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -110,6 +110,7 @@
 		&manifestCommand{out: out},
 		&settingsCommand{out: out},
 		&statusCommand{out: out},
+		&membersCommand{out: out},
 		&costsCommand{out: out},
 		&drainCommand{out: out},
 		&explainCommand{out: out},
--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -36,7 +36,7 @@
 			env.Setenv("EXAMPLES", examples)
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "controlvm": controlVM},
 	})
 }
 
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// RemoveMember implements wire.Control.
+func (s *service) RemoveMember(ctx context.Context, r *wire.RemoveMemberRequest) (*wire.RemoveMemberResponse, error) {
+	if r.GetMemberId() == "" {
+		return nil, twirp.RequiredArgumentError("member_id")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	member := s.c.member(r.GetMemberId())
+	err := s.c.o.Node.RemoveMember(ctx, r.GetMemberId())
+	var refused *replica.RemovalError
+	switch {
+	case err == nil:
+		klog.InfoS("Member removed", "member", r.GetMemberId(), "address", member.GetAddress())
+		return &wire.RemoveMemberResponse{Member: member}, nil
+	case errors.As(err, &refused):
+		return &wire.RemoveMemberResponse{Refusal: refused.Reason(), Detail: refused.Detail()}, nil
+	}
+	leader, ok := forwardTo(err, r.GetForwarded())
+	if !ok {
+		return nil, unavailable(err)
+	}
+	return s.c.leader(leader).RemoveMember(ctx, &wire.RemoveMemberRequest{MemberId: r.GetMemberId(), Forwarded: true})
+}
+
+// member returns the member with an id, or nil.
+func (c *Control) member(id string) *wire.Member {
+	for _, m := range c.o.Node.Status().Members {
+		if m.Member.GetId() == id {
+			return m.Member
+		}
+	}
+	return nil
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -276,7 +276,7 @@
 		State:         why,
 	}
 	for _, m := range st.Members {
-		resp.Members = append(resp.Members, &wire.MemberStatus{Member: m.Member, Match: m.Match, Active: m.Active})
+		resp.Members = append(resp.Members, &wire.MemberStatus{Member: m.Member, Match: m.Match, Active: m.Active, CaughtUp: m.CaughtUp})
 	}
 	return resp
 }
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -148,6 +148,14 @@
 	})
 }
 
+// RemoveMember removes a control VM that is gone from the member list. A call that
+// is sent again because its answer was lost is refused as an unknown member.
+func (c *Client) RemoveMember(ctx context.Context, id string) (*wire.RemoveMemberResponse, error) {
+	return try(ctx, c, "remove member", callTimeout, func(ctx context.Context, s wire.Control) (*wire.RemoveMemberResponse, error) {
+		return s.RemoveMember(ctx, &wire.RemoveMemberRequest{MemberId: id})
+	})
+}
+
 // StatusAll asks every control VM for its own view; the slice holds a nil for
 // one that did not answer, in the order of the addresses.
 func (c *Client) StatusAll(ctx context.Context) []*wire.StatusResponse {
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -342,6 +342,10 @@
 	}
 }
 
+func (c *fakeControl) RemoveMember(context.Context, *wire.RemoveMemberRequest) (*wire.RemoveMemberResponse, error) {
+	return nil, errors.New("a fake control VM has no members")
+}
+
 func (c *fakeControl) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
 	return &wire.StatusResponse{}, nil
 }
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -226,6 +226,8 @@
 		c.onJoin(e.Member)
 	case HandOver:
 		c.onHandOver(e.ID)
+	case RemoveMember:
+		c.onRemoveMember(e)
 	}
 }
 
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -59,15 +59,16 @@
 				s.wander()
 			}
 		},
-		"rounds":      func(t *rapid.T) { s.rounds(rapid.IntRange(1, 40).Draw(t, "rounds")) },
-		"heal":        heal,
-		"heal 2":      heal,
-		"cut":         func(t *rapid.T) { s.cut[pick(t).address] = true },
-		"cut one way": func(t *rapid.T) { s.cut[pick(t).address+" to "+pick(t).address] = true },
-		"freeze":      func(t *rapid.T) { pick(t).frozen = true },
-		"thaw":        func(t *rapid.T) { pick(t).frozen = false },
-		"snapshot":    func(t *rapid.T) { s.takeSnapshot(pick(t)) },
-		"hand over":   func(t *rapid.T) { s.handOver(pick(t)) },
+		"rounds":        func(t *rapid.T) { s.rounds(rapid.IntRange(1, 40).Draw(t, "rounds")) },
+		"heal":          heal,
+		"heal 2":        heal,
+		"cut":           func(t *rapid.T) { s.cut[pick(t).address] = true },
+		"cut one way":   func(t *rapid.T) { s.cut[pick(t).address+" to "+pick(t).address] = true },
+		"freeze":        func(t *rapid.T) { pick(t).frozen = true },
+		"thaw":          func(t *rapid.T) { pick(t).frozen = false },
+		"snapshot":      func(t *rapid.T) { s.takeSnapshot(pick(t)) },
+		"remove member": func(t *rapid.T) { s.removeMember(pick(t), pick(t)) },
+		"hand over":     func(t *rapid.T) { s.handOver(pick(t)) },
 		"all hand over": func(*rapid.T) {
 			for _, v := range s.vms {
 				s.handOver(v)
--- a/internal/replica/event.go
+++ b/internal/replica/event.go
@@ -52,11 +52,19 @@
 func (Bootstrap) event()     {}
 func (Join) event()          {}
 func (HandOver) event()      {}
+func (RemoveMember) event()  {}
 
 // HandOver asks a leader to hand its leadership to another voter. ID is echoed in
 // the Output, also by a replica that doesn't lead.
 type HandOver struct{ ID uint64 }
 
+// RemoveMember asks the leader to remove a member that is gone. ID is echoed in the
+// Output.
+type RemoveMember struct {
+	ID     uint64
+	Member string
+}
+
 // Output is what Core asks its runner to do, in this order: queue Write, send
 // Messages, restore Snapshot, apply Committed, answer the rest.
 type Output struct {
@@ -68,9 +76,11 @@
 	Snapshot *wire.SnapshotRequest
 	// Committed follows the entries of earlier outputs without a gap.
 	Committed []*wire.LogEntry
-	// Accepted and Refused answer Propose.
+	// Accepted and Refused answer Propose and RemoveMember.
 	Accepted []Accepted
 	Refused  []uint64
+	// Removals are refused calls of RemoveMember.
+	Removals []RefusedRemoval
 	// Reads are confirmed; RefusedReads are not and never will be.
 	Reads        []ReadState
 	RefusedReads []uint64
@@ -102,6 +112,12 @@
 	ID, Index, Term uint64
 }
 
+// RefusedRemoval says why a member isn't removed.
+type RefusedRemoval struct {
+	ID  uint64
+	Err *RemovalError
+}
+
 // ReadState says that a read may be served once Index has been applied.
 type ReadState struct {
 	ID, Index uint64
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -102,13 +102,13 @@
 // in force. There must be no other change under way, and an entry of this term
 // must be committed: without the latter, two leaders could each commit under
 // member lists whose majorities don't overlap.
-func (c *Core) proposeMembers(m memberConfig) {
+func (c *Core) proposeMembers(m memberConfig) *wire.LogEntry {
 	data, err := proto.Marshal(&wire.MemberList{Members: m.members})
 	if err != nil {
 		c.violated("member lists are writable", "%v", err)
-		return
+		return nil
 	}
-	c.appendEntry(wire.EntryKind_ENTRY_KIND_MEMBERS, data)
+	return c.appendEntry(wire.EntryKind_ENTRY_KIND_MEMBERS, data)
 }
 
 func (c *Core) mayChangeMembers() bool {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -349,6 +349,9 @@
 	for _, id := range append(out.Refused, out.RefusedReads...) {
 		n.calls.finish(id, callResult{err: &NotLeaderError{leader: n.core.Status().LeaderAddress}})
 	}
+	for _, r := range out.Removals {
+		n.calls.finish(r.ID, callResult{err: r.Err})
+	}
 	for _, id := range out.HandedOver {
 		n.calls.finish(id, callResult{})
 	}
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -361,6 +361,25 @@
 	}
 }
 
+// removeMember asks a leader to remove what it knows as the member of a VM, alive or
+// not, and checks that it removes only members that it doesn't hear.
+func (s *sim) removeMember(leader, removed *simVM) {
+	if !leader.leads() {
+		return
+	}
+	status := leader.core.Status()
+	s.next++
+	accepted := len(leader.accepted)
+	s.step(leader, replica.RemoveMember{ID: s.next, Member: removed.id})
+	if len(leader.accepted) == accepted {
+		return
+	}
+	require.NotEqual(s.t, leader, removed, "the leader removes itself")
+	for _, m := range status.Members {
+		require.False(s.t, m.Member.Id == removed.id && m.Active, "%s answers and is removed", removed.id)
+	}
+}
+
 func (s *sim) isMember(v *simVM, status replica.Status) bool {
 	return slices.ContainsFunc(status.Members, func(m replica.MemberStatus) bool { return m.Member.Id == v.id && !m.Member.Learner })
 }
