control: Ignore clock readings that others overtake

Cause: claims stamp concurrently. A reading of the clocks that another one overtook moved the log's time back by 9/8 of the difference and forward by 7/8, so that the time lost a little with each; an older applied index gave an older anchor.

Change: readings that are not newer are ignored. The property test has overtaken readings.

--- a/internal/control/logclock.go
+++ b/internal/control/logclock.go
@@ -32,8 +32,12 @@
 }
 
 // advance moves the log's time on by the time that has passed on the monotonic
-// clock, faster or slower by 1/maxSlew at most to come closer to the wall clock.
+// clock, faster or slower by 1/maxSlew at most to come closer to the wall clock. A
+// reading that was overtaken by another one changes nothing.
 func (a anchor) advance(r reading) anchor {
+	if r.elapsed <= a.elapsed {
+		return a
+	}
 	passed := r.elapsed - a.elapsed
 	slew := passed / maxSlew
 	return anchor{time: min(max(r.wall, a.time+passed-slew), a.time+passed+slew), elapsed: r.elapsed}
@@ -63,7 +67,7 @@
 func (k *logClock) observeLocked(r reading) {
 	// An entry with the time of the one before it counts as well: its leader knew a
 	// later moment for that time.
-	if r.index != k.index {
+	if r.index > k.index {
 		k.index = r.index
 		k.seen = anchor{time: r.applied, elapsed: r.elapsed}
 	}
--- a/internal/control/logclock_test.go
+++ b/internal/control/logclock_test.go
@@ -87,6 +87,11 @@
 			}
 		case 3, 4, 5:
 			pass(time.Duration(rapid.IntRange(1, 3_000).Draw(t, "ms")) * time.Millisecond)
+		case 6: // a reading that another one overtakes
+			late := read(leader)
+			pass(observeLag)
+			leader.clock.stamp(read(leader))
+			leader.clock.stamp(late)
 		default:
 			at := leader.clock.stamp(read(leader)).Truncate(time.Millisecond)
 			if len(log) > 0 {
