replica: Test that a transfer starts over in another term

Cause: the checksum hides a receiver that goes on with the parts of another leader, so that no test noticed when the term wasn't looked at.

Change: a test that looks at the offset answered to a part of another term. It fails on a scratch copy without both looks at the term (in accepts and in dropIncoming); each covers for the other.

--- a/internal/replica/transfer_test.go
+++ b/internal/replica/transfer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/spf13/afero"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -143,6 +144,25 @@
 	require.Greater(t, l.core.Status().Commit, index+10, "newer snapshots were taken on the way")
 }
 
+// Guards against a transfer that goes on with what the leader of another term sent.
+func TestTransferStartsOverInAnotherTerm(t *testing.T) {
+	core, err := replica.NewCore(journal.Contents{State: journal.State{Cluster: "c", Member: "m", Term: 1}}, replica.CoreOptions{})
+	require.NoError(t, err)
+	data := []byte("orders")
+	receive := func(from string, term, offset uint64) uint64 {
+		part := &wire.SnapshotPart{Index: 9, SnapshotTerm: 1, Size: uint64(len(data)), Checksum: xxhash.Sum64(data), Offset: offset, Data: data[offset : offset+3]}
+		out, err := core.Step(replica.Receive{Envelope: &wire.Envelope{ClusterId: "c", From: from, To: "m", Messages: []*wire.ReplicaMessage{
+			{Term: term, Kind: &wire.ReplicaMessage_SnapshotPart{SnapshotPart: part}},
+		}}})
+		require.NoError(t, err)
+		require.Nil(t, out.Snapshot)
+		return out.Messages[0].Body.GetSnapshotProgress().GetReceived()
+	}
+	require.EqualValues(t, 3, receive("a", 1, 0))
+	require.Zero(t, receive("b", 2, 3))
+	require.EqualValues(t, 3, receive("b", 2, 0))
+}
+
 func savesSnapshot(w *replica.Write) bool { return w.Batch.Snapshot != nil }
 
 // statusOf returns what the leader knows of a member.
