--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -50,7 +50,7 @@
 
 func checkFaults(t *rapid.T) {
 	oneOf := func(label string, values ...int) int { return rapid.SampledFrom(values).Draw(t, label) }
-	s := newSim(t, oneOf("size", 3, 3, 5), oneOf("election ticks", 4, 12), oneOf("message bytes", 1, 200), rapid.Uint64().Draw(t, "seed"))
+	s := newSim(t, oneOf("size", 3, 3, 5), oneOf("election ticks", 4, 12), oneOf("message bytes", 1, 5, 200), rapid.Uint64().Draw(t, "seed"))
 	pick := func(t *rapid.T) *simVM { return rapid.SampledFrom(s.vms).Draw(t, "vm") }
 	heal := func(*rapid.T) { s.heal() }
 	t.Repeat(map[string]func(*rapid.T){
