sharing, entry: Share the limits of customers between the entries

rate and max_concurrent held for each entry, so a customer that reached three entries got three times its limit. One ready entry for each customer, chosen by rendezvous hashing, now divides the limit by demand between the entries that serve it, in the background. An entry without a fresh grant uses the limit divided by the number of ready entries, at least one call.

The entries' wiring has no test of its own yet.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
 // CostRow is what one stage cost for one customer at this entry since its start.
@@ -30,6 +32,7 @@
 func (e *Entry) HandleAdmin(mux *http.ServeMux) {
 	mux.HandleFunc("GET /costs", e.serveCosts)
 	mux.HandleFunc("GET /records/{id}", e.serveRecord)
+	mux.Handle(wire.SharingPathPrefix, wire.NewSharingServer(e.limits))
 }
 
 func (e *Entry) serveCosts(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,8 @@
 	Seed uint64
 	// Dial replaces the network dialer towards the agents in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialAdmin replaces the network dialer towards the other entries in tests.
+	DialAdmin func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (o *Options) check() error {
@@ -82,6 +84,7 @@
 	roster      *roster.Roster
 	attempts    *attempt.Client
 	customers   *admission.Customers
+	limits      *limits
 	records     *explain.Recorder
 	estimator   *budget.Estimator
 	retries     atomic.Pointer[budget.Retries]
@@ -92,6 +95,8 @@
 	active   int
 	idle     chan struct{}
 
+	// rosterKnown is set once a control VM has answered its roster.
+	rosterKnown atomic.Bool
 	// waitingHint tells that a waiting request can be leased.
 	waitingHint atomic.Bool
 	// leaving makes the entry report not ready, closed makes it refuse.
@@ -122,6 +127,7 @@
 		wake:        make(chan struct{}, 1),
 		done:        make(chan struct{}),
 	}
+	e.limits = newLimits(e)
 	e.retries.Store(budget.NewRetries(budget.RetryOptions{}))
 	return e, nil
 }
@@ -151,6 +157,7 @@
 	wg.Go(func() { e.announce(ctx) })
 	wg.Go(func() { e.tick(ctx) })
 	wg.Go(func() { e.serveWaiting(ctx) })
+	wg.Go(func() { e.limits.run(ctx) })
 	go func() {
 		wg.Wait()
 		e.background.Wait()
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -149,6 +149,7 @@
 		}
 		since, epoch = resp.GetVersion(), resp.GetEpoch()
 		e.roster.Merge(resp)
+		e.rosterKnown.Store(true)
 		e.o.Config.Confirm(resp.GetRevision(), resp.GetConfirmed())
 		e.syncPools()
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 
 	pipelines "github.com/cardamomline/cardamomline/api/gen/pipelines"
-	"github.com/cardamomline/cardamomline/internal/admission"
 	"github.com/cardamomline/cardamomline/internal/attempt"
 	"github.com/cardamomline/cardamomline/internal/configwatch"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
@@ -112,11 +111,10 @@
 // the limits of its customer. The function refuse makes the answer to a refusal.
 func (e *Entry) bounded(ctx context.Context, r *request, refuse func(error) *answer, do func(ctx context.Context) *answer) *answer {
 	if r.manifest().Policy() != manifest.PolicyBaseline {
-		limits := admission.CustomerLimits{MaxConcurrent: r.customer.MaxConcurrent(), Rate: r.customer.Rate()}
-		if refusal, ok := e.customers.Enter(r.customer.Name(), limits, e.o.Timers.Now()); !ok {
-			return e.tell(r, refuse(&callError{reason: string(refusal.Reason), detail: refusalDetail(refusal)}))
+		if refusal := e.limits.enter(r.customer, e.o.Timers.Now()); refusal != nil {
+			return e.tell(r, refuse(refusal))
 		}
-		defer func() { e.customers.Leave(r.customer.Name(), e.o.Timers.Now()) }()
+		defer func() { e.limits.leave(r.customer, e.o.Timers.Now()) }()
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
--- a/internal/entry/slot.go
+++ b/internal/entry/slot.go
@@ -62,10 +62,6 @@
 		return fmt.Sprintf("the answer could not be ready in time: the expected wait for a slot is %v", d.ExpectedWait.Round(time.Millisecond))
 	case admission.ReasonQueueFull:
 		return "too many requests already wait for this service"
-	case admission.ReasonCustomerConcurrency:
-		return "the customer already has as many requests running as its limit allows"
-	case admission.ReasonCustomerRate:
-		return "the customer sends more requests a second than its limit allows"
 	}
 	return string(d.Reason)
 }
