entry: Test the limits of customers over real entries

Cause: the wiring of the shares had no test. Change: three entries with admin listeners on the network in memory, rate and concurrency under even, one-sided and uneven load, cuts and crashes; the simulation of internal/sharing also checks that no share outlives its grant.

--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -192,18 +192,27 @@
 	// control and data are this entry's links; cutting them isolates it.
 	control *link
 	data    *link
+	// peers is the link to the other entries.
+	peers *link
+	admin net.Listener
 }
 
 func (s *system) addEntry(name string) *runningEntry {
-	e := &runningEntry{s: s, control: &link{}, data: &link{}}
+	e := &runningEntry{s: s, control: &link{}, data: &link{}, peers: &link{}}
 	client := s.client(name, e.control)
 	m := metrics.New("entry")
 	watcher := configwatch.New(configwatch.Options{Timers: s.timers, Source: client, Process: name, OnChange: func(c *configwatch.Config) { e.entry.Reconfigure(c) }})
 	var err error
-	e.entry, err = entry.New(entry.Options{Timers: s.timers, Control: client, Config: watcher, Metrics: m, Name: name, Seed: 7, Dial: s.links.dialer(s.network, e.data)})
+	e.entry, err = entry.New(entry.Options{Timers: s.timers, Control: client, Config: watcher, Metrics: m, Name: name, Seed: 7, Dial: s.links.dialer(s.network, e.data), Admin: name + ":9", DialAdmin: s.links.dialer(s.network, e.peers)})
 	require.NoError(s.t, err)
 	e.handler = e.entry.Handler()
+	admin, err := s.network.Listen(name + ":9")
+	require.NoError(s.t, err)
+	e.admin = &trackingListener{Listener: admin}
+	mux := http.NewServeMux()
+	e.entry.HandleAdmin(mux)
 	k := kernel.New()
+	k.Register("admin", listener.New(listener.Options{Listener: e.admin, Handler: mux}))
 	k.Register("metrics", closer{m})
 	k.Register("config", watcher)
 	k.Register("entry", e.entry)
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -27,7 +27,9 @@
 	cut     time.Time
 	running int
 	names   []string
-	news    int // the last that it has taken
+	// fresh is when the report was sent that got the newest grant.
+	fresh time.Time
+	news  int // the last that it has taken
 }
 
 // message is anything that happens at a later time.
@@ -69,7 +71,7 @@
 	s.lives++
 	n.Incarnation = fmt.Sprint(s.lives)
 	n.holder, n.sharer = NewHolder(n.Name), NewSharer(n.Name)
-	n.alive, n.running, n.cut = true, 0, time.Time{}
+	n.alive, n.running, n.cut, n.names, n.fresh = true, 0, time.Time{}, nil, time.Time{}
 }
 
 // publish makes the entries learn who is ready now, each within the given time.
@@ -118,10 +120,11 @@
 	n.sharer.SetMembers(members, s.now)
 }
 
-// noticeCuts makes entries notice that they reach no control VM.
+// noticeCuts makes entries notice that they reach no control VM. One that has
+// started without any knows no entries.
 func (s *simulation) noticeCuts() {
 	for _, n := range s.nodes {
-		if n.alive && !n.cut.IsZero() && s.now.Sub(n.cut) >= viewLag {
+		if n.alive && len(n.names) > 0 && !n.cut.IsZero() && s.now.Sub(n.cut) >= viewLag {
 			n.holder.SetMembers(n.names, false)
 			n.sharer.SetMembers(nil, s.now)
 		}
@@ -188,6 +191,9 @@
 		s.after(s.delay(due.Owner != n.Name), func() {
 			finish(func() {
 				if ok {
+					if holder == n.holder {
+						n.fresh = sent
+					}
 					holder.Granted(due, g, sent)
 				} else {
 					holder.Failed(due, true, s.now)
@@ -239,6 +245,14 @@
 	for range alive - 1 {
 		most = most.plus(fallback)
 	}
+	for _, n := range s.nodes {
+		// With up to five entries a grant is renewed after 1 s and ends 2 s later.
+		old := s.now.Sub(n.fresh) >= renewPeriod+graceTime
+		cut := !n.cut.IsZero() && s.now.Sub(n.cut) > viewLag
+		if n.alive && len(n.names) > 0 && (old || cut) {
+			require.Equal(s.t, Fallback(s.limit, len(n.names)), n.holder.Share(customer, s.limit, s.now).Amount, "%s has no fresh grant", n.Name)
+		}
+	}
 	require.LessOrEqual(s.t, sum.Concurrent, most.Concurrent, "concurrent calls in force at %v", s.now)
 	require.LessOrEqual(s.t, sum.Rate, most.Rate*1.000001, "rate in force at %v", s.now)
 }
@@ -301,6 +315,50 @@
 	})
 }
 
+// Guards against a share that is given to others while the entry that was told
+// to use less may not have heard it, or may use its old share until its end;
+// against an outdated report that is taken for the newest; and against an entry
+// that is ready but can't be heard and whose fallback isn't counted.
+func TestShareCountsUntilItsEndIsCertain(t *testing.T) {
+	a, b, c := Member{"a", "1"}, Member{"b", "1"}, Member{"c", "1"}
+	limit := Amount{Concurrent: 12, Rate: 120}
+	now := time.Unix(1_000_000, 0)
+	s := NewSharer("a")
+	s.SetMembers([]Member{a, b, c}, now)
+	owned := "customer-0"
+	for i := 0; Owner(owned, []string{"a", "b", "c"}) != "a"; i++ {
+		owned = fmt.Sprint("customer-", i)
+	}
+	now = now.Add(time.Minute)
+	sequence := uint64(0)
+	report := func(m Member, need int, held Amount) Amount {
+		sequence++
+		g, ok := s.Report(Report{Entry: m, Customer: owned, Sequence: sequence, Limit: limit, Demand: Amount{Concurrent: need, Rate: float64(10 * need)}, Held: held}, now)
+		require.True(t, ok)
+		return g.Amount
+	}
+	fallback := Fallback(limit, 3)
+	require.Equal(t, limit, report(b, 12, fallback))
+	require.Equal(t, fallback, report(c, 12, fallback))
+	require.Equal(t, 6, report(b, 12, limit).Concurrent, "b is told to use less")
+	require.Equal(t, fallback, report(c, 12, fallback), "b may not have heard it")
+	require.Equal(t, 6, report(b, 12, Amount{Concurrent: 6, Rate: 60}).Concurrent)
+	require.Equal(t, 6, report(c, 12, fallback).Concurrent)
+	require.Equal(t, 2, report(b, 2, Amount{Concurrent: 6, Rate: 60}).Concurrent)
+
+	_, ok := s.Report(Report{Entry: b, Customer: owned, Sequence: 1, Limit: limit, Demand: limit, Held: limit}, now)
+	require.False(t, ok, "an outdated report is taken")
+	_, ok = s.Report(Report{Entry: Member{"c", "2"}, Customer: owned, Sequence: 99, Limit: limit, Demand: limit, Held: fallback}, now)
+	require.False(t, ok, "another incarnation than the ready one is taken")
+
+	now = now.Add(renewPeriod + graceTime)
+	require.Equal(t, 8, report(c, 12, Amount{Concurrent: 6, Rate: 60}).Concurrent, "room is kept for b's fallback")
+	require.Equal(t, fallback, report(b, 12, limit), "c may use 8; what b holds of an earlier sharer's grant is no reason for more than the fallback")
+	s.SetMembers(nil, now)
+	_, ok = s.Report(Report{Entry: b, Customer: owned, Sequence: 99, Limit: limit, Demand: limit, Held: fallback}, now)
+	require.False(t, ok, "a sharer that can't confirm its view answers")
+}
+
 // settled covers the documented warm-up of a sharer (6 s), the time after which
 // an idle customer is given up (5 s) and two renewals (2 s).
 const settled = 13 * time.Second
