capacity, sharing: Measure the traffic of shares and keep it under 5 KB/s

Cause: the owner of the largest customer sent and got 7.3 KB/s at 370 entries, because entries whose customer was quiet for 3 s gave their share back and asked again at the next call. Change: reports are at least 200 ms apart for each entry that reports to a sharer, and a share is given back at the earliest after one such time.

--- a/internal/capacity/study.go
+++ b/internal/capacity/study.go
@@ -51,6 +51,7 @@
 		{name: "routing", run: routingGroup},
 		{name: "admission", run: admissionGroup},
 		{name: "metrics", run: metricsGroup},
+		{name: "shares", run: sharesGroup},
 		{name: "nodes", run: nodesGroup},
 		{name: "config", run: configGroup},
 		{name: "history", run: historyGroup},
--- a/internal/sharing/holder.go
+++ b/internal/sharing/holder.go
@@ -13,7 +13,8 @@
 	// and the one under way count.
 	windowTime = time.Second
 	// quietTime is how long a customer has to be quiet before its share is given
-	// back. It keeps a customer with a call every second from coming and going.
+	// back, or the time between reports when that is longer. It keeps a customer
+	// with a call now and then from coming and going, at a report each time.
 	quietTime = 3 * time.Second
 	// retryPause is the time between a failed report and the next one.
 	retryPause = 500 * time.Millisecond
@@ -261,7 +262,7 @@
 		h.sequence++
 		d := Due{Owner: c.owner, Report: Report{
 			Entry: Member{Name: h.name}, Customer: name, Sequence: h.sequence, Limit: c.limit, Demand: c.demand(),
-			Ended: now.Sub(c.busy) >= quietTime,
+			Ended: now.Sub(c.busy) >= max(quietTime, c.grant.Renew),
 		}}
 		if d.Ended {
 			c.until = time.Time{}
--- a/internal/sharing/sharer.go
+++ b/internal/sharing/sharer.go
@@ -10,8 +10,8 @@
 	// renewPeriod is the shortest time between two reports of an entry.
 	renewPeriod = time.Second
 	// renewPerEntry stretches the time between reports, so that a sharer answers
-	// at most eight a second: one takes about 0.5 KB of the 5 KB/s that control may use.
-	renewPerEntry = 125 * time.Millisecond
+	// about five a second: one takes about 0.5 KB of the 5 KB/s that control may use.
+	renewPerEntry = 200 * time.Millisecond
 	// graceTime is how long a grant outlives the time of its renewal. It covers
 	// two lost calls.
 	graceTime = 2 * time.Second
