--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -47,10 +47,23 @@
 	cut atomic.Bool
 	// wrong is how far the VM's wall clock is ahead, in nanoseconds.
 	wrong atomic.Int64
+	// pause is what each write of the journal takes, in nanoseconds.
+	pause atomic.Int64
 }
 
 func (v *vm) wall() time.Time { return time.Now().Add(time.Duration(v.wrong.Load())) }
 
+// slowJournal takes the VM's pause for each write.
+type slowJournal struct {
+	*journal.Journal
+	vm *vm
+}
+
+func (j *slowJournal) Save(batches []journal.Batch) error {
+	time.Sleep(time.Duration(j.vm.pause.Load()))
+	return j.Journal.Save(batches)
+}
+
 // cluster is three control VMs on virtual time over a network in memory.
 type cluster struct {
 	t       *testing.T
@@ -100,7 +113,7 @@
 	link := control.NewTransport(dial)
 	v.ledger = ledger.New(ledger.Options{})
 	v.node, err = replica.NewNode(replica.NodeOptions{
-		Timer: c.timers, Journal: j, Transport: link, Greeter: link, StateMachine: v.ledger, Address: v.address, Peers: peers, Seed: uint64(len(v.address)) + uint64(v.address[8]),
+		Timer: c.timers, Journal: &slowJournal{Journal: j, vm: v}, Transport: link, Greeter: link, StateMachine: v.ledger, Address: v.address, Peers: peers, Seed: uint64(len(v.address)) + uint64(v.address[8]),
 	})
 	require.NoError(c.t, err)
 	v.roster = roster.New(roster.Options{Timer: c.timers, Epoch: v.address + time.Now().String()})
--- a/internal/control/wallclock_test.go
+++ b/internal/control/wallclock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,3 +52,45 @@
 		})
 	}
 }
+
+// Guards against a new leader that stamps before it has applied the newest entries of
+// the old one, and goes on from an older entry: with a slow and then a fast clock over
+// the time between them, it would end a lease after 4 s in place of 6 s.
+func TestNewLeaderStampsAfterTheNewestEntry(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	onCluster(t, func(c *cluster) {
+		began := time.Now()
+		until := func(d time.Duration) { time.Sleep(d - time.Since(began)) }
+		l := c.leader()
+		execute := func(v *vm, cmd *wire.Command) *wire.Result {
+			r, err := c.client("entry", v).Execute(c.context(5*time.Second), cmd)
+			require.NoError(c.t, err)
+			return r
+		}
+		lease := func(v *vm, entry string) int {
+			return len(execute(v, &wire.Command{Kind: &wire.Command_LeaseWaiting{LeaseWaiting: &wire.LeaseWaiting{Entry: entry, Max: 1, LeaseMs: 6000}}}).GetWaiting())
+		}
+		execute(l, &wire.Command{Kind: &wire.Command_SubmitWaiting{SubmitWaiting: &wire.SubmitWaiting{Id: "w", Customer: "c", Pipeline: "p", SubmissionId: "s"}}})
+		for _, v := range c.vms {
+			v.wrong.Store(int64(year))
+			v.pause.Store(int64(100 * time.Millisecond))
+		}
+		l.wrong.Store(-int64(year))
+		// The leader's entry of every 10 s is the last one that the others see applied.
+		until(19 * time.Second)
+		// At 7/8 the log's time has then advanced by 7.9 s since 10 s, at 9/8 by 10.1 s.
+		require.Equal(c.t, 1, lease(l, "entry-1"))
+		l.cut.Store(true) // before the others hear of the commit
+		var calls sync.WaitGroup
+		for _, v := range c.others(l) {
+			calls.Go(func() {
+				execute(v, &wire.Command{Kind: &wire.Command_ClaimOrder{ClaimOrder: &wire.ClaimOrder{Customer: "c", OrderId: v.address, Attempt: "a", Agent: "g", Incarnation: "i"}}})
+			})
+		}
+		calls.Wait()
+		until(23500 * time.Millisecond)
+		require.Zero(c.t, lease(c.leader(), "entry-2"), "taken away early")
+		until(27500 * time.Millisecond)
+		require.Equal(c.t, 1, lease(c.leader(), "entry-2"))
+	})
+}
