settings, process: Let a process announce another address than it listens on

Cause: a process announced its listen address, so nothing could stand between two processes, and no forwarder could tell by address who opens a connection. Change: the checked settings advertise (announced address) and source (address from which connections are opened). Without them nothing changes. A control process looks for its advertised address among the peers. Conclusion: a relay can stand on every link between processes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -76,7 +76,7 @@
 	// Region and FailureDomain say where the VM is.
 	Region        string
 	FailureDomain string
-	// Dial replaces the network dialer towards the target in tests.
+	// Dial replaces the network dialer towards the target.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -84,7 +84,7 @@
 	Peers []string
 	// Retention is how long final outcomes are kept; 7 days when zero.
 	Retention time.Duration
-	// Dial replaces the network dialer towards the other control VMs in tests.
+	// Dial replaces the network dialer towards the other control VMs.
 	Dial Dialer
 }
 
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -45,7 +45,7 @@
 	}}
 }
 
-// NewTransport returns a Transport; dial is nil but in tests.
+// NewTransport returns a Transport on the dialer, or on the network when it is nil.
 func NewTransport(dial Dialer) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -62,6 +62,8 @@
 	Addresses []string
 	// Process is the name of this process, for the control VMs' status.
 	Process string
+	// Dial replaces the network dialer, for instance to choose the source address.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// HTTP replaces the HTTP client in tests.
 	HTTP *http.Client
 }
@@ -73,9 +75,12 @@
 	if len(o.Addresses) == 0 {
 		return errors.New("control client: no address of a control VM")
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	if o.HTTP == nil {
 		o.HTTP = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         o.Dial,
 			MaxIdleConnsPerHost: idlePerHost,
 			DisableCompression:  true,
 		}}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,7 @@
 	Admin   string
 	// Seed makes target choice repeatable in tests.
 	Seed uint64
-	// Dial replaces the network dialer towards the agents in tests.
+	// Dial replaces the network dialer towards the agents.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,6 +14,7 @@
 	"hash/maphash"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -58,6 +59,9 @@
 	PlacementPart = "placement"
 )
 
+// dialTimeout bounds the opening of a connection from a source address of its own.
+const dialTimeout = 300 * time.Millisecond
+
 // Options changes how a process is put together.
 type Options struct {
 	// Listener replaces listening on the address of the settings, so that a
@@ -142,8 +146,19 @@
 	}
 }
 
+// dial returns a dialer that opens connections from the source address of the
+// settings, or nil, which leaves each part its own dialer, when there is none.
+func (b *builder) dial() func(ctx context.Context, network, address string) (net.Conn, error) {
+	source := b.s.Source()
+	if !source.IsValid() {
+		return nil
+	}
+	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))}
+	return d.DialContext
+}
+
 func (b *builder) client() (*controlclient.Client, error) {
-	return controlclient.New(controlclient.Options{Timers: b.t, Addresses: b.s.Control(), Process: b.s.Name()})
+	return controlclient.New(controlclient.Options{Timers: b.t, Addresses: b.s.Control(), Process: b.s.Name(), Dial: b.dial()})
 }
 
 // admin and server are registered before the part that they serve: they stop
@@ -166,7 +181,7 @@
 	})
 	e, err := entry.New(entry.Options{
 		Timers: b.t, Control: client, Config: watcher, Metrics: b.m, Name: b.s.Name(), Region: b.s.Region(),
-		FailureDomain: b.s.FailureDomain(), Address: b.s.Listen(), Admin: b.s.Admin(), Seed: seed(b.s.Name()),
+		FailureDomain: b.s.FailureDomain(), Address: b.s.Advertise(), Admin: b.s.Admin(), Seed: seed(b.s.Name()), Dial: b.dial(),
 	})
 	if err != nil {
 		return err
@@ -189,8 +204,8 @@
 	target := b.s.Target()
 	a, err := agent.New(agent.Options{
 		Timers: b.t, Control: client, Config: watcher, Metrics: b.m, Name: b.s.Name(), TargetName: target.Name(),
-		Service: target.Service(), TargetURL: target.URL(), Address: b.s.Listen(),
-		Region: b.s.Region(), FailureDomain: b.s.FailureDomain(),
+		Service: target.Service(), TargetURL: target.URL(), Address: b.s.Advertise(),
+		Region: b.s.Region(), FailureDomain: b.s.FailureDomain(), Dial: b.dial(),
 	})
 	if err != nil {
 		return err
@@ -208,9 +223,9 @@
 		return errors.Wrapf(err, "data folder %s", b.s.DataFolder())
 	}
 	led := ledger.New(ledger.Options{})
-	link := control.NewTransport(nil)
+	link := control.NewTransport(b.dial())
 	node, err := replica.NewNode(replica.NodeOptions{
-		Timer: b.t, Journal: j, Transport: link, Greeter: link, StateMachine: led, Address: b.s.Listen(),
+		Timer: b.t, Journal: j, Transport: link, Greeter: link, StateMachine: led, Address: b.s.Advertise(),
 		Peers: b.s.Peers(), FailureDomain: b.s.FailureDomain(), Seed: seed(b.s.Name()),
 	})
 	if err != nil {
@@ -218,14 +233,14 @@
 	}
 	ros := roster.New(roster.Options{Timer: b.t, Epoch: attempt.NewID()})
 	c, err := control.New(control.Options{
-		Timers: b.t, Node: node, Ledger: led, Roster: ros, Metrics: b.m, Name: b.s.Name(), Address: b.s.Listen(), Peers: b.s.Peers(),
+		Timers: b.t, Node: node, Ledger: led, Roster: ros, Metrics: b.m, Name: b.s.Name(), Address: b.s.Advertise(), Peers: b.s.Peers(), Dial: b.dial(),
 	})
 	if err != nil {
 		return err
 	}
 	own := b.s.Placement()
 	runner, err := placement.NewRunner(placement.Options{
-		Timers: b.t, Leader: c.Placement(), Roster: ros, Metrics: b.m, Scope: control.PlacementScope,
+		Timers: b.t, Leader: c.Placement(), Roster: ros, Metrics: b.m, Scope: control.PlacementScope, Dial: b.dial(),
 		Limits: placement.Limits{ReadRate: own.ReadRate(), EngineReadRate: own.EngineReadRate(), EngineMemory: own.EngineMemory()},
 	})
 	if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,8 @@
 	region        string
 	failureDomain string
 	listen        string
+	advertise     string
+	source        netip.Addr
 	admin         string
 	control       []string
 	dataFolder    string
@@ -81,6 +83,19 @@
 // control). The system chooses the port when it is 0.
 func (s *Settings) Listen() string { return s.listen }
 
+// Advertise returns the address under which other processes reach this one, which
+// is that of Listen unless the settings name another one.
+func (s *Settings) Advertise() string {
+	if s.advertise == "" {
+		return s.listen
+	}
+	return s.advertise
+}
+
+// Source returns the IP address from which the process opens connections. It is
+// not valid when the system chooses the address.
+func (s *Settings) Source() netip.Addr { return s.source }
+
 // Admin returns the address for metrics, health and readiness. The system chooses
 // the port when it is 0.
 func (s *Settings) Admin() string { return s.admin }
@@ -160,7 +175,7 @@
 }
 
 func decode(v strictyaml.Value) *Settings {
-	f := v.Mapping("role", "name", "region", "failure_domain", "listen", "admin", "control", "data_folder", "peers", "target", "placement")
+	f := v.Mapping("role", "name", "region", "failure_domain", "listen", "advertise", "source", "admin", "control", "data_folder", "peers", "target", "placement")
 	if !f.Present() {
 		return nil
 	}
@@ -170,6 +185,8 @@
 		region:        itemName(f.Required("region")),
 		failureDomain: itemName(f.Required("failure_domain")),
 		listen:        ownAddress(f.Required("listen")),
+		advertise:     address(f.Optional("advertise")),
+		source:        source(f.Optional("source")),
 		admin:         ownAddress(f.Required("admin")),
 		control:       addresses(f.Required("control")),
 	}
@@ -180,8 +197,8 @@
 	case RoleControl:
 		s.dataFolder = f.Required("data_folder").Text(isPath, fmt.Sprintf("a path of 1 to %d bytes", MaxText))
 		s.peers = addresses(f.Required("peers"))
-		if peers := f.Optional("peers"); len(s.peers) > 0 && s.listen != "" && !slices.Contains(s.peers, s.listen) {
-			peers.Fail("no address "+s.listen, "the process's own listen address among the peers")
+		if peers := f.Optional("peers"); len(s.peers) > 0 && s.listen != "" && !slices.Contains(s.peers, s.Advertise()) {
+			peers.Fail("no address "+s.Advertise(), "the process's own address, advertise or else listen, among the peers")
 		}
 		s.placement = placement(f.Optional("placement"))
 		refuse(f, "target", "only agents have a target")
@@ -259,6 +276,11 @@
 	return v.Text(isAddress, "an IP address in its shortest form and a port from 1 to 65535, such as 127.0.0.1:8080")
 }
 
+func source(v strictyaml.Value) netip.Addr {
+	a, _ := netip.ParseAddr(v.Text(isSource, "an IP address of this VM in its shortest form, such as 127.0.0.1"))
+	return a
+}
+
 func itemName(v strictyaml.Value) string {
 	return v.Text(isName, fmt.Sprintf("a name of up to %d lower-case letters, digits and single hyphens that starts with a letter", manifest.MaxName))
 }
@@ -278,6 +300,11 @@
 	return isOwnAddress(s) && !strings.HasSuffix(s, ":0")
 }
 
+func isSource(s string) bool {
+	a, err := netip.ParseAddr(s)
+	return err == nil && a.String() == s && !a.IsUnspecified()
+}
+
 func isPath(s string) bool {
 	return s != "" && len(s) <= MaxText
 }
