relay, commands: Add a relay that cuts processes off from each other

Cause: cuts between processes were tested only in memory and by freezing processes, so timeouts, pools and late bytes of real connections were untested. Change: the package relay and the command 'standin relay'. A link forwards to one process; who opened a connection is told by its source address. Bytes are held back by direction until a heal, or existing connections fall silent for good. Conclusion: a script can cut real processes off from each other.

--- a/internal/commands/standin.go
+++ b/internal/commands/standin.go
@@ -30,6 +30,7 @@
 	cmd.Flags().StringVar(&c.settings, "settings", "", "YAML file with a list of stand-ins")
 	cmd.Flags().StringVar(&c.accounts, "accounts", "", "address that serves the accounts of all stand-ins, also of dead ones")
 	_ = cmd.MarkFlagRequired("settings")
+	addCommands(cmd, &relayCommand{})
 	return cmd
 }
 
