commands: Show the newest revision that any control VM heard of a process

Change: status takes the newest revision by incarnation over all control VMs. Result: TestStatusShowsTheNewestRevisionHeard fails without the merge. Conclusion: status can be used to check a rollout.

--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -98,12 +98,28 @@
 		}
 	}
 	result.Drains = best.GetDrains()
+	revisions := heardRevisions(all)
 	for _, p := range best.GetRoster() {
-		result.Processes = append(result.Processes, newProcessRow(p))
+		row := newProcessRow(p)
+		row.Revision = max(row.Revision, revisions[p.GetProcess().GetIncarnation()])
+		result.Processes = append(result.Processes, row)
 	}
 	return result
 }
 
+// heardRevisions returns the newest revision that any control VM has heard of, by
+// incarnation. Control VMs don't tell each other of a process's new revision.
+func heardRevisions(all []*wire.StatusResponse) map[string]uint64 {
+	revisions := make(map[string]uint64)
+	for _, s := range all {
+		for _, p := range s.GetRoster() {
+			i := p.GetProcess().GetIncarnation()
+			revisions[i] = max(revisions[i], p.GetProcess().GetRevision())
+		}
+	}
+	return revisions
+}
+
 func newProcessRow(p *wire.RosterChange) processRow {
 	info := p.GetProcess()
 	row := processRow{
