controlclient, control: Leave a control VM that is cut off from the others

Cause: a control VM without a quorum answers heartbeats and polls, with confirmed false, and a process went on to prefer it. Change: a heartbeat or configuration poll goes on to the next control VM when the answer is unconfirmed. A control VM ends its waiting polls when its own confirmation grows too old, because a poll is held for up to 10 s.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -112,6 +112,8 @@
 	http      *http.Client
 	confirmed atomic.Pointer[confirmation]
 	leaving   atomic.Bool
+	// inTouch tells that the last confirmation was fresh when it was last looked at.
+	inTouch atomic.Bool
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -215,8 +217,10 @@
 	asked := c.o.Timers.Now()
 	resp, err := c.query(ctx, &wire.QueryRequest{Kind: &wire.QueryRequest_Revision{Revision: &wire.RevisionQuery{}}})
 	if err != nil {
+		c.noteLostTouch()
 		return
 	}
+	c.inTouch.Store(true)
 	next := &confirmation{revision: resp.GetRevision(), fence: resp.GetFence(), at: asked, drains: resp.GetDrains()}
 	c.o.Roster.SetDrains(next.drains)
 	old := c.confirmed.Swap(next)
@@ -230,6 +234,14 @@
 	}
 }
 
+// noteLostTouch ends the waiting polls once the confirmation is too old: their
+// processes may reach a control VM that is in touch with a quorum.
+func (c *Control) noteLostTouch() {
+	if c.fresh() == nil && c.inTouch.Swap(false) {
+		c.wakePolls()
+	}
+}
+
 // confirmApplied confirms at once what this VM has applied since the last time.
 func (c *Control) confirmApplied(ctx context.Context) {
 	last := c.confirmed.Load()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -308,6 +308,55 @@
 	})
 }
 
+// Guards P7 and the routing of requests: a process that prefers a control VM which
+// is cut off from the others goes on polling and announcing itself only there, so
+// that it misses changes and the others take it for silent.
+func TestProcessesLeaveAnIsolatedControlVM(t *testing.T) {
+	const bound = 4 * time.Second // from accepted to in force
+	onCluster(t, func(c *cluster) {
+		old := c.leader()
+		_, err := c.client("operator", c.vms...).Execute(c.context(5*time.Second), manifestChange("one", "ann", 0))
+		require.NoError(c.t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		var learnt atomic.Int32
+		others := c.others(old)
+		// In one of the orders, the process prefers the VM that is going to be cut off.
+		for i, order := range [][]*vm{{old, others[0], others[1]}, {others[0], old, others[1]}, {others[0], others[1], old}} {
+			// Each way out must work without the other.
+			announcer, client := c.client("agent-1", order...), c.client("agent-1", order...)
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					_, _ = announcer.Heartbeat(ctx, &wire.HeartbeatRequest{Process: &wire.ProcessInfo{Name: fmt.Sprintf("agent-%d", i), Incarnation: "a"}})
+					_ = c.timers.Sleep(ctx, time.Second)
+				}
+			})
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					resp, err := client.Config(ctx, &wire.ConfigRequest{KnownRevision: 1, WaitMs: 10_000})
+					if err == nil && resp.GetRevision() == 2 {
+						learnt.Add(1)
+						return
+					}
+					_ = c.timers.Sleep(ctx, 300*time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		old.cut.Store(true)
+		_, err = c.client("operator", others...).Execute(c.context(5*time.Second), manifestChange("two", "ann", 1))
+		require.NoError(c.t, err)
+		time.Sleep(bound)
+		require.Equal(c.t, int32(3), learnt.Load(), "a process that can reach the quorum missed the change")
+		for _, p := range others[0].roster.Processes() {
+			require.False(c.t, roster.IsSilent(p), "%s counts as silent", p.GetProcess().GetName())
+		}
+		require.Len(c.t, others[0].roster.Processes(), 3)
+	})
+}
+
 func newest(v *vm) []byte {
 	m, _ := v.ledger.Manifest(0)
 	return m.GetManifest()
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -131,8 +131,10 @@
 }
 
 // Heartbeat announces this process; it gives up after one try at each control VM.
+// It goes on past a control VM that is cut off from the quorum, because the others
+// would take a process that announces itself only there for silent.
 func (c *Client) Heartbeat(ctx context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
-	return once(ctx, c, "heartbeat", heartbeatTime, func(ctx context.Context, s wire.Control) (*wire.HeartbeatResponse, error) {
+	return confirmed(ctx, c, "heartbeat", heartbeatTime, func(ctx context.Context, s wire.Control) (*wire.HeartbeatResponse, error) {
 		return s.Heartbeat(ctx, r)
 	})
 }
@@ -145,10 +147,11 @@
 	})
 }
 
-// Config long-polls a newer configuration.
+// Config long-polls a newer configuration. It goes on past a control VM that is cut
+// off from the quorum.
 func (c *Client) Config(ctx context.Context, r *wire.ConfigRequest) (*wire.ConfigResponse, error) {
 	wait := time.Duration(r.GetWaitMs())*time.Millisecond + pollSlack
-	return once(ctx, c, "config", wait, func(ctx context.Context, s wire.Control) (*wire.ConfigResponse, error) {
+	return confirmed(ctx, c, "config", wait, func(ctx context.Context, s wire.Control) (*wire.ConfigResponse, error) {
 		return s.Config(ctx, r)
 	})
 }
@@ -183,24 +186,46 @@
 
 // once tries each control VM at most once, beginning with the preferred one.
 func once[T any](ctx context.Context, c *Client, name string, timeout time.Duration, do call[T]) (T, error) {
-	var zero T
+	return first(ctx, c, name, timeout, do, func(T) bool { return true })
+}
+
+// confirmable is an answer that says whether its control VM is in touch with a quorum.
+type confirmable interface{ GetConfirmed() bool }
+
+// confirmed is once, but an unconfirmed answer counts only when no control VM gives
+// a confirmed one.
+func confirmed[T confirmable](ctx context.Context, c *Client, name string, timeout time.Duration, do call[T]) (T, error) {
+	return first(ctx, c, name, timeout, do, T.GetConfirmed)
+}
+
+// first returns the first answer that will do, else the last one.
+func first[T any](ctx context.Context, c *Client, name string, timeout time.Duration, do call[T], willDo func(T) bool) (T, error) {
+	var fallback T
 	var last error
-	first := int(c.preferred.Load())
+	answered := false
+	begin := int(c.preferred.Load())
 	for i := range c.controls {
-		n := (first + i) % len(c.controls)
+		n := (begin + i) % len(c.controls)
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		resp, err := do(callCtx, c.controls[n])
 		cancel()
-		if err == nil {
+		if err == nil && willDo(resp) {
 			c.preferred.Store(int64(n))
 			return resp, nil
 		}
-		last = errors.Wrapf(err, "control VM %s", c.o.Addresses[n])
+		if err == nil {
+			fallback, answered = resp, true
+		} else {
+			last = errors.Wrapf(err, "control VM %s", c.o.Addresses[n])
+		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return zero, &UnavailableError{call: name, last: last}
+	if answered {
+		return fallback, nil
+	}
+	return fallback, &UnavailableError{call: name, last: last}
 }
 
 // try goes round the control VMs until the context ends.
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -5,9 +5,14 @@
 #   process_start NAME            starts one process; process_kill NAME [SIGNAL]
 #   cluster_stop                  ends all processes that were started here
 #
-# TARGETS lists "service kind count" lines; BASE is the first port.
+# TARGETS lists "service kind count" lines; BASE is the first port. With RELAY=1 all
+# connections between processes run through a relay, and each process opens them
+# from an address of its own; operators, the load and the admin pages go past it.
+#
+#   relay CALL [FROM TO]          cut, silence or heal; FROM and TO are lists such as '"entry-1"'
 
 BASE=${BASE:-17000}
+RELAY_OFFSET=$((${RELAY:+500} + 0)) # from a process's port to that of its link
 DOMAINS=(milford swansea cardiff)
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 BIN=$ROOT/bin/cardamomline
@@ -39,8 +44,25 @@
 }
 
 common_settings() { # name role domain listen admin
+	local control=$CONTROL
+	if [ -n "${RELAY:-}" ]; then
+		control="127.0.0.1:$((BASE + 501)), 127.0.0.1:$((BASE + 502)), 127.0.0.1:$((BASE + 503))"
+		printf 'advertise: 127.0.0.1:%d\nsource: 127.0.1.%d\n' $(($4 + RELAY_OFFSET)) $(($4 - BASE))
+		relay_link "$1" "$4"
+		printf '  127.0.1.%d: %s\n' $(($4 - BASE)) "$1" >>"$DIR/relay-sources.yaml"
+	fi
 	printf 'role: %s\nname: %s\nregion: south-wales\nfailure_domain: %s\nlisten: %s\nadmin: %s\ncontrol: [%s]\n' \
-		"$2" "$1" "$3" "127.0.0.1:$4" "127.0.0.1:$5" "$CONTROL"
+		"$2" "$1" "$3" "127.0.0.1:$4" "127.0.0.1:$5" "$control"
+}
+
+relay_link() { # name port
+	printf '  - {name: %s, listen: "127.0.0.1:%d", target: "127.0.0.1:%d"}\n' "$1" $(($2 + RELAY_OFFSET)) "$2" >>"$DIR/relay-links.yaml"
+}
+
+relay() {
+	local body="{}"
+	if [ $# -gt 1 ]; then body="{\"from\": [$2], \"to\": [$3]}"; fi
+	curl -fs -d "$body" "http://127.0.0.1:$((BASE + 900))/v1/$1" >/dev/null
 }
 
 cluster_init() {
@@ -56,8 +78,9 @@
 	for i in 1 2 3; do
 		{
 			common_settings "control-$i" control "${DOMAINS[i - 1]}" $((BASE + i)) $((BASE + 300 + i))
-			printf 'data_folder: %s\npeers: [%s]\n' "$DIR/data-$i" "$CONTROL"
+			printf 'data_folder: %s\n' "$DIR/data-$i"
 		} >"$DIR/control-$i.yaml"
+		sed -n 's/^control:/peers:/p' "$DIR/control-$i.yaml" >>"$DIR/control-$i.yaml"
 		printf 'standins:\n' >"$DIR/standin-$i.yaml"
 	done
 	for i in 1 2; do
@@ -73,7 +96,8 @@
 			port=$((BASE + 200 + n))
 			{
 				common_settings "agent-$name" agent "${DOMAINS[d]}" $((BASE + 100 + n)) $((BASE + 400 + n))
-				printf 'target: {name: %s, service: %s, url: "http://127.0.0.1:%d"}\n' "$name" "$service" "$port"
+				printf 'target: {name: %s, service: %s, url: "http://127.0.0.1:%d"}\n' "$name" "$service" $((port + RELAY_OFFSET))
+				if [ -n "${RELAY:-}" ]; then relay_link "target-$name" "$port"; fi
 			} >"$DIR/agent-$name.yaml"
 			{
 				printf '  - {name: %s, service: %s, kind: %s, listen: "127.0.0.1:%d", slots: 8, account: 200000' "$name" "$service" "$kind" "$port"
@@ -85,6 +109,14 @@
 		done
 	done <<<"$TARGETS"
 	STANDINS=(standin-1 standin-2 standin-3)
+	if [ -n "${RELAY:-}" ]; then
+		{
+			printf 'admin: 127.0.0.1:%d\nlinks:\n' $((BASE + 900))
+			cat "$DIR/relay-links.yaml"
+			printf 'sources:\n'
+			cat "$DIR/relay-sources.yaml"
+		} >"$DIR/relay.yaml"
+	fi
 }
 
 process_start() {
@@ -115,6 +147,10 @@
 
 cluster_start() {
 	local name
+	if [ -n "${RELAY:-}" ]; then
+		"$BIN" standin relay --settings "$DIR/relay.yaml" >>"$DIR/relay.log" 2>&1 &
+		PIDS[relay]=$!
+	fi
 	for name in "${STANDINS[@]}" control-1 control-2 control-3 "${AGENTS[@]}" entry-1 entry-2; do process_start "$name"; done
 	for name in control-1 control-2 control-3; do process_wait_ready "$name" || return 1; done
 	"$BIN" manifest apply "$MANIFEST" --wait --operator script || return 1
