agent: Send calls only on connections from which the target reads

Cause: when the connections to a target go silent while new ones work, each idle one swallowed a call, which ended only at the operation's timeout; an order ended as unknown although it never ran. A poll on such a connection made the agent call its target dead. Change: calls are sent with Expect: 100-continue. On a connection that has carried calls before, the body follows only after the target's 100 Continue; after 150 ms without it the call, which can't have run, goes to another connection and the idle ones are closed. After the body was sent nothing is sent again. A target that never answers 100 Continue is served as before. A poll without answer is asked once more on a new connection. In a scratch copy TestSilentConnectionsToTheTarget fails without the gate, the second connection, the closing of idle ones, the second poll, and with a target taken for one without 100 Continue; TestCallIsSentOnceWhenItsAnswerBreaksOff fails when a sent call is sent again. Conclusion: only a call whose answer was under way is lost with its connection.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -160,6 +162,85 @@
 	})
 }
 
+// Guards against calls that wait for their timeout on a connection to the target that
+// went silent before, against an agent that takes the silence for a dead target, and
+// P4: an order that ran, and whose answer the silence swallowed, is sent again.
+func TestSilentConnectionsToTheTarget(t *testing.T) {
+	const bound = 500 * time.Millisecond // deadline of a lookup
+	onBench(t, 10*time.Millisecond, func(b *bench) {
+		ready := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				ok, why := b.agent.Ready()
+				require.True(b.t, ok, why)
+			}
+		}
+		// Calls at the same time leave several connections behind, all of which go silent.
+		const calls = 6
+		silence := func(round string) {
+			var wg sync.WaitGroup
+			for i := range calls {
+				wg.Go(func() {
+					require.Empty(b.t, b.send(b.t.Context(), b.request(round+strconv.Itoa(i))).GetResult().GetError())
+				})
+			}
+			wg.Wait()
+			b.target.Silence()
+		}
+		silence("a")
+		ready(2 * infoPeriod)
+
+		silence("b")
+		began := time.Now()
+		require.Empty(b.t, b.send(b.t.Context(), b.request("after")).GetResult().GetError())
+		require.Less(b.t, time.Since(began), bound)
+		require.Equal(b.t, 2*calls+1, b.ran())
+
+		var last *wire.Frame
+		var wg sync.WaitGroup
+		wg.Go(func() { last = b.send(b.t.Context(), b.request("running")) })
+		time.Sleep(5 * time.Millisecond)
+		b.target.Silence()
+		wg.Wait()
+		require.Equal(b.t, ErrorDeadline, last.GetResult().GetError())
+		require.True(b.t, last.GetResult().GetRan())
+		require.Equal(b.t, 2*calls+2, b.ran())
+	})
+}
+
+// Guards P4: a call that a target has read is sent again because the connection broke
+// before the answer.
+func TestCallIsSentOnceWhenItsAnswerBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewMemoryNetwork()
+		l, err := network.Listen("core-1:1")
+		require.NoError(t, err)
+		read := 0
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			read++
+			if r.URL.Path == "/v1/stage/broken" {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = w.Write([]byte(`{"attempt": "a", "request": "r"}`))
+		})}
+		go func() { _ = srv.Serve(l) }()
+		target := newTarget("http://core-1:1", network.Dial)
+		run := func(operation string) *wire.AttemptResult {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			return target.run(ctx, &wire.AttemptRequest{Attempt: "a", Request: "r", Operation: operation}, nil)
+		}
+		require.Empty(t, run("whole").GetError())
+		broken := run("broken")
+		require.Equal(t, ErrorTargetBroke, broken.GetError())
+		require.True(t, broken.GetRan())
+		require.Equal(t, 2, read)
+		target.http.CloseIdleConnections()
+		_ = srv.Close()
+	})
+}
+
 // Guards P5 and P6: a leaving target takes new work, or a stop cuts off an
 // attempt in flight.
 func TestLeavingRefusesNewWorkAndEndsRunningWork(t *testing.T) {
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,8 +25,19 @@
 	targetDialBound  = 300 * time.Millisecond
 	targetQueryBound = time.Second
 	maxEventLine     = 1 << 20
+
+	// continueBound is how long a connection may take to show that the target reads
+	// a call from it. The target answers as soon as it reads the headers, and two
+	// such waits fit the 500 ms that counter staff give a lookup.
+	continueBound = 150 * time.Millisecond
+	// maxSends bounds the connections tried for one call.
+	maxSends = 3
 )
 
+// errNotAccepted is a call whose body wasn't sent, because the connection had
+// carried calls before and the target didn't show that it still reads from it.
+var errNotAccepted = errors.New("the connection to the target is silent")
+
 // Errors of a result. An entry retries at another target after ErrorOverloaded
 // and ErrorTargetUnreachable, because the call has not run.
 const (
@@ -93,6 +106,8 @@
 type target struct {
 	url  string
 	http *http.Client
+	// noContinue tells that the target never answers Expect: 100-continue.
+	noContinue atomic.Bool
 }
 
 func newTarget(url string, dial dialFunc) *target {
@@ -103,10 +118,23 @@
 		DialContext:         dial,
 		MaxIdleConnsPerHost: targetIdleConns,
 		DisableCompression:  true,
+
+		ExpectContinueTimeout: continueBound,
 	}}}
 }
 
+// get asks once more on a new connection when there is no answer, so that a silent
+// connection isn't taken for a target that doesn't answer.
 func (t *target) get(ctx context.Context, path string, into any) error {
+	err := t.getOnce(ctx, path, into)
+	if err == nil || ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	t.http.CloseIdleConnections()
+	return t.getOnce(ctx, path, into)
+}
+
+func (t *target) getOnce(ctx context.Context, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, targetQueryBound)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.url+path, nil)
@@ -192,12 +220,7 @@
 // may have taken effect: a failed dial and certain refusals have not.
 func (t *target) run(ctx context.Context, req *wire.AttemptRequest, onToken func(*wire.Token)) *wire.AttemptResult {
 	result := &wire.AttemptResult{Attempt: req.GetAttempt(), Request: req.GetRequest()}
-	hr, err := t.newPost(ctx, "/v1/stage/"+req.GetOperation(), newStageCall(req))
-	if err != nil {
-		result.Error = ErrorTargetUnreachable
-		return result
-	}
-	resp, err := t.http.Do(hr)
+	resp, err := t.send(ctx, req)
 	if err != nil {
 		failCall(ctx, result, err)
 		return result
@@ -215,6 +238,76 @@
 	return result
 }
 
+// send sends a call on a connection that works. One that carried calls before may
+// have gone silent since, so the body follows only once the target has shown that
+// it reads; else the call, which can't have run, goes to another connection.
+func (t *target) send(ctx context.Context, req *wire.AttemptRequest) (*http.Response, error) {
+	var resp *http.Response
+	err := errNotAccepted
+	for n := 0; n < maxSends && errors.Is(err, errNotAccepted); n++ {
+		if n > 0 {
+			// The idle connections share the path that went silent.
+			t.http.CloseIdleConnections()
+		}
+		var hr *http.Request
+		if hr, err = t.newPost(ctx, "/v1/stage/"+req.GetOperation(), newStageCall(req)); err != nil {
+			return nil, errNotAccepted
+		}
+		resp, err = t.sendOnce(ctx, hr)
+	}
+	return resp, err
+}
+
+func (t *target) sendOnce(ctx context.Context, hr *http.Request) (*http.Response, error) {
+	if t.noContinue.Load() {
+		return t.http.Do(hr)
+	}
+	s := &sending{}
+	hr = hr.WithContext(httptrace.WithClientTrace(ctx, s.trace()))
+	hr.Header.Set("Expect", "100-continue")
+	body := hr.GetBody
+	hr.GetBody = func() (io.ReadCloser, error) {
+		b, err := body()
+		return &gatedBody{ReadCloser: b, sending: s}, err
+	}
+	hr.Body = &gatedBody{ReadCloser: hr.Body, sending: s}
+	resp, err := t.http.Do(hr)
+	if err == nil && resp.StatusCode == http.StatusOK && !s.accepted.Load() {
+		t.noContinue.Store(true)
+	}
+	return resp, err
+}
+
+// sending is what is known of the connection that carries a call.
+type sending struct {
+	reused   atomic.Bool
+	accepted atomic.Bool
+}
+
+func (s *sending) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:        func(i httptrace.GotConnInfo) { s.reused.Store(i.Reused) },
+		Got100Continue: func() { s.accepted.Store(true) },
+	}
+}
+
+// gatedBody gives the body away only to a new connection or to one from which the
+// target reads. The transport reads it after 100 Continue or after continueBound.
+type gatedBody struct {
+	io.ReadCloser
+	sending *sending
+	open    bool
+}
+
+// Read implements io.Reader.
+func (b *gatedBody) Read(p []byte) (int, error) {
+	if !b.open && b.sending.reused.Load() && !b.sending.accepted.Load() {
+		return 0, errNotAccepted
+	}
+	b.open = true
+	return b.ReadCloser.Read(p)
+}
+
 func newStageCall(req *wire.AttemptRequest) *stageCall {
 	return &stageCall{
 		Attempt:      req.GetAttempt(),
@@ -235,7 +328,7 @@
 
 func failCall(ctx context.Context, result *wire.AttemptResult, err error) {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.As(err, &op) && op.Op == "dial" || errors.Is(err, errNotAccepted) {
 		result.Error = ErrorTargetUnreachable
 		return
 	}
