attempt: Retire an idle connection that went silent before a lookup's deadline

Cause: an entry noticed after 1 s that an idle connection to an agent had gone silent, but a lookup has 500 ms, so each such connection cost a lookup. Change: on a connection that has carried attempts before, the first frame must come within 250 ms; an agent sends it before it calls its target. New connections and attempts that have started keep the bound of 1 s. In a scratch copy TestIdleConnectionGoneSilentIsRetiredEarly fails without the bound, with the bound on new connections, and with it on started attempts. Conclusion: what remains are attempts under way when the silence begins.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -4,7 +4,8 @@
 // of length-delimited protobuf frames over a plain HTTP POST: Started, tokens,
 // a keep-alive at least every KeepAlivePeriod, and at the end a result or a
 // refusal. The frames tell a silent connection from a slow target: a client
-// that reads no frame for SilenceBound closes the connection.
+// that reads no frame for SilenceBound closes the connection, and one that reads no
+// first frame for a quarter of it when the connection isn't new.
 //
 // # Usage
 //
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -22,6 +23,11 @@
 	idleConnTimeout  = 30 * time.Second
 	maxIdlePerTarget = 64
 
+	// firstFrameBound is the time without a frame after which a connection that has
+	// carried attempts before is retired. An agent sends the first frame before it
+	// calls its target, and a lookup of 500 ms has to have time for another attempt.
+	firstFrameBound = 250 * time.Millisecond
+
 	// pauseMargin is how late a timer may be before this process counts as having
 	// been paused, which must not be taken for silence of the other end.
 	pauseMargin = 250 * time.Millisecond
@@ -188,7 +194,8 @@
 		return &NotSent{err: errors.Wrapf(err, "address of attempt %s", req.GetAttempt())}
 	}
 	hr.Header.Set("Content-Type", "application/protobuf")
-	s := &stream{frames: make(chan *wire.Frame), failed: make(chan error, 1), quit: ctx.Done()}
+	s := &stream{frames: make(chan *wire.Frame), failed: make(chan error, 1), reused: make(chan struct{}, 1), quit: ctx.Done()}
+	hr = hr.WithContext(httptrace.WithClientTrace(ctx, s.trace()))
 	go s.read(c.HTTP(address), hr)
 	return c.follow(ctx, cancel, address, req, s, onToken)
 }
@@ -198,9 +205,23 @@
 type stream struct {
 	frames chan *wire.Frame
 	failed chan error
+	// reused gets a value when the connection has carried attempts before.
+	reused chan struct{}
 	quit   <-chan struct{}
 }
 
+func (s *stream) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if !i.Reused {
+			return
+		}
+		select {
+		case s.reused <- struct{}{}:
+		default:
+		}
+	}}
+}
+
 func (s *stream) read(client *http.Client, hr *http.Request) {
 	resp, err := client.Do(hr)
 	if err != nil {
@@ -229,10 +250,14 @@
 
 func (c *Client) follow(ctx context.Context, cancel func(), address string, req *wire.AttemptRequest, s *stream, onToken func(*wire.Token) error) End {
 	started := false
+	bound := c.o.Silence
 	for {
 		armed := c.o.Timers.Now()
 		select {
+		case <-s.reused:
+			bound = min(firstFrameBound, c.o.Silence)
 		case f := <-s.frames:
+			bound = c.o.Silence
 			end, err := c.frame(f, req, &started, onToken)
 			if err != nil {
 				return &Lost{err: err, started: started}
@@ -245,15 +270,15 @@
 				return &NotSent{err: err}
 			}
 			return &Lost{err: err, started: started}
-		case <-c.o.Timers.After(c.o.Silence):
-			if c.o.Timers.Since(armed) > c.o.Silence+pauseMargin {
+		case <-c.o.Timers.After(bound):
+			if c.o.Timers.Since(armed) > bound+pauseMargin {
 				// This process itself was paused; frames may wait unread.
 				continue
 			}
 			cancel()
 			// Idle connections share the path that went silent, so none is used again.
 			c.HTTP(address).CloseIdleConnections()
-			return &Lost{err: &SilentError{address: address, bound: c.o.Silence}, silent: true, started: started}
+			return &Lost{err: &SilentError{address: address, bound: bound}, silent: true, started: started}
 		case <-ctx.Done():
 			return &Lost{err: context.Cause(ctx), started: started}
 		}
--- a/internal/attempt/client_test.go
+++ b/internal/attempt/client_test.go
@@ -37,6 +37,11 @@
 	c := attempt.NewClient(attempt.ClientOptions{Timers: timer.NewService(), Dial: func(ctx context.Context, network2, address string) (net.Conn, error) {
 		return network.Dial(ctx, network2, address)
 	}})
+	if isWarmed(ctx) {
+		warm := c.Do(t.Context(), "agent:1", &wire.AttemptRequest{Attempt: "warm", Request: "r"}, nil)
+		require.IsType(t, &attempt.Finished{}, warm)
+		synctest.Wait()
+	}
 	end = c.Do(ctx, "agent:1", &wire.AttemptRequest{Attempt: "a", Request: "r", Operation: operation(ctx)}, onToken)
 	close(quit)
 	c.Close()
@@ -55,6 +60,15 @@
 	return context.WithValue(ctx, operationKey{}, "hang")
 }
 
+type warmedKey struct{}
+
+// warmed makes serve use a connection that has carried an attempt.
+func warmed(ctx context.Context) context.Context {
+	return context.WithValue(ctx, warmedKey{}, true)
+}
+
+func isWarmed(ctx context.Context) bool { return ctx.Value(warmedKey{}) != nil }
+
 func started(id string) *wire.Frame {
 	return &wire.Frame{Kind: &wire.Frame_Started{Started: &wire.Started{Attempt: id}}}
 }
@@ -103,6 +117,42 @@
 	})
 }
 
+// Guards against an attempt that outlasts a lookup's deadline on a connection that
+// went silent while it was idle, and against a slow agent on a new connection, or a
+// slow target, that is taken for such a connection.
+func TestIdleConnectionGoneSilentIsRetiredEarly(t *testing.T) {
+	const lookup = 500 * time.Millisecond
+	run := func(ctx context.Context, first, rest time.Duration) (end attempt.End, took time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			began := time.Now()
+			end = serve(ctx, t, func(w *attempt.FrameWriter, req *wire.AttemptRequest) {
+				if req.GetAttempt() == "warm" {
+					_ = w.Write(result("warm", "r"))
+					return
+				}
+				time.Sleep(first)
+				_ = w.Write(started("a"))
+				time.Sleep(rest)
+				_ = w.Write(result("a", "r"))
+			}, nil)
+			took = time.Since(began)
+			time.Sleep(first) // until the handler has ended
+		})
+		return end, took
+	}
+	end, took := run(warmed(context.Background()), time.Minute, 0)
+	require.IsType(t, &attempt.Lost{}, end)
+	require.True(t, end.(*attempt.Lost).Silent())
+	require.LessOrEqual(t, took, lookup/2)
+
+	end, _ = run(warmed(context.Background()), 0, lookup)
+	require.IsType(t, &attempt.Finished{}, end)
+	end, _ = run(context.Background(), lookup, 0)
+	require.IsType(t, &attempt.Finished{}, end)
+}
+
 // Guards P3: an answer that broke off counts as not sent.
 func TestBrokenAnswerMayHaveRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
