agent: Test a target that doesn't know Expect: 100-continue

TestTargetWithoutContinueIsServed: the first call is given away within the deadline of a lookup, later ones wait for nothing.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -241,6 +243,51 @@
 	})
 }
 
+// Guards against a target that doesn't know Expect: 100-continue and is therefore
+// never given a call, or has every call wait for it.
+func TestTargetWithoutContinueIsServed(t *testing.T) {
+	const bound = 500 * time.Millisecond // deadline of a lookup
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewMemoryNetwork()
+		l, err := network.Listen("core-1:1")
+		require.NoError(t, err)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go answerWithoutContinue(c)
+			}
+		}()
+		target := newTarget("http://core-1:1", network.Dial)
+		require.NoError(t, target.get(t.Context(), "/v1/load", nil))
+		for _, atMost := range []time.Duration{bound, 0, 0} {
+			began := time.Now()
+			require.Empty(t, target.run(t.Context(), &wire.AttemptRequest{Attempt: "a", Request: "r", Operation: "stock_lookup"}, nil).GetError())
+			require.LessOrEqual(t, time.Since(began), atMost)
+		}
+		target.http.CloseIdleConnections()
+		_ = l.Close()
+	})
+}
+
+func answerWithoutContinue(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		const answer = `{"attempt": "a", "request": "r"}`
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+	}
+}
+
 // Guards P5 and P6: a leaving target takes new work, or a stop cuts off an
 // attempt in flight.
 func TestLeavingRefusesNewWorkAndEndsRunningWork(t *testing.T) {
