--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -4,8 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -165,6 +169,130 @@
 	})
 }
 
+// Guards against calls that wait for their timeout on a connection to the target that
+// went silent before, against an agent that takes the silence for a dead target, and
+// P4: an order that ran, and whose answer the silence swallowed, is sent again.
+func TestSilentConnectionsToTheTarget(t *testing.T) {
+	const bound = 500 * time.Millisecond // deadline of a lookup
+	onBench(t, 10*time.Millisecond, func(b *bench) {
+		ready := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				ok, why := b.agent.Ready()
+				require.True(b.t, ok, why)
+			}
+		}
+		// Calls at the same time leave several connections behind, all of which go silent.
+		const calls = 6
+		silence := func(round string) {
+			var wg sync.WaitGroup
+			for i := range calls {
+				wg.Go(func() {
+					require.Empty(b.t, b.send(b.t.Context(), b.request(round+strconv.Itoa(i))).GetResult().GetError())
+				})
+			}
+			wg.Wait()
+			b.target.Silence()
+		}
+		silence("a")
+		ready(2 * infoPeriod)
+
+		silence("b")
+		began := time.Now()
+		require.Empty(b.t, b.send(b.t.Context(), b.request("after")).GetResult().GetError())
+		require.Less(b.t, time.Since(began), bound)
+		require.Equal(b.t, 2*calls+1, b.ran())
+
+		var last *wire.Frame
+		var wg sync.WaitGroup
+		wg.Go(func() { last = b.send(b.t.Context(), b.request("running")) })
+		time.Sleep(5 * time.Millisecond)
+		b.target.Silence()
+		wg.Wait()
+		require.Equal(b.t, ErrorDeadline, last.GetResult().GetError())
+		require.True(b.t, last.GetResult().GetRan())
+		require.Equal(b.t, 2*calls+2, b.ran())
+	})
+}
+
+// Guards P4: a call that a target has read is sent again because the connection broke
+// before the answer.
+func TestCallIsSentOnceWhenItsAnswerBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewMemoryNetwork()
+		l, err := network.Listen("core-1:1")
+		require.NoError(t, err)
+		read := 0
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			read++
+			if r.URL.Path == "/v1/stage/broken" {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = w.Write([]byte(`{"attempt": "a", "request": "r"}`))
+		})}
+		go func() { _ = srv.Serve(l) }()
+		target := newTarget("http://core-1:1", network.Dial)
+		run := func(operation string) *wire.AttemptResult {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			return target.run(ctx, &wire.AttemptRequest{Attempt: "a", Request: "r", Operation: operation}, nil)
+		}
+		require.Empty(t, run("whole").GetError())
+		broken := run("broken")
+		require.Equal(t, ErrorTargetBroke, broken.GetError())
+		require.True(t, broken.GetRan())
+		require.Equal(t, 2, read)
+		target.http.CloseIdleConnections()
+		_ = srv.Close()
+	})
+}
+
+// Guards against a target that doesn't know Expect: 100-continue and is therefore
+// never given a call, or has every call wait for it.
+func TestTargetWithoutContinueIsServed(t *testing.T) {
+	const bound = 500 * time.Millisecond // deadline of a lookup
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewMemoryNetwork()
+		l, err := network.Listen("core-1:1")
+		require.NoError(t, err)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go answerWithoutContinue(c)
+			}
+		}()
+		target := newTarget("http://core-1:1", network.Dial)
+		require.NoError(t, target.get(t.Context(), "/v1/load", nil))
+		for _, atMost := range []time.Duration{bound, 0, 0} {
+			began := time.Now()
+			require.Empty(t, target.run(t.Context(), &wire.AttemptRequest{Attempt: "a", Request: "r", Operation: "stock_lookup"}, nil).GetError())
+			require.LessOrEqual(t, time.Since(began), atMost)
+		}
+		target.http.CloseIdleConnections()
+		_ = l.Close()
+	})
+}
+
+func answerWithoutContinue(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		const answer = `{"attempt": "a", "request": "r"}`
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+	}
+}
+
 // Guards P5 and P6: a leaving target takes new work, or a stop cuts off an
 // attempt in flight.
 func TestLeavingRefusesNewWorkAndEndsRunningWork(t *testing.T) {
--- a/internal/attempt/client_test.go
+++ b/internal/attempt/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -37,6 +38,13 @@
 	c := attempt.NewClient(attempt.ClientOptions{Timers: timer.NewService(), Dial: func(ctx context.Context, network2, address string) (net.Conn, error) {
 		return network.Dial(ctx, network2, address)
 	}})
+	if isWarmed(ctx) {
+		resp, err := c.HTTP("agent:1").Get("http://agent:1" + attempt.Path)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		_ = resp.Body.Close()
+	}
 	end = c.Do(ctx, "agent:1", &wire.AttemptRequest{Attempt: "a", Request: "r", Operation: operation(ctx)}, onToken)
 	close(quit)
 	c.Close()
@@ -55,6 +63,16 @@
 	return context.WithValue(ctx, operationKey{}, "hang")
 }
 
+type warmedKey struct{}
+
+// warmed makes serve use a connection that has carried another call, without an
+// attempt id. An attempt won't do: its client may close the connection at the end.
+func warmed(ctx context.Context) context.Context {
+	return context.WithValue(ctx, warmedKey{}, true)
+}
+
+func isWarmed(ctx context.Context) bool { return ctx.Value(warmedKey{}) != nil }
+
 func started(id string) *wire.Frame {
 	return &wire.Frame{Kind: &wire.Frame_Started{Started: &wire.Started{Attempt: id}}}
 }
@@ -103,6 +121,41 @@
 	})
 }
 
+// Guards against an attempt that outlasts a lookup's deadline on a connection that
+// went silent while it was idle, and against a slow agent on a new connection, or a
+// slow target, that is taken for such a connection.
+func TestIdleConnectionGoneSilentIsRetiredEarly(t *testing.T) {
+	const lookup = 500 * time.Millisecond
+	run := func(ctx context.Context, first, rest time.Duration) (end attempt.End, took time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			began := time.Now()
+			end = serve(ctx, t, func(w *attempt.FrameWriter, req *wire.AttemptRequest) {
+				if req.GetAttempt() == "" {
+					return
+				}
+				time.Sleep(first)
+				_ = w.Write(started("a"))
+				time.Sleep(rest)
+				_ = w.Write(result("a", "r"))
+			}, nil)
+			took = time.Since(began)
+			time.Sleep(first + rest) // until the handler has ended
+		})
+		return end, took
+	}
+	end, took := run(warmed(context.Background()), time.Minute, 0)
+	require.IsType(t, &attempt.Lost{}, end)
+	require.True(t, end.(*attempt.Lost).Silent())
+	require.LessOrEqual(t, took, lookup/2)
+
+	end, _ = run(warmed(context.Background()), 0, lookup)
+	require.IsType(t, &attempt.Finished{}, end)
+	end, _ = run(context.Background(), lookup, 0)
+	require.IsType(t, &attempt.Finished{}, end)
+}
+
 // Guards P3: an answer that broke off counts as not sent.
 func TestBrokenAnswerMayHaveRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
