experiment: Measure what capacity allows under overload

The highest count of interactive answers in time is the ceiling; the table shows it beside the attainment, and the steps are written as JSON. Mixes get skip, the share of a request's arrivals that is not sent, so that the other arrivals keep their times, customers and inputs.

TestSkippedArrivalsAreAnEvenPart fails when arrivals are skipped in pairs, and when an order may be skipped (tried on a scratch copy).

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -66,6 +66,8 @@
 	Duration time.Duration
 	// Seed determines the arrivals.
 	Seed uint64
+	// Ceiling adds the measured ceiling to scenarios beyond capacity.
+	Ceiling bool
 	// Folder receives a JSON file for each run; required.
 	Folder string
 }
@@ -96,6 +98,8 @@
 	Scenario string      `json:"scenario"`
 	Policy   string      `json:"policy"`
 	Run      *report.Run `json:"run"`
+	// Ceiling is nil when it wasn't measured.
+	Ceiling *Ceiling `json:"ceiling,omitempty"`
 }
 
 // Experiment runs scenarios under policies.
@@ -131,6 +135,10 @@
 		if len(e.o.Scenarios) > 0 && !slices.Contains(e.o.Scenarios, s.name) {
 			continue
 		}
+		ceiling, err := e.ceilingOf(ctx, s)
+		if err != nil {
+			return rows, err
+		}
 		for _, policy := range e.o.Policies {
 			run, err := e.run(ctx, s, policy)
 			if err != nil {
@@ -140,7 +148,7 @@
 			if err := run.Write(filepath.Join(e.o.Folder, name)); err != nil {
 				return rows, err
 			}
-			rows = append(rows, Row{Scenario: s.name, Policy: policy, Run: run})
+			rows = append(rows, Row{Scenario: s.name, Policy: policy, Run: run, Ceiling: ceiling})
 		}
 	}
 	return rows, nil
@@ -211,6 +219,9 @@
 	m.MaxRequests = 100_000
 	m.MaxInFlight = 8000
 	rate := s.load * e.capacity()
+	if s.kept > 0 {
+		m.Requests = thinned(m.Requests, s.kept)
+	}
 	m.Phases = []load.Phase{{Name: s.name, Duration: e.o.Duration, Rate: rate}}
 	if s.burst == 0 {
 		return &m
--- a/internal/experiment/output.go
+++ b/internal/experiment/output.go
@@ -27,17 +27,23 @@
 
 // interactive returns the attainment of all requests that a person waits for.
 func interactive(r *report.Run) float64 {
-	sent, attained := 0, 0
+	sent, attained := interactiveCounts(r)
+	if sent == 0 {
+		return math.NaN()
+	}
+	return float64(attained) / float64(sent)
+}
+
+// interactiveCounts returns how many requests that a person waits for were sent
+// and answered in time.
+func interactiveCounts(r *report.Run) (sent, attained int) {
 	for _, a := range r.Attainment {
 		if a.Group == "request" && !isWaiting(a.Name) {
 			sent += a.Sent
 			attained += a.Attained
 		}
 	}
-	if sent == 0 {
-		return math.NaN()
-	}
-	return float64(attained) / float64(sent)
+	return sent, attained
 }
 
 func isWaiting(request string) bool {
@@ -46,15 +52,30 @@
 
 // goodput is the answers in time per second of the requests that a person waits for.
 func goodput(r *report.Run) float64 {
-	attained := 0
-	for _, a := range r.Attainment {
-		if a.Group == "request" && !isWaiting(a.Name) {
-			attained += a.Attained
-		}
-	}
+	_, attained := interactiveCounts(r)
 	return float64(attained) / r.Seconds
 }
 
+// ofCeiling returns the interactive answers in time as a share of the ceiling,
+// NaN when it wasn't measured.
+func (r Row) ofCeiling() float64 {
+	if r.Ceiling == nil || r.Ceiling.InTime == 0 {
+		return math.NaN()
+	}
+	_, attained := interactiveCounts(r.Run)
+	return float64(attained) / float64(r.Ceiling.InTime)
+}
+
+// ceilingColumns are the ceiling as a share of the interactive requests sent, and
+// what the run reached of it.
+func (r Row) ceilingColumns() (ceiling, reached string) {
+	sent, _ := interactiveCounts(r.Run)
+	if r.Ceiling == nil || sent == 0 {
+		return "-", "-"
+	}
+	return fmt.Sprintf("%.2f%%", 100*float64(r.Ceiling.InTime)/float64(sent)), fmt.Sprintf("%.2f%%", 100*r.ofCeiling())
+}
+
 func p99(r *report.Run) float64 {
 	worst := 0.0
 	for _, l := range r.Latency {
@@ -68,11 +89,12 @@
 // Table writes the rows side by side.
 func Table(w io.Writer, rows []Row) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "SCENARIO\tPOLICY\tSENT\tINTERACTIVE\tALL\tIN TIME/S\tWORST P99 MS\tUNUSED\tJAIN\tLOST\tDOUBLED\tMISDELIVERED\tUNTRUE NOT_RUN\tCUT")
+	fmt.Fprintln(tw, "SCENARIO\tPOLICY\tSENT\tINTERACTIVE\tCEILING\tOF CEILING\tALL\tIN TIME/S\tWORST P99 MS\tUNUSED\tJAIN\tLOST\tDOUBLED\tMISDELIVERED\tUNTRUE NOT_RUN\tCUT")
 	for _, row := range rows {
 		r := row.Run
-		fmt.Fprintf(tw, "%s\t%s\t%d\t%.2f%%\t%.2f%%\t%.1f\t%.0f\t%.2f%%\t%.3f\t%d\t%d\t%d\t%d\t%d\n",
-			row.Scenario, row.Policy, r.Sent, 100*interactive(r), 100*attainment(r, "all", "all"), goodput(r), p99(r),
+		ceiling, reached := row.ceilingColumns()
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%.2f%%\t%s\t%s\t%.2f%%\t%.1f\t%.0f\t%.2f%%\t%.3f\t%d\t%d\t%d\t%d\t%d\n",
+			row.Scenario, row.Policy, r.Sent, 100*interactive(r), ceiling, reached, 100*attainment(r, "all", "all"), goodput(r), p99(r),
 			100*r.UnusedShare(), r.JainIndex, r.Count(report.KindLost), r.Count(report.KindDoubled),
 			r.Count(report.KindMisdelivered), r.Count(report.KindUntrueNotRun), r.Count(report.KindCut))
 	}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -53,6 +53,8 @@
 	// burst adds long summaries, so many at once, in the middle of the run.
 	burst int
 	fault fault
+	// kept marks a step of a Ceiling; see there.
+	kept float64
 }
 
 const (
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -45,6 +45,7 @@
 	Prefix    string        `yaml:"prefix"`
 	Customers []string      `yaml:"customers"` // all when empty
 	Resend    float64       `yaml:"resend"`    // share of orders that repeat an earlier order id
+	Skip      float64       `yaml:"skip"`      // share of the planned arrivals that isn't sent; not for orders
 }
 
 // Phase is a stretch of time with one rate.
@@ -182,6 +183,10 @@
 	if r.Resend < 0 || r.Resend >= 1 {
 		return &MixError{field: field, want: "resend from 0 to below 1"}
 	}
+	if r.Skip < 0 || r.Skip > 1 || r.Skip > 0 && r.Kind == KindOrder {
+		// A skipped order could be the first one of an order that is sent again.
+		return &MixError{field: field, want: "skip from 0 to 1, and 0 for an order"}
+	}
 	for _, name := range r.Customers {
 		if !slices.ContainsFunc(m.Customers, func(c Customer) bool { return c.Name == name }) {
 			return &MixError{field: field, want: fmt.Sprintf("known customers, not %q", name)}
--- a/internal/load/runner_test.go
+++ b/internal/load/runner_test.go
@@ -298,3 +298,37 @@
 		})
 	}
 }
+
+// Guards against a thinned schedule that isn't an even part of the whole one, and
+// against skipped orders, whose later copies would have no first.
+func TestSkippedArrivalsAreAnEvenPart(t *testing.T) {
+	mix, err := load.ParseMix("mix.yaml", []byte(mixText))
+	require.NoError(t, err)
+	whole := load.Schedule(mix, "x")
+	thin := *mix
+	thin.Requests = slices.Clone(mix.Requests)
+	skips := map[load.Kind]float64{load.KindStream: 0.25, load.KindWaiting: 1}
+	for i := range thin.Requests {
+		thin.Requests[i].Skip = skips[thin.Requests[i].Kind]
+	}
+	kept := make(map[int]load.Arrival)
+	for _, a := range load.Schedule(&thin, "x") {
+		kept[a.Index] = a
+	}
+	count, left := make(map[string]float64), make(map[string]float64)
+	for _, a := range whole {
+		skip := skips[a.Request.Kind]
+		count[a.Request.Name]++
+		if k, ok := kept[a.Index]; ok {
+			left[a.Request.Name]++
+			k.Request.Skip = 0
+			require.Equal(t, a, k)
+		}
+		require.InDelta(t, (1-skip)*count[a.Request.Name], left[a.Request.Name], 1, a.Request.Name)
+	}
+	require.Less(t, len(kept), len(whole))
+
+	_, err = load.ParseMix("mix.yaml", []byte(strings.Replace(mixText, "resend: 0.3", "resend: 0.3, skip: 0.1", 1)))
+	var wrong *load.MixError
+	require.ErrorAs(t, err, &wrong)
+}
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -34,7 +34,23 @@
 		s.phase(p, start)
 		start += p.Duration
 	}
-	return s.arrivals
+	return thinned(s.arrivals)
+}
+
+// thinned leaves out the share of arrivals that each request skips, evenly over
+// the run. The others keep their times, numbers and inputs, so that runs with
+// different shares send parts of the same load.
+func thinned(arrivals []Arrival) []Arrival {
+	skipped := make(map[string]float64)
+	return slices.DeleteFunc(arrivals, func(a Arrival) bool {
+		name := a.Request.Name
+		skipped[name] += a.Request.Skip
+		if skipped[name] < 1 {
+			return false
+		}
+		skipped[name]--
+		return true
+	})
 }
 
 type scheduler struct {
