admission: Let deferrable calls give way at the start of an overload

Cause: calls that may wait got 10% of the slot time from the first moment of an overload, although their deadlines are minutes or hours away.

Change: the share of a deferrable level rises from nothing to twice lowerShare with the part of the waiting time that its next call has used. Over the whole waiting time it is lowerShare, which the expected wait counts on.

The new case of the simulation fails without the change.

TestNoClassStarves fails when the share rises only to lowerShare, half of it or a fifth of it (tried on a scratch copy).

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -12,7 +12,8 @@
 
 const (
 	// lowerShare is the share of slot time that less urgent levels together get
-	// while more urgent calls wait, so that none starves.
+	// while more urgent calls wait, so that none starves. Deferrable calls get it on
+	// average over their waiting time.
 	lowerShare = 0.1
 	// agedShare replaces lowerShare for a level with a call that must start soon.
 	agedShare = 0.3
@@ -434,11 +435,25 @@
 		case l == aged:
 			l.credit += agedShare * t.cost()
 		default:
-			l.credit += lowerShare / float64(lower) * t.cost()
+			l.credit += l.lowerShare(now) / float64(lower) * t.cost()
 		}
 	}
 }
 
+// lowerShare returns the share of slot time that the level gets beside more urgent
+// ones. That of deferrable calls rises from nothing to twice lowerShare while
+// their waiting time passes: a short overload is over before they need slots, and
+// over the whole waiting time they get lowerShare, which their expected wait
+// counts on.
+func (l *level) lowerShare(now time.Time) float64 {
+	if l.priority < deferrable {
+		return lowerShare
+	}
+	t := l.customers[0].waits[l.priority].first()
+	used := now.Sub(t.offered).Seconds() / max(t.latestStart.Sub(t.offered), 1).Seconds()
+	return 2 * lowerShare * min(max(used, 0), 1)
+}
+
 // aged returns the level of the call that must start next, if its slack is low.
 func (q *Queue) aged(now time.Time) *level {
 	t := q.deadlines.first()
--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -472,6 +472,10 @@
 			}
 		}},
 		{"twice the capacity", 2, 0.9, 0.05, func(*simulation) {}},
+		{"twice the capacity beside summaries", 2, 0.9, 0.05, func(s *simulation) {
+			// Summaries add 60% of the capacity.
+			s.classes[1].rate = 0.6 * generatorRate * 0.3 / 3
+		}},
 		{"burst of 600 summaries", 0.6, 0.99, 0.05, func(s *simulation) {
 			s.after(10*time.Second, func() {
 				for range 600 {
