--- a/internal/experiment/ceiling.go
+++ b/internal/experiment/ceiling.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -86,7 +87,8 @@
 // refinements returns the shares on both sides of the best step.
 func (c *Ceiling) refinements() []float64 {
 	best := slices.MaxFunc(c.Steps, func(a, b CeilingStep) int { return cmp.Compare(a.InTime, b.InTime) })
-	return []float64{best.Kept - keptRefinement, min(best.Kept+keptRefinement, 1)}
+	percent := func(share float64) float64 { return math.Round(100*share) / 100 }
+	return []float64{percent(best.Kept - keptRefinement), min(percent(best.Kept+keptRefinement), 1)}
 }
 
 func (c *Ceiling) write(path string) error {
