--- a/pkg/manifest/parse_test.go
+++ b/pkg/manifest/parse_test.go
@@ -47,7 +47,7 @@
 	c, ok := m.Customer("depot-milford-key")
 	require.True(t, ok)
 	require.Equal(t, "depot-milford", c.Name())
-	require.Equal(t, 64, c.MaxConcurrent())
+	require.Equal(t, 128, c.MaxConcurrent())
 	s, ok := m.Service("orders-core")
 	require.True(t, ok)
 	require.False(t, s.ReportsLoad())
