attempt: Use connections again, and retire all idle ones after a silence

Change: after the last frame the request stays open for up to 100 ms until the end of the answer is read. An idle connection that turns out silent closes the idle ones to all agents, at most once a second.

--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -22,6 +22,10 @@
 	dialTimeout      = 500 * time.Millisecond
 	idleConnTimeout  = 30 * time.Second
 	maxIdlePerTarget = 64
+	// endBound is how long the end of an answer may come after its last frame.
+	endBound = 100 * time.Millisecond
+	// retirePeriod is the shortest time between two closings of all idle connections.
+	retirePeriod = time.Second
 
 	// firstFrameBound is the time without a frame after which a connection that has
 	// carried attempts before is retired. An agent sends the first frame before it
@@ -131,6 +135,8 @@
 	o     ClientOptions
 	mu    sync.Mutex
 	pools map[string]*http.Client
+	// retired is when the idle connections to all agents were last closed.
+	retired time.Time
 }
 
 // NewClient returns a Client.
@@ -187,17 +193,54 @@
 	if err != nil {
 		return &NotSent{err: errors.Wrapf(err, "encode attempt %s", req.GetAttempt())}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(body))
+	// The request outlives ctx by the end of the answer, see endAnswer.
+	sent, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	hr, err := http.NewRequestWithContext(sent, http.MethodPost, "http://"+address+Path, bytes.NewReader(body))
 	if err != nil {
+		cancel()
 		return &NotSent{err: errors.Wrapf(err, "address of attempt %s", req.GetAttempt())}
 	}
 	hr.Header.Set("Content-Type", "application/protobuf")
-	s := &stream{frames: make(chan *wire.Frame), failed: make(chan error, 1), reused: make(chan struct{}, 1), quit: ctx.Done()}
-	hr = hr.WithContext(httptrace.WithClientTrace(ctx, s.trace()))
+	s := &stream{frames: make(chan *wire.Frame), failed: make(chan error, 1), reused: make(chan struct{}, 1), quit: sent.Done(), done: make(chan struct{})}
+	hr = hr.WithContext(httptrace.WithClientTrace(sent, s.trace()))
 	go s.read(c.HTTP(address), hr)
-	return c.follow(ctx, cancel, address, req, s, onToken)
+	end := c.follow(ctx, cancel, address, req, s, onToken)
+	switch end.(type) {
+	case *Finished, *Refused:
+		stop()
+		go c.endAnswer(s, cancel)
+	default:
+		cancel()
+	}
+	return end
+}
+
+// endAnswer waits a short time for the end of an answer whose last frame was read.
+// A connection whose answer was not read to the end can't be used again.
+func (c *Client) endAnswer(s *stream, cancel func()) {
+	defer cancel()
+	select {
+	case <-s.done:
+	case <-c.o.Timers.After(endBound):
+	}
+}
+
+// retire closes the idle connections to an agent, which share the path that went
+// silent, so that none is used again. When the silent one had been idle, what made
+// it silent has most likely dropped those to other agents as well. They are closed
+// at most once in a retirePeriod, because a frozen agent looks the same.
+func (c *Client) retire(address string, idle bool) {
+	c.HTTP(address).CloseIdleConnections()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !idle || c.o.Timers.Since(c.retired) < retirePeriod {
+		return
+	}
+	c.retired = c.o.Timers.Now()
+	for _, p := range c.pools {
+		p.CloseIdleConnections()
+	}
 }
 
 // stream reads the frames of one answer in its own goroutine, because a blocked
@@ -208,6 +251,7 @@
 	// reused gets a value when the connection has carried attempts before.
 	reused chan struct{}
 	quit   <-chan struct{}
+	done   chan struct{} // closed when nothing more is read
 }
 
 func (s *stream) trace() *httptrace.ClientTrace {
@@ -223,6 +267,7 @@
 }
 
 func (s *stream) read(client *http.Client, hr *http.Request) {
+	defer close(s.done)
 	resp, err := client.Do(hr)
 	if err != nil {
 		s.failed <- err
@@ -276,8 +321,7 @@
 				continue
 			}
 			cancel()
-			// Idle connections share the path that went silent, so none is used again.
-			c.HTTP(address).CloseIdleConnections()
+			c.retire(address, bound < c.o.Silence)
 			return &Lost{err: &SilentError{address: address, bound: bound}, silent: true, started: started}
 		case <-ctx.Done():
 			return &Lost{err: context.Cause(ctx), started: started}
