docs, entry, sharing, api: Say plainly who tells what of an order

Cause: the read-through found 'the agent's word', 'by its own word' and the like. Change: reports, answers, statements; generated code is current. Measured: the tests of the packages pass. Conclusion: no behaviour changes but the wording of one detail.

--- a/api/design/design.go
+++ b/api/design/design.go
@@ -89,7 +89,7 @@
 			Attribute("service", String, "Name of the service.", nameRule)
 			Attribute("operation", String, "Name of the operation.", nameRule)
 			Attribute("order_id", String, "Identity of an order that must not repeat.", nameRule)
-			Attribute("first_attempt", Boolean, "The caller's word that no earlier request used this order id. It lets an entry without a quorum answer not_run instead of unknown.", func() {
+			Attribute("first_attempt", Boolean, "True when no earlier request used this order id. It lets an entry without a quorum answer not_run instead of unknown.", func() {
 				Default(false)
 			})
 			Attribute("class", String, "Request class; the manifest's default when empty.", optionalNameRule)
--- a/api/gen/http/pipelines/server/types.go
+++ b/api/gen/http/pipelines/server/types.go
@@ -38,8 +38,8 @@
 type CallRequestBody struct {
 	// Identity of an order that must not repeat.
 	OrderID *string `form:"order_id,omitempty" json:"order_id,omitempty" xml:"order_id,omitempty"`
-	// The caller's word that no earlier request used this order id. It lets an
-	// entry without a quorum answer not_run instead of unknown.
+	// True when no earlier request used this order id. It lets an entry without a
+	// quorum answer not_run instead of unknown.
 	FirstAttempt *bool `form:"first_attempt,omitempty" json:"first_attempt,omitempty" xml:"first_attempt,omitempty"`
 	// Request class; the manifest's default when empty.
 	Class *string `form:"class,omitempty" json:"class,omitempty" xml:"class,omitempty"`
--- a/api/gen/pipelines/service.go
+++ b/api/gen/pipelines/service.go
@@ -98,8 +98,8 @@
 	Operation string
 	// Identity of an order that must not repeat.
 	OrderID *string
-	// The caller's word that no earlier request used this order id. It lets an
-	// entry without a quorum answer not_run instead of unknown.
+	// True when no earlier request used this order id. It lets an entry without a
+	// quorum answer not_run instead of unknown.
 	FirstAttempt bool
 	// Request class; the manifest's default when empty.
 	Class *string
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -42,7 +42,7 @@
 	s       *serviceState
 	c       *call
 	orderID string
-	// first is the caller's word that no earlier request used this order id.
+	// first is set when the caller says that no earlier request used this order id.
 	first bool
 	began time.Time
 	tried []string
@@ -97,7 +97,7 @@
 
 // notKnown makes an answer about this attempt true for the order. Without a
 // quorum nobody can say whether an earlier request for the order has run, so
-// "not run" needs the caller's word that there was none.
+// "not run" needs the caller's statement that there was none.
 func (o *orderRun) notKnown(a *answer) *answer {
 	if o.first {
 		return a
@@ -353,7 +353,7 @@
 	return res
 }
 
-// recordResult records the agent's own word on an attempt that ran and answers it.
+// recordResult records the agent's result of an attempt that ran and answers with it.
 func (o *orderRun) recordResult(ctx context.Context, r *wire.OrderRecord, res *wire.AttemptResult) *answer {
 	if res.GetError() != "" {
 		o.record(r, wire.OrderState_ORDER_STATE_UNKNOWN, nil, res.GetError())
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -61,11 +61,11 @@
 		return o.recordResult(ctx, r, res)
 	}
 	o.record(r, wire.OrderState_ORDER_STATE_NOT_RUN, nil, res.GetError())
-	return &answer{outcome: outcomeNotRun, reason: reasonTargetRefused, detail: "the agent's word: " + res.GetError()}
+	return &answer{outcome: outcomeNotRun, reason: reasonTargetRefused, detail: "the agent reports: " + res.GetError()}
 }
 
 // settleBarred answers an attempt that never started and can't start any more.
-// The agent's word alone makes "not run" true; the record lets a resend run.
+// The agent's answer alone makes "not run" true; the record lets a resend run.
 func (o *orderRun) settleBarred(r *wire.OrderRecord) *answer {
 	o.record(r, wire.OrderState_ORDER_STATE_NOT_RUN, nil, "barred")
 	return &answer{outcome: outcomeNotRun, reason: reasonConnectionLost, detail: "the order never reached its target, and the agent has barred it; it may be sent again"}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -287,7 +287,7 @@
 	Prefix       string `json:"prefix,omitempty"`
 	SubmissionID string `json:"submission_id,omitempty"`
 	OrderID      string `json:"order_id,omitempty"`
-	// FirstAttempt is the caller's word that no other request uses the order id.
+	// FirstAttempt tells the entry that no other request used the order id.
 	FirstAttempt bool `json:"first_attempt,omitempty"`
 }
 
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -243,8 +243,8 @@
 }
 
 // isSurplus reports whether the copy on e may go: it was loaded for the quiet
-// time, and the copies that remain are those wanted, at least MinCopies when a stage needs the model, and in no fewer
-// than two failure domains when they are now.
+// time, and the copies that remain are those wanted, at least MinCopies when a
+// stage needs the model, and in no fewer than two failure domains when they are now.
 func (p *planner) isSurplus(e *slot, model string) bool {
 	k := Key{Service: e.Service, Model: model}
 	if _, declared := p.s.Sizes[model]; !declared {
--- a/internal/sharing/doc.go
+++ b/internal/sharing/doc.go
@@ -7,8 +7,8 @@
 // Fallback: the limit divided by the number of ready entries.
 //
 // A Sharer raises a share above the fallback only when the shares of all entries
-// that it knows of fit in the limit. It counts what an entry holds by the
-// entry's own word, and after an answer the higher of the old and the new share
+// that it knows of fit in the limit. It counts what an entry reports to
+// hold, and after an answer the higher of the old and the new share
 // until the entry reports again. So the sum of the shares in force is at most
 // the limit and the fallbacks of the entries that the sharer didn't know of; the
 // excess goes away as soon as the other entries have renewed their shares.
