entry: Withdraw a claim whose answer was lost

Cause: a claim held up by a cut is committed after the heal.

Change: the entry records in the background, for a minute, that the attempt was never sent.

--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -138,6 +138,7 @@
 		result, err := o.claim(ctx, claim)
 		if err != nil {
 			o.s.pool.Finish(choice, routing.Canceled{}, o.e.o.Timers.Now())
+			o.withdraw(ctx, claim)
 			return o.noClaim(err), admission.Dropped{}
 		}
 		if result.GetRefusal() != "" {
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -295,3 +295,26 @@
 	time.Sleep(3 * time.Second)
 	require.Equal(t, 1, s.effects("release-1"))
 }
+
+// Guards against an order that was never sent, told as not run, and that stays
+// claimed until a person settles it, because the answer to its claim was lost.
+func TestLostClaimIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		defer s.stop()
+		s.orderService(10 * time.Millisecond)
+		e := s.addEntry("entry-1")
+		time.Sleep(3 * time.Second)
+		e.control.loseAnswer.Store(true)
+		_, a := e.post(orderPath, map[string]any{"deadline_ms": 2500, "order_id": "release-1", "input": "release 40 t", "first_attempt": true})
+		require.Equal(t, "not_run", a.Outcome, a.Detail)
+		record, ok := s.control.ledger.Order("depot-milford", "release-1")
+		require.True(t, ok)
+		require.Equal(t, wire.OrderState_ORDER_STATE_CLAIMED, record.GetState())
+		e.control.loseAnswer.Store(false)
+		time.Sleep(5 * time.Second)
+		record, _ = s.control.ledger.Order("depot-milford", "release-1")
+		require.Equal(t, wire.OrderState_ORDER_STATE_NOT_RUN, record.GetState())
+		require.Zero(t, s.effects("release-1"))
+	})
+}
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomline/cardamomline/internal/ledger"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -71,6 +72,22 @@
 	return &answer{outcome: outcomeNotRun, reason: reasonConnectionLost, detail: "the order never reached its target, and the agent has barred it; it may be sent again"}
 }
 
+// withdraw records in the background that a claim whose answer was lost was never
+// sent. The claim may be committed late, for instance after a cut, and would then
+// look like an order that a person has to settle.
+func (o *orderRun) withdraw(ctx context.Context, claim *wire.ClaimOrder) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	o.e.background.Go(func() {
+		defer cancel()
+		for !o.e.leaving.Load() && o.e.o.Timers.Sleep(ctx, time.Second) == nil {
+			result := o.record(claimRecord(claim), wire.OrderState_ORDER_STATE_NOT_RUN, nil, reasonNoQuorum)
+			if result != nil && result.GetRefusal() != ledger.RefusedOrderUnknown {
+				return
+			}
+		}
+	})
+}
+
 // later goes on settling after the caller was answered.
 func (o *orderRun) later(ctx context.Context, r *wire.OrderRecord) {
 	o.e.o.Metrics.Count("entry_orders_settled_later", 1)
