--- a/internal/sharing/sharer.go
+++ b/internal/sharing/sharer.go
@@ -107,15 +107,30 @@
 	}
 	s.forgetViews(now)
 	for customer, a := range s.accounts {
-		owned := Owner(customer, names) == s.name
-		for entry, r := range a.records {
-			if !owned || s.members[entry] != r.incarnation {
-				s.drop(customer, a, entry)
-			}
+		if Owner(customer, names) == s.name {
+			s.prune(customer, a, now)
+			continue
+		}
+		for entry := range a.records {
+			s.drop(customer, a, entry)
+		}
+	}
+}
+
+// prune drops the records of entries that are no longer ready, once their shares
+// have ended: one that was only cut off uses its share until then.
+func (s *Sharer) prune(customer string, a *account, now time.Time) {
+	for entry, r := range a.records {
+		if !s.isMember(entry, r) && !now.Before(r.until) {
+			s.drop(customer, a, entry)
 		}
 	}
 }
 
+func (s *Sharer) isMember(entry string, r *record) bool {
+	return s.members[entry] == r.incarnation
+}
+
 // warmUp is how long a new sharer raises no share: grants of the earlier one,
 // which it doesn't know of, may be in force so long.
 func (s *Sharer) warmUp() time.Duration {
@@ -176,6 +191,7 @@
 		s.drop(r.Customer, a, r.Entry.Name)
 		return Grant{}, true
 	}
+	s.prune(r.Customer, a, now)
 	if r.Revision >= a.revision {
 		a.revision, a.limit = r.Revision, r.Limit
 	}
@@ -206,9 +222,11 @@
 	a.since = since
 	rec := a.records[r.Entry.Name]
 	if rec == nil {
+		s.reporters[r.Entry.Name]++
+	}
+	if rec == nil || rec.incarnation != r.Entry.Incarnation {
 		rec = &record{incarnation: r.Entry.Incarnation}
 		a.records[r.Entry.Name] = rec
-		s.reporters[r.Entry.Name]++
 	}
 	return a, rec
 }
@@ -226,7 +244,8 @@
 }
 
 // others sums the shares of the other entries. One that is ready but has not
-// reported in time uses its fallback.
+// reported in time uses its fallback; one that is no longer ready uses its share
+// until that ends.
 func (s *Sharer) others(a *account, own *record, fallback Amount, now time.Time) Amount {
 	var sum Amount
 	for _, rec := range a.records {
@@ -244,8 +263,10 @@
 // target is the entry's share of the limit by demand.
 func (s *Sharer) target(a *account, entry string) Amount {
 	names := make([]string, 0, len(a.records))
-	for name := range a.records {
-		names = append(names, name)
+	for name, rec := range a.records {
+		if s.isMember(name, rec) {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	demands := make([]Amount, 0, len(names))
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -319,7 +319,8 @@
 // Guards against a share that is given to others while the entry that was told
 // to use less may not have heard it, or may use its old share until its end;
 // against an outdated report that is taken for the newest; and against an entry
-// that is ready but can't be heard and whose fallback isn't counted.
+// that is ready but doesn't report and whose fallback isn't counted, or that is cut
+// off and whose share isn't.
 func TestShareCountsUntilItsEndIsCertain(t *testing.T) {
 	a, b, c := Member{"a", "1"}, Member{"b", "1"}, Member{"c", "1"}
 	limit := Amount{Concurrent: 12, Rate: 120}
@@ -355,6 +356,10 @@
 	now = now.Add(renewPeriod + graceTime)
 	require.Equal(t, 8, report(c, 12, Amount{Concurrent: 6, Rate: 60}).Concurrent, "room is kept for b's fallback")
 	require.Equal(t, fallback, report(b, 12, limit), "c may use 8; what b holds of an earlier sharer's grant is no reason for more than the fallback")
+	s.SetMembers([]Member{a, b}, now)
+	require.Equal(t, 4, report(b, 12, fallback).Concurrent, "c is cut off, but may use 8 until its share ends")
+	now = now.Add(renewPeriod + graceTime)
+	require.Equal(t, limit, report(b, 12, fallback), "c's share has ended")
 	s.SetMembers(nil, now)
 	_, ok = s.Report(Report{Entry: b, Customer: owned, Sequence: 99, Limit: limit, Demand: limit, Held: fallback}, now)
 	require.False(t, ok, "a sharer that can't confirm its view answers")
