--- a/internal/capacity/repair.go
+++ b/internal/capacity/repair.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	claims := f.claimAtPace(ctx, orders)
+	claims := f.claimAtPace(ctx, orders, repairClaims, repairPace)
 	began := time.Now()
 	if err := f.startControl(ctx, lost); err != nil {
 		return err
@@ -86,6 +86,42 @@
 	return err
 }
 
+// snapshotsGroup measures what callers notice of the snapshots that all replicas
+// take while they claim, by the number of kept orders.
+func snapshotsGroup(ctx context.Context, o Options, s *series) error {
+	for _, n := range []int{250_000, 1_000_000} {
+		if err := snapshotsAt(ctx, o, s, n); err != nil {
+			return errors.Wrapf(err, "%d orders", n)
+		}
+	}
+	return nil
+}
+
+func snapshotsAt(ctx context.Context, o Options, s *series, orders int) error {
+	// 500 claims a second are the goal; 10,000 entries take 20 s.
+	const callers, pace, lasts = 50, 100 * time.Millisecond, 45 * time.Second
+	f, err := newSeededFleet(ctx, o, 3, func(f *fleet) error {
+		_, err := f.seedOrders(orders)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	if _, _, err := f.pair(ctx); err != nil {
+		return err
+	}
+	claims := f.claimAtPace(ctx, orders, callers, pace)
+	pause(ctx, lasts)
+	answered := claims.stop()
+	q := func(name, unit string) quantity { return quantity{"snapshots: " + name, unit, "orders", 1e6} }
+	s.add(q("claims", "1/s"), float64(orders), float64(len(answered.latencies))/lasts.Seconds())
+	s.add(q("latency of a claim, p99", "ms"), float64(orders), quantile(answered.latencies, 0.99))
+	s.add(q("longest time without an answered claim", "ms"), float64(orders), answered.longestGap)
+	s.add(q("claims that failed", ""), float64(orders), answered.failed)
+	return nil
+}
+
 // seedOrders gives all control VMs the same snapshot with finished orders.
 func (f *fleet) seedOrders(n int) ([]byte, error) {
 	l := ledger.New(ledger.Options{})
@@ -181,14 +217,14 @@
 	failed     float64
 }
 
-func (f *fleet) claimAtPace(ctx context.Context, first int) *claimRun {
+func (f *fleet) claimAtPace(ctx context.Context, first, callers int, pace time.Duration) *claimRun {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &claimRun{cancel: cancel, last: time.Now()}
-	for caller := range repairClaims {
+	for caller := range callers {
 		r.wg.Go(func() {
-			tick := time.NewTicker(repairPace)
+			tick := time.NewTicker(pace)
 			defer tick.Stop()
-			for i := first + caller; ctx.Err() == nil; i += repairClaims {
+			for i := first + caller; ctx.Err() == nil; i += callers {
 				began := time.Now()
 				_, err := f.client.Execute(ctx, claim(i))
 				r.note(ctx, began, err)
--- a/internal/capacity/study.go
+++ b/internal/capacity/study.go
@@ -29,7 +29,7 @@
 	Binary string
 	// Folder holds the files of the run; the system's temporary one when empty.
 	Folder string
-	// Only names the groups to run; all but "full", "loaded", "replicas" and "repair" when empty.
+	// Only names the groups to run; all but "full", "loaded", "replicas", "repair" and "snapshots" when empty.
 	Only []string
 }
 
@@ -62,6 +62,7 @@
 		{name: "loaded", named: true, run: loadedGroup},
 		{name: "replicas", named: true, run: replicasGroup},
 		{name: "repair", named: true, run: repairGroup},
+		{name: "snapshots", named: true, run: snapshotsGroup},
 	}
 }
 
--- a/internal/commands/capacity.go
+++ b/internal/commands/capacity.go
@@ -36,7 +36,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error { return c.run(cmd) },
 	}
 	f := cmd.Flags()
-	f.StringSliceVar(&c.only, "only", nil, "groups to measure: "+strings.Join(capacity.Groups(), ", ")+"; all but full, loaded, replicas and repair when empty")
+	f.StringSliceVar(&c.only, "only", nil, "groups to measure: "+strings.Join(capacity.Groups(), ", ")+"; all but full, loaded, replicas, repair and snapshots when empty")
 	f.StringVar(&c.folder, "folder", "", "folder for the files of the run; the system's temporary one when empty")
 	f.BoolVar(&c.placement, "placement", false, "only compare placements of the control VMs by enumerated failures; table only")
 	return cmd
--- a/internal/control/repair_bench_test.go
+++ b/internal/control/repair_bench_test.go
@@ -60,7 +60,9 @@
 
 func (*blob) Apply(uint64, []byte) any { return nil }
 
-func (s *blob) Snapshot() ([]byte, error) { return s.data, nil }
+func (s *blob) BeginSnapshot() func() ([]byte, error) {
+	return func() ([]byte, error) { return s.data, nil }
+}
 
 func (s *blob) Restore(_ uint64, data []byte) error {
 	s.data = data
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -90,6 +90,9 @@
 	return l.View().Marshal()
 }
 
+// BeginSnapshot implements replica.StateMachine.
+func (l *Ledger) BeginSnapshot() (encode func() ([]byte, error)) { return l.View().Marshal }
+
 // Restore replaces the state by a snapshot that was taken at the index. On an
 // error the state stays as it was.
 func (l *Ledger) Restore(index uint64, data []byte) error {
--- a/internal/replica/applier.go
+++ b/internal/replica/applier.go
@@ -26,8 +26,7 @@
 
 func (n *Node) applyLoop() {
 	defer n.running.Done()
-	snapshotAt := n.applied.Load()
-	size := uint64(0) // of the entries applied since the last snapshot
+	due := n.newSnapshotClock()
 	for {
 		select {
 		case <-n.quit:
@@ -39,23 +38,30 @@
 				n.fail(err)
 				return
 			}
-			if job.snapshot != nil {
-				snapshotAt, size = job.snapshot.Index, 0
-			}
-			size += job.size()
+			due.applied(job)
 		}
-		if at := n.applied.Load(); at >= snapshotAt+n.o.SnapshotEntries || size >= n.o.SnapshotBytes {
-			data, err := n.o.StateMachine.Snapshot()
-			if err != nil {
-				n.fail(errors.Wrapf(err, "take snapshot at %d", at))
-				return
-			}
-			snapshotAt, size = at, 0
-			n.inbox.put(SnapshotTaken{Index: at, Data: data})
+		if at := n.applied.Load(); due.isDue(at) && n.encoding.CompareAndSwap(false, true) {
+			due.restart(at)
+			n.takeSnapshot(at)
 		}
 	}
 }
 
+// takeSnapshot encodes the state in the background: at a million orders that
+// takes 0.6 s, in which no entry could be applied and no claim answered.
+func (n *Node) takeSnapshot(at uint64) {
+	encode := n.o.StateMachine.BeginSnapshot()
+	n.encodings.Go(func() {
+		defer n.encoding.Store(false)
+		data, err := encode()
+		if err != nil {
+			n.fail(errors.Wrapf(err, "take snapshot at %d", at))
+			return
+		}
+		n.inbox.put(SnapshotTaken{Index: at, Data: data})
+	})
+}
+
 func (n *Node) apply(job applyJob) error {
 	if s := job.snapshot; s != nil {
 		if s.Index <= n.applied.Load() {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -49,12 +49,13 @@
 )
 
 // StateMachine is what the log is applied to. Its methods are called from one
-// goroutine.
+// goroutine at a time.
 type StateMachine interface {
 	// Apply takes the entries in log order, each index once.
 	Apply(index uint64, data []byte) any
-	// Snapshot returns the state after the last Apply.
-	Snapshot() ([]byte, error)
+	// BeginSnapshot returns a function that encodes the state after the last Apply.
+	// It is called in a goroutine of its own, while Apply goes on.
+	BeginSnapshot() (encode func() ([]byte, error))
 	// Restore replaces the state by a snapshot of the state after an index.
 	Restore(index uint64, data []byte) error
 }
@@ -140,10 +141,13 @@
 	done    chan struct{}
 	running sync.WaitGroup
 	greets  sync.WaitGroup
-	mu      sync.Mutex
-	stopped bool
-	started bool
-	err     error
+	// encoding is set while a snapshot is encoded in one of encodings.
+	encoding  atomic.Bool
+	encodings sync.WaitGroup
+	mu        sync.Mutex
+	stopped   bool
+	started   bool
+	err       error
 }
 
 // NewNode returns a Node that continues from the journal. A journal that is used
@@ -202,6 +206,7 @@
 	go n.greetLoop()
 	go func() {
 		n.running.Wait()
+		n.encodings.Wait()
 		n.greets.Wait()
 		n.calls.close(n.stopError())
 		close(n.done)
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -24,9 +24,10 @@
 
 // lines is a state machine that keeps the commands in order.
 type lines struct {
-	pause atomic.Int64 // nanoseconds that Apply takes
-	mu    sync.Mutex
-	list  []string
+	pause  atomic.Int64 // nanoseconds that Apply takes
+	encode atomic.Int64 // nanoseconds that encoding a snapshot takes
+	mu     sync.Mutex
+	list   []string
 }
 
 func (l *lines) Apply(_ uint64, data []byte) any {
@@ -37,7 +38,13 @@
 	return len(l.list)
 }
 
-func (l *lines) Snapshot() ([]byte, error) { return []byte(strings.Join(l.all(), "\n")), nil }
+func (l *lines) BeginSnapshot() func() ([]byte, error) {
+	all := l.all()
+	return func() ([]byte, error) {
+		time.Sleep(time.Duration(l.encode.Load()))
+		return []byte(strings.Join(all, "\n")), nil
+	}
+}
 
 func (l *lines) Restore(_ uint64, data []byte) error {
 	l.mu.Lock()
