timer, entry, commands, attempt, capacity: Let one piece serve where several stood

Cause: a read-through of the whole change found the same logic written again.

Change: the periodic loop of control serves placement and agent as timer.Every. Entries reach an agent's twirp service by agentAt in three places and list the other entries by otherEntries in two. The operators' commands connect by one call, which can't forget the time bound, and turn a refusal into an exit code by refused; status and members ask one isLeader. The client of attempts keeps whether a connection was idle in place of deriving it from the bound. Order of arguments, bounds, exit codes and messages are as before.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -96,10 +96,8 @@
 
 // watchTarget keeps the target's description and load report current.
 func (a *Agent) watchTarget(ctx context.Context) {
-	ticker := a.o.Timers.Subscribe(loadPeriod)
-	defer ticker.Stop()
 	var described, cached time.Time
-	for {
+	a.o.Timers.Every(ctx, loadPeriod, func(ctx context.Context) {
 		if a.o.Timers.Since(described) >= infoPeriod || a.info.Load() == nil {
 			a.describe(ctx)
 			described = a.o.Timers.Now()
@@ -109,12 +107,7 @@
 			a.readCacheEvents(ctx)
 			cached = a.o.Timers.Now()
 		}
-		select {
-		case <-ticker.C():
-		case <-ctx.Done():
-			return
-		}
-	}
+	})
 }
 
 func (a *Agent) describe(ctx context.Context) {
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -295,14 +295,19 @@
 
 func (c *Client) follow(ctx context.Context, cancel func(), address string, req *wire.AttemptRequest, s *stream, onToken func(*wire.Token) error) End {
 	started := false
-	bound, reused := c.o.Silence, s.reused
+	// idle is set while nothing has come on a connection that was idle before.
+	idle, reused := false, s.reused
 	for {
+		bound := c.o.Silence
+		if idle {
+			bound = min(firstFrameBound, bound)
+		}
 		armed := c.o.Timers.Now()
 		select {
 		case <-reused:
-			bound = min(firstFrameBound, c.o.Silence)
+			idle = true
 		case f := <-s.frames:
-			bound, reused = c.o.Silence, nil
+			idle, reused = false, nil
 			end, err := c.frame(f, req, &started, onToken)
 			if err != nil {
 				return &Lost{err: err, started: started}
@@ -321,7 +326,7 @@
 				continue
 			}
 			cancel()
-			c.retire(address, bound < c.o.Silence)
+			c.retire(address, idle)
 			return &Lost{err: &SilentError{address: address, bound: bound}, silent: true, started: started}
 		case <-ctx.Done():
 			return &Lost{err: context.Cause(ctx), started: started}
--- a/internal/capacity/repair.go
+++ b/internal/capacity/repair.go
@@ -39,10 +39,9 @@
 
 func repairAt(ctx context.Context, o Options, s *series, orders int) error {
 	size := float64(orders)
-	q := func(name, unit string) quantity { return quantity{name, unit, "orders", 1e6} }
 	f, err := newSeededFleet(ctx, o, 3, func(f *fleet) error {
 		data, err := f.seedOrders(orders)
-		s.add(q("snapshot", "MB"), size, float64(len(data))/million)
+		s.add(byOrders("snapshot", "MB"), size, float64(len(data))/million)
 		return err
 	})
 	if err != nil {
@@ -70,19 +69,15 @@
 	leaderPeak, err := f.waitForVoter(ctx, leader, f.controls[lost])
 	took := time.Since(began)
 	answered := claims.stop()
-	s.add(q("claims while it is repaired", "1/s"), size, float64(len(answered.latencies))/took.Seconds())
-	s.add(q("latency of a claim, p50", "ms"), size, median(answered.latencies))
-	s.add(q("latency of a claim, p99", "ms"), size, quantile(answered.latencies, 0.99))
-	s.add(q("longest time without an answered claim", "ms"), size, answered.longestGap)
-	s.add(q("claims that failed", ""), size, answered.failed)
+	answered.add(s, size, took)
 	if err != nil {
 		return err
 	}
 	_, peak, err := memory(f.children[follower].pid())
-	s.add(q("time until it is a voter", "s"), size, took.Seconds())
-	s.add(q("memory of the leader before", "MB"), size, idle/million)
-	s.add(q("highest memory of the leader", "MB"), size, leaderPeak/million)
-	s.add(q("peak memory of the repaired VM", "MB"), size, peak/million)
+	s.add(byOrders("time until it is a voter", "s"), size, took.Seconds())
+	s.add(byOrders("memory of the leader before", "MB"), size, idle/million)
+	s.add(byOrders("highest memory of the leader", "MB"), size, leaderPeak/million)
+	s.add(byOrders("peak memory of the repaired VM", "MB"), size, peak/million)
 	return err
 }
 
@@ -114,11 +109,7 @@
 	claims := f.claimAtPace(ctx, orders, callers, pace)
 	pause(ctx, lasts)
 	answered := claims.stop()
-	q := func(name, unit string) quantity { return quantity{"snapshots: " + name, unit, "orders", 1e6} }
-	s.add(q("claims", "1/s"), float64(orders), float64(len(answered.latencies))/lasts.Seconds())
-	s.add(q("latency of a claim, p99", "ms"), float64(orders), quantile(answered.latencies, 0.99))
-	s.add(q("longest time without an answered claim", "ms"), float64(orders), answered.longestGap)
-	s.add(q("claims that failed", ""), float64(orders), answered.failed)
+	answered.add(s, float64(orders), lasts)
 	return nil
 }
 
@@ -201,6 +192,9 @@
 	return len(at) == 1 && !at[0].GetLearner() && len(at[0].GetId()) > len("member-0")
 }
 
+// byOrders is a quantity that grows with the kept orders.
+func byOrders(name, unit string) quantity { return quantity{name, unit, "orders", 1e6} }
+
 // claimRun is a number of callers that claim at a fixed pace.
 type claimRun struct {
 	cancel context.CancelFunc
@@ -217,6 +211,14 @@
 	failed     float64
 }
 
+func (r claimResult) add(s *series, orders float64, lasted time.Duration) {
+	s.add(byOrders("answered claims", "1/s"), orders, float64(len(r.latencies))/lasted.Seconds())
+	s.add(byOrders("latency of a claim, p50", "ms"), orders, median(r.latencies))
+	s.add(byOrders("latency of a claim, p99", "ms"), orders, quantile(r.latencies, 0.99))
+	s.add(byOrders("longest time without an answered claim", "ms"), orders, r.longestGap)
+	s.add(byOrders("claims that failed", ""), orders, r.failed)
+}
+
 func (f *fleet) claimAtPace(ctx context.Context, first, callers int, pace time.Duration) *claimRun {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &claimRun{cancel: cancel, last: time.Now()}
--- a/internal/commands/cluster.go
+++ b/internal/commands/cluster.go
@@ -10,7 +10,9 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cardamomline/cardamomline/internal/controlclient"
+	"github.com/cardamomline/cardamomline/internal/ledger"
 	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
 const (
@@ -41,9 +43,15 @@
 	return controlclient.New(controlclient.Options{Timers: c.timers, Addresses: c.addresses, Process: "operator"})
 }
 
-// context bounds a command in time.
-func (c *cluster) context(cmd *cobra.Command) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(cmd.Context(), operatorTimeout)
+// connect returns a client of the control VMs and a context that bounds the
+// command in time; cancel frees it.
+func (c *cluster) connect(cmd *cobra.Command) (ctx context.Context, client *controlclient.Client, cancel context.CancelFunc, err error) {
+	client, err = c.client()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel = context.WithTimeout(cmd.Context(), operatorTimeout)
+	return ctx, client, cancel, nil
 }
 
 // refusalError is a command that the replicated state refused.
@@ -59,6 +67,24 @@
 // ExitCode implements exitCoder.
 func (e *refusalError) ExitCode() int { return e.code }
 
+// refused returns the *refusalError of a result, or nil when it was accepted.
+func refused(r *wire.Result) error {
+	if r.GetRefusal() == "" {
+		return nil
+	}
+	return &refusalError{reason: r.GetRefusal(), detail: r.GetDetail(), code: refusalCode(r.GetRefusal())}
+}
+
+func refusalCode(refusal string) int {
+	switch refusal {
+	case ledger.RefusedConflict, ledger.RefusedChangeReused:
+		return ExitConflict
+	case ledger.RefusedUnknownBase, ledger.RefusedOrderUnknown:
+		return ExitNotFound
+	}
+	return ExitFailure
+}
+
 // operatorName is who the state records as the author of a change.
 func operatorName(flag string) string {
 	if flag != "" {
--- a/internal/commands/costs.go
+++ b/internal/commands/costs.go
@@ -45,11 +45,10 @@
 }
 
 func (c *costsCommand) run(cmd *cobra.Command, _ []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	sum := make(map[string]*entry.CostRow)
 	var rows []*entry.CostRow
--- a/internal/commands/drain.go
+++ b/internal/commands/drain.go
@@ -40,11 +40,10 @@
 }
 
 func (c *drainCommand) run(cmd *cobra.Command, args []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	res, err := client.Execute(ctx, &wire.Command{Kind: &wire.Command_SetDrain{SetDrain: &wire.SetDrain{
 		Target: args[0], Draining: !c.undo, Operator: operatorName(c.operator),
@@ -52,8 +51,8 @@
 	if err != nil {
 		return err
 	}
-	if res.GetRefusal() != "" {
-		return &refusalError{reason: res.GetRefusal(), detail: res.GetDetail(), code: ExitFailure}
+	if err := refused(res); err != nil {
+		return err
 	}
 	result := drainResult{Target: args[0], Draining: !c.undo}
 	return c.out.write(cmd.OutOrStdout(), result, func(w io.Writer) error {
--- a/internal/commands/explain.go
+++ b/internal/commands/explain.go
@@ -47,11 +47,10 @@
 }
 
 func (c *explainCommand) run(cmd *cobra.Command, args []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	var found []explanation
 	if c.customer != "" {
--- a/internal/commands/manifest_apply.go
+++ b/internal/commands/manifest_apply.go
@@ -12,7 +12,6 @@
 
 	"github.com/cardamomline/cardamomline/internal/attempt"
 	"github.com/cardamomline/cardamomline/internal/controlclient"
-	"github.com/cardamomline/cardamomline/internal/ledger"
 	"github.com/cardamomline/cardamomline/internal/process"
 	"github.com/cardamomline/cardamomline/internal/wire"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
@@ -70,11 +69,10 @@
 	if err != nil {
 		return errors.Wrap(err, "read manifest")
 	}
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	result, err := c.apply(ctx, client, data)
 	if err != nil {
@@ -112,22 +110,12 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "change %s may or may not be accepted; send it again with --change-id %s --base %d", c.changeID, c.changeID, base)
 	}
-	if res.GetRefusal() != "" {
-		return nil, &refusalError{reason: res.GetRefusal(), detail: res.GetDetail(), code: refusalCode(res.GetRefusal())}
+	if err := refused(res); err != nil {
+		return nil, err
 	}
 	return &applyResult{Revision: res.GetRevision(), ChangeID: c.changeID, Repeated: res.GetRepeated()}, nil
 }
 
-func refusalCode(refusal string) int {
-	switch refusal {
-	case ledger.RefusedConflict, ledger.RefusedChangeReused:
-		return ExitConflict
-	case ledger.RefusedUnknownBase, ledger.RefusedOrderUnknown:
-		return ExitNotFound
-	}
-	return ExitFailure
-}
-
 func (c *manifestApplyCommand) rollout(ctx context.Context, client *controlclient.Client, result *applyResult) error {
 	report, err := process.NewRollout(client, c.cluster.timers).Wait(ctx, result.Revision)
 	if err != nil {
--- a/internal/commands/manifest_show.go
+++ b/internal/commands/manifest_show.go
@@ -32,11 +32,10 @@
 }
 
 func (c *manifestShowCommand) run(cmd *cobra.Command, _ []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	resp, err := client.Query(ctx, &wire.QueryRequest{Kind: &wire.QueryRequest_Manifest{Manifest: &wire.ManifestQuery{Revision: c.revision}}})
 	if err != nil {
@@ -101,11 +100,10 @@
 }
 
 func (c *manifestHistoryCommand) run(cmd *cobra.Command, _ []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	resp, err := client.Query(ctx, &wire.QueryRequest{Kind: &wire.QueryRequest_History{History: &wire.HistoryQuery{Max: c.count}}})
 	if err != nil {
--- a/internal/commands/members.go
+++ b/internal/commands/members.go
@@ -44,11 +44,10 @@
 }
 
 func (c *membersCommand) run(cmd *cobra.Command, _ []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	rows, err := memberRows(client.StatusAll(ctx))
 	if err != nil {
@@ -66,9 +65,9 @@
 	var best *wire.StatusResponse
 	leads := false
 	for _, s := range all {
-		isLeader := s.GetConfirmed() && s.GetMemberId() != "" && s.GetLeaderId() == s.GetMemberId()
-		if s != nil && !leads && (isLeader || best == nil || s.GetConfirmed() && !best.GetConfirmed()) {
-			best, leads = s, isLeader
+		confirmedLeader := s.GetConfirmed() && isLeader(s)
+		if s != nil && !leads && (confirmedLeader || best == nil || s.GetConfirmed() && !best.GetConfirmed()) {
+			best, leads = s, confirmedLeader
 		}
 	}
 	if best == nil {
@@ -127,11 +126,10 @@
 }
 
 func (c *membersRemoveCommand) run(cmd *cobra.Command, args []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	resp, err := client.RemoveMember(ctx, args[0])
 	if err != nil {
--- a/internal/commands/orders.go
+++ b/internal/commands/orders.go
@@ -75,11 +75,10 @@
 }
 
 func (c *ordersListCommand) run(cmd *cobra.Command, _ []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	resp, err := client.Query(ctx, &wire.QueryRequest{Kind: &wire.QueryRequest_Unsettled{Unsettled: &wire.UnsettledQuery{Max: ordersListed}}})
 	if err != nil {
@@ -132,11 +131,10 @@
 	if !ok {
 		return &usageError{err: fmt.Errorf("--state is %q, expected done, failed or not_run", c.state)}
 	}
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	res, err := client.Execute(ctx, &wire.Command{Kind: &wire.Command_SettleOrder{SettleOrder: &wire.SettleOrder{
 		Customer: args[0], OrderId: args[1], State: state, Reason: c.reason, Operator: operatorName(c.operator),
@@ -144,8 +142,8 @@
 	if err != nil {
 		return err
 	}
-	if res.GetRefusal() != "" {
-		return &refusalError{reason: res.GetRefusal(), detail: res.GetDetail(), code: refusalCode(res.GetRefusal())}
+	if err := refused(res); err != nil {
+		return err
 	}
 	row := newOrderRow(res.GetOrder())
 	return c.out.write(cmd.OutOrStdout(), row, func(w io.Writer) error {
--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -67,16 +67,20 @@
 }
 
 func (c *statusCommand) run(cmd *cobra.Command, _ []string) error {
-	client, err := c.cluster.client()
+	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.cluster.context(cmd)
 	defer cancel()
 	result := newStatusResult(client.Addresses(), client.StatusAll(ctx))
 	return c.out.write(cmd.OutOrStdout(), result, result.text)
 }
 
+// isLeader reports whether a control VM says that it leads.
+func isLeader(s *wire.StatusResponse) bool {
+	return s.GetMemberId() != "" && s.GetLeaderId() == s.GetMemberId()
+}
+
 func newStatusResult(addresses []string, all []*wire.StatusResponse) *statusResult {
 	result := &statusResult{Losable: -1}
 	var best *wire.StatusResponse
@@ -85,7 +89,7 @@
 			result.Controls = append(result.Controls, controlRow{Address: addresses[i], State: "does not answer"})
 			continue
 		}
-		leader := s.GetLeaderId() == s.GetMemberId() && s.GetMemberId() != ""
+		leader := isLeader(s)
 		result.Controls = append(result.Controls, controlRow{
 			Address: addresses[i], State: s.GetState(), Leader: leader, Term: s.GetTerm(), Commit: s.GetCommit(),
 			Applied: s.GetApplied(), Revision: s.GetRevision(), Orders: s.GetOrders(), Waiting: s.GetWaiting(), Confirmed: s.GetConfirmed(),
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -179,10 +179,10 @@
 	c.cancel = cancel
 	c.started = c.o.Timers.Now()
 	var wg sync.WaitGroup
-	wg.Go(func() { c.every(ctx, confirmPeriod, c.confirm) })
-	wg.Go(func() { c.every(ctx, appliedPeriod, c.confirmApplied) })
-	wg.Go(func() { c.every(ctx, observePeriod, func(context.Context) { c.clock.observe(c.reading()) }) })
-	wg.Go(func() { c.every(ctx, expirePeriod, c.expire) })
+	wg.Go(func() { c.o.Timers.Every(ctx, confirmPeriod, c.confirm) })
+	wg.Go(func() { c.o.Timers.Every(ctx, appliedPeriod, c.confirmApplied) })
+	wg.Go(func() { c.o.Timers.Every(ctx, observePeriod, func(context.Context) { c.clock.observe(c.reading()) }) })
+	wg.Go(func() { c.o.Timers.Every(ctx, expirePeriod, c.expire) })
 	for _, peer := range c.o.Peers {
 		if peer != c.o.Address {
 			wg.Go(func() { c.pullRoster(ctx, peer) })
@@ -220,19 +220,6 @@
 // Done implements kernel.Stopper.
 func (c *Control) Done() <-chan struct{} { return c.done }
 
-func (c *Control) every(ctx context.Context, period time.Duration, do func(context.Context)) {
-	ticker := c.o.Timers.Subscribe(period)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ticker.C():
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // confirm asks the leader, under a quorum's confirmation, for what is current.
 func (c *Control) confirm(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -175,12 +175,17 @@
 	}, e.o.Timers.Now())
 }
 
+// agentAt returns the twirp client of the agent at an address, on the connections
+// that carry its attempts.
+func (e *Entry) agentAt(address string) wire.Agent {
+	return wire.NewAgentProtobufClient("http://"+address, e.attempts.HTTP(address))
+}
+
 // learnFrom takes a newer configuration from the agent that refused this one.
 func (e *Entry) learnFrom(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, settleCall)
 	defer cancel()
-	client := wire.NewAgentProtobufClient("http://"+address, e.attempts.HTTP(address))
-	resp, err := client.Config(ctx, &wire.ConfigRequest{KnownRevision: e.o.Config.Revision(), Process: e.o.Name})
+	resp, err := e.agentAt(address).Config(ctx, &wire.ConfigRequest{KnownRevision: e.o.Config.Revision(), Process: e.o.Name})
 	if err == nil {
 		err = e.o.Config.Offer(resp.GetManifest())
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,8 @@
 )
 
 const (
+	// role is how entries name themselves to the control VMs.
+	role = "entry"
 	// leaveNotice is how long a stopping entry reports not ready before it
 	// refuses new requests, so that the balancer has time to move callers.
 	leaveNotice = time.Second
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cardamomline/cardamomline/internal/admission"
-	"github.com/cardamomline/cardamomline/internal/roster"
 	"github.com/cardamomline/cardamomline/internal/sharing"
 	"github.com/cardamomline/cardamomline/internal/wire"
 	"github.com/cardamomline/cardamomline/pkg/manifest"
@@ -161,20 +161,14 @@
 		members = append(members, sharing.Member{Name: e.o.Name, Incarnation: e.incarnation})
 	}
 	addresses := make(map[string]string)
-	for _, p := range e.roster.Processes() {
-		info := p.GetProcess()
-		if info.GetRole() != "entry" || info.GetName() == e.o.Name || info.GetLeaving() || !info.GetReady() || roster.IsSilent(p) {
+	for _, info := range e.otherEntries() {
+		if !info.GetReady() {
 			continue
 		}
 		members = append(members, sharing.Member{Name: info.GetName(), Incarnation: info.GetIncarnation()})
 		addresses[info.GetName()] = info.GetAdmin()
 	}
-	slices.SortFunc(members, func(a, b sharing.Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(members, func(a, b sharing.Member) int { return strings.Compare(a.Name, b.Name) })
 	return members, addresses
 }
 
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -216,15 +216,24 @@
 // included, in order.
 func (e *Entry) liveEntries() []string {
 	names := []string{e.o.Name}
+	for _, info := range e.otherEntries() {
+		names = append(names, info.GetName())
+	}
+	slices.Sort(names)
+	return names
+}
+
+// otherEntries returns the other entries that neither leave nor are silent.
+func (e *Entry) otherEntries() []*wire.ProcessInfo {
+	var others []*wire.ProcessInfo
 	for _, p := range e.roster.Processes() {
 		info := p.GetProcess()
 		live := !info.GetLeaving() && !roster.IsSilent(p)
-		if info.GetRole() == "entry" && info.GetName() != e.o.Name && live {
-			names = append(names, info.GetName())
+		if info.GetRole() == role && info.GetName() != e.o.Name && live {
+			others = append(others, info)
 		}
 	}
-	slices.Sort(names)
-	return names
+	return others
 }
 
 func newTarget(t *wire.TargetInfo) routing.Target {
@@ -248,7 +257,7 @@
 	for {
 		ready, _ := e.Ready()
 		resp, err := e.o.Control.Heartbeat(ctx, &wire.HeartbeatRequest{Process: &wire.ProcessInfo{
-			Name: e.o.Name, Role: "entry", Incarnation: e.incarnation, Address: e.o.Address, Admin: e.o.Admin,
+			Name: e.o.Name, Role: role, Incarnation: e.incarnation, Address: e.o.Address, Admin: e.o.Admin,
 			FailureDomain: e.o.FailureDomain, Region: e.o.Region,
 			Revision: e.o.Config.Revision(), Leaving: e.leaving.Load(), Ready: ready,
 		}})
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -160,8 +160,7 @@
 func (o *orderRun) address(ctx context.Context, choice routing.Choice) (clockMs int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
-	agent := wire.NewAgentProtobufClient("http://"+choice.Address, o.settleHTTP(choice.Address))
-	resp, err := agent.Clock(ctx, &wire.ClockRequest{Sender: o.e.o.Name, Revision: o.e.o.Config.Revision()})
+	resp, err := o.e.agentAt(choice.Address).Clock(ctx, &wire.ClockRequest{Sender: o.e.o.Name, Revision: o.e.o.Config.Revision()})
 	now := o.e.o.Timers.Now()
 	switch {
 	case err != nil:
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -31,8 +30,7 @@
 func (o *orderRun) settleOnce(ctx context.Context, r *wire.OrderRecord) (a *answer, settled bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleCall)
 	defer cancel()
-	client := wire.NewAgentProtobufClient("http://"+r.GetAgentAddress(), o.settleHTTP(r.GetAgentAddress()))
-	resp, err := client.Settle(ctx, &wire.SettleRequest{
+	resp, err := o.e.agentAt(r.GetAgentAddress()).Settle(ctx, &wire.SettleRequest{
 		Attempt: r.GetAttempt(), Incarnation: r.GetIncarnation(), Sender: o.e.o.Name, Revision: o.e.o.Config.Revision(),
 	})
 	if err != nil {
@@ -53,10 +51,6 @@
 	return o.unknown("the agent no longer holds the outcome of the order"), true
 }
 
-func (o *orderRun) settleHTTP(address string) *http.Client {
-	return o.e.attempts.HTTP(address)
-}
-
 func (o *orderRun) settleFinished(ctx context.Context, r *wire.OrderRecord, res *wire.AttemptResult) *answer {
 	if res.GetError() == "" || res.GetRan() {
 		return o.recordResult(ctx, r, res)
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -139,16 +139,7 @@
 	defer close(r.done)
 	defer r.http.CloseIdleConnections()
 	defer r.orders.Wait()
-	ticker := r.o.Timers.Subscribe(passPeriod)
-	defer ticker.Stop()
-	for {
-		r.pass(ctx)
-		select {
-		case <-ticker.C():
-		case <-ctx.Done():
-			return
-		}
-	}
+	r.o.Timers.Every(ctx, passPeriod, r.pass)
 }
 
 // pass plans once, when this VM leads.
--- a/internal/timer/service.go
+++ b/internal/timer/service.go
@@ -7,6 +7,12 @@
 // # Usage
 //
 //	ts := timer.NewService()
+//	ts.Every(ctx, time.Second, func(ctx context.Context) {
+//		// periodic work
+//	})
+//
+// or, beside other events:
+//
 //	ticker := ts.Subscribe(time.Second)
 //	defer ticker.Stop()
 //	for {
@@ -65,6 +71,21 @@
 	}
 }
 
+// Every calls do at once and then every period, until ctx is done. Calls that
+// take longer than the period delay the next one.
+func (s *Service) Every(ctx context.Context, period time.Duration, do func(ctx context.Context)) {
+	ticker := s.Subscribe(period)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ticker.C():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Ticker delivers ticks to one subscriber.
 type Ticker struct {
 	t *time.Ticker
