scripts: Share check and now_ms between the process scripts

Change: both functions stand in cluster.sh; the comments say what holds.

Conclusion: no check changed.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,6 +4,8 @@
 #   cluster_start                 starts everything and applies the manifest
 #   process_start NAME            starts one process; process_kill NAME [SIGNAL]
 #   cluster_stop                  ends all processes that were started here
+#   check WHAT COMMAND...         prints whether the command succeeds; failures counts those that don't
+#   now_ms                        prints the time in milliseconds
 #
 # TARGETS lists "service kind count" lines; BASE is the first port. With RELAY=1 all
 # connections between processes run through a relay, and each process opens them
@@ -17,6 +19,15 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 BIN=$ROOT/bin/cardamomline
 declare -A PIDS=()
+failures=0
+
+check() {
+	local what=$1
+	shift
+	if "$@"; then echo "ok: $what"; else echo "FAILED: $what"; failures=$((failures + 1)); fi
+}
+
+now_ms() { date +%s%3N; }
 
 TARGETS=${TARGETS:-"generators engine 4
 encoders encoder 2
