batching: Keep jobs whole, give inputs up early, follow the request's engine

Ruled out: too few targets (busy share below 0.9 at a fill of half). Change: jobs go into one call whole, begun jobs first; a call waits until there is room for half a call; inputs are given up 100 ms after the call that fetches them began; the engine is chosen by a hash of the shared prompt parts, the same at all gateways, and stages run in its failure domain; one collector for all.

--- a/internal/batching/runner.go
+++ b/internal/batching/runner.go
@@ -23,6 +23,9 @@
 	// together is given up, and its pieces are run elsewhere.
 	callSlack  = 400 * time.Millisecond
 	callFactor = 3
+	// fetchTime is the time from the beginning of a call to when its target has
+	// fetched the inputs. Those of a full call, 14 MB, take 12 ms at 10 Gbit/s.
+	fetchTime = 100 * time.Millisecond
 	// freeTimeout bounds a call that gives up results.
 	freeTimeout = time.Second
 )
@@ -125,6 +128,9 @@
 		Objective: now.Add(time.Duration(req.GetObjectiveLeftMs()) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(req.GetDeadlineLeftMs()) * time.Millisecond),
 	}
+	for _, p := range req.GetRelease() {
+		j.Release = append(j.Release, Result{Handle: p.GetHandle(), Target: p.GetTarget(), Domain: p.GetFailureDomain()})
+	}
 	ended := make(chan Outcome, 1)
 	s.change(func(sch *Scheduler) { sch.Add(j, func(o Outcome) { ended <- o }, now) })
 	select {
@@ -171,24 +177,31 @@
 // FreeResults implements wire.Batching. Results that another collector made are
 // given up at the target that the caller names.
 func (r *Runner) FreeResults(_ context.Context, req *wire.FreeResultsRequest) (*wire.FreeResultsResponse, error) {
-	byTarget := map[string][]string{}
+	results := make([]Result, 0, len(req.GetResults()))
 	for _, p := range req.GetResults() {
-		byTarget[p.GetTarget()] = append(byTarget[p.GetTarget()], p.GetHandle())
+		results = append(results, Result{Handle: p.GetHandle(), Target: p.GetTarget()})
+	}
+	r.release(results)
+	return &wire.FreeResultsResponse{}, nil
+}
+
+// release gives up results at their targets.
+func (r *Runner) release(results []Result) {
+	byTarget := map[string][]string{}
+	for _, p := range results {
+		byTarget[p.Target] = append(byTarget[p.Target], p.Handle)
 	}
 	for id, handles := range byTarget {
 		t, ok := r.o.Table.Target(id)
 		if !ok {
 			continue // its results went with it
 		}
-		if s := r.service(t.GetService()); s != nil {
-			s.change(func(sch *Scheduler) { sch.Free(handles) })
-		}
-		r.free(Target{ID: id, Address: t.GetAddress(), Domain: t.GetFailureDomain()}, handles)
+		r.free(Target{ID: id, Address: t.GetAddress(), Domain: t.GetFailureDomain()}, handles, r.service(t.GetService()))
 	}
-	return &wire.FreeResultsResponse{}, nil
 }
 
-func (r *Runner) free(t Target, handles []string) {
+// free gives up results at one target. The room counts as free once it has answered.
+func (r *Runner) free(t Target, handles []string, s *serviceRunner) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ctx.Err() != nil {
@@ -200,6 +213,10 @@
 		if err := r.o.Target.Free(ctx, t, handles); err != nil {
 			// The results end by themselves after their lifetime.
 			klog.V(1).InfoS("Results not given up", "target", t.ID, "results", len(handles), "cause", err.Error())
+			return
+		}
+		if s != nil {
+			s.change(func(sch *Scheduler) { sch.Free(handles) })
 		}
 	})
 }
@@ -208,7 +225,11 @@
 func (s *serviceRunner) change(f func(*Scheduler)) {
 	s.mu.Lock()
 	f(s.s)
+	orphans := s.s.Orphans()
 	s.mu.Unlock()
+	if len(orphans) > 0 {
+		s.r.release(orphans)
+	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -278,7 +299,19 @@
 			return again
 		}
 		s.r.wg.Go(func() { s.call(c) })
+		s.r.wg.Go(func() { s.releaseInputs(c) })
+	}
+}
+
+// releaseInputs gives up the inputs of a call once its target has fetched them. If
+// the call fails afterwards, its jobs end for want of their inputs.
+func (s *serviceRunner) releaseInputs(c *Call) {
+	if err := s.r.o.Timers.Sleep(s.r.ctx, fetchTime); err != nil {
+		return // the runner stops
 	}
+	var results []Result
+	s.change(func(sch *Scheduler) { results = sch.Fetched(c) })
+	s.r.release(results)
 }
 
 // call runs one call and takes its outcome.
@@ -295,6 +328,7 @@
 		outcome = "broken: " + o.Reason
 	}
 	klog.InfoS("Stage call", "service", s.name, "target", c.Target.ID, "pieces", len(c.Pieces), "first_request", c.Pieces[0].Job.RequestID,
+		"queued", c.Queued, "room_bytes", c.Room,
 		"expected_ms", c.Expected.Milliseconds(), "took_ms", took.Milliseconds(), "outcome", outcome)
 	s.r.o.Metrics.ObserveStage("stage_call_seconds", s.name, "call", took)
 	s.r.o.Metrics.CountReason("stage_calls", s.name)
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -20,6 +20,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -29,8 +30,25 @@
 const (
 	// priorityDelay is how much later than its objective says a request is ordered
 	// for each rank below the most urgent. It decides who waits when not all
-	// objectives can be met; one call takes about as long.
-	priorityDelay = 300 * time.Millisecond
+	// objectives can be met; a request passes through two or three calls.
+	priorityDelay = 600 * time.Millisecond
+	// foreignDelay is the same for a request whose results would cross to another
+	// failure domain at the target that is free. It is half a call: a target of
+	// the own domain becomes free about then.
+	foreignDelay = 150 * time.Millisecond
+	// foreignWait is how long a request waits for a target of its own failure
+	// domain while only others are free.
+	foreignWait = 60 * time.Millisecond
+	// roomPause is how soon a target is looked at again that has no room. The
+	// gateways tell about as often which results they no longer need.
+	roomPause = 10 * time.Millisecond
+	// pieceWeight is the weight of one call in the average time for a piece.
+	pieceWeight = 0.1
+	// arrivalWindow is the time over which arrivals are averaged.
+	arrivalWindow = 2 * time.Second
+	// lateRate is the least share of the targets' work that requests get which
+	// have missed their objective.
+	lateRate = 0.15
 	// maxLinger is how long pieces wait for others when every target but one is
 	// busy. It is a tenth of a full call.
 	maxLinger = 40 * time.Millisecond
@@ -71,13 +89,16 @@
 	Objective time.Time
 	Deadline  time.Time
 	Priority  int
-	Domain    string // of the gateway
+	Domain    string // in which the results are fetched, most likely
+	// Release are results that nobody needs once the pieces have fetched them.
+	Release []Result
 
 	added   time.Time
 	began   time.Time // of the last call
 	pending int       // pieces without a result
 	results []Result
 	ended   bool
+	waiting int // pieces that are in no call
 	tries   int // calls that failed with a piece of this job
 	end     func(Outcome)
 }
@@ -124,6 +145,10 @@
 	Pieces   []Piece
 	Began    time.Time
 	Expected time.Duration // by the profile and what is known of the target
+	// Queued is the number of pieces left in the queue, and Room the bytes of
+	// results at the target with those of this call.
+	Queued int
+	Room   int64
 }
 
 // PieceOutcome is what became of one piece of a call.
@@ -131,10 +156,10 @@
 
 // Outcomes of a piece.
 const (
-	PieceDone PieceOutcome = iota
-	PieceGone              // an input no longer exists
-	PieceLate              // its time was over at its turn
-	PieceRetry             // no room, or an error of the target
+	PieceDone  PieceOutcome = iota
+	PieceGone               // an input no longer exists
+	PieceLate               // its time was over at its turn
+	PieceRetry              // no room, or an error of the target
 )
 
 // CallOutcome is what became of a call. It is sealed.
@@ -176,16 +201,17 @@
 
 // Scheduler holds the queue of one service. It isn't safe for concurrent use.
 type Scheduler struct {
-	profile catalog.BatchProfile
-	workers map[string]*worker
-	order   []*worker
-	queue   []Piece
-	calls   map[uint64]*Call
-	results map[string]held
-	nextID  uint64
-	// fill is the average number of pieces in a call, piece the average time for
-	// one beyond the call's own.
-	pieceTime float64 // seconds
+	profile   catalog.BatchProfile
+	workers   map[string]*worker
+	order     []*worker
+	queue     []Piece
+	calls     map[uint64]*Call
+	results   map[string]held
+	nextID    uint64
+	orphans   []Result // of jobs that ended without all results
+	pieceTime float64  // average time of a call for each of its pieces, seconds
+	arrivals  float64  // pieces a second that can meet their objective
+	arrivedAt time.Time
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -264,22 +290,46 @@
 // wait estimates when a job that is added now would begin: when the pieces before
 // it have been run and a target is free.
 func (s *Scheduler) wait(j *Job, now time.Time) time.Duration {
-	rate := s.rate(now)
-	if rate <= 0 {
-		return s.profile.CallTime
-	}
 	ahead := 0
 	for _, p := range s.queue {
 		if s.before(p.Job, j, now) {
 			ahead++
 		}
 	}
-	busy := s.nextFree(now)
-	slots := float64(s.profile.Size * s.profile.Concurrency * max(len(s.order), 1))
-	if float64(ahead+j.Pieces) <= float64(s.profile.Size) {
-		return busy
+	return s.waitBehind(j, ahead, now)
+}
+
+// waitBehind estimates when a job begins that has a number of pieces before it. A
+// job that has missed its objective is overtaken by those that come later and
+// haven't.
+func (s *Scheduler) waitBehind(j *Job, ahead int, now time.Time) time.Duration {
+	rate := s.rate(now)
+	if rate <= 0 {
+		return s.profile.CallTime
+	}
+	free := s.nextFree(now)
+	if ahead+j.Pieces <= s.profile.Size {
+		return free
+	}
+	if group, _ := s.rank(j, now); group > 0 {
+		rate = max(rate-s.arrivalRate(now), lateRate*rate)
+	}
+	over := max(ahead+j.Pieces-s.profile.Size, 0)
+	return free + time.Duration(float64(over)/rate*float64(time.Second))
+}
+
+// arrivalRate returns the pieces a second that came lately and can meet their
+// objective.
+func (s *Scheduler) arrivalRate(now time.Time) float64 {
+	return s.arrivals * math.Exp(-now.Sub(s.arrivedAt).Seconds()/arrivalWindow.Seconds())
+}
+
+func (s *Scheduler) noteArrival(j *Job, now time.Time) {
+	if group, _ := s.rank(j, now); group > 0 {
+		return
 	}
-	return busy + time.Duration(max(float64(ahead+j.Pieces)-slots/2, 0)/rate*float64(time.Second))
+	s.arrivals = s.arrivalRate(now) + float64(j.Pieces)/arrivalWindow.Seconds()
+	s.arrivedAt = now
 }
 
 // nextFree returns the time until a target can begin a call.
@@ -319,6 +369,7 @@
 	j.added = now
 	j.end = end
 	j.pending = j.Pieces
+	j.waiting = j.Pieces
 	j.results = make([]Result, j.Pieces)
 	if len(s.order) == 0 {
 		s.finish(j, Outcome{Kind: Refused, Reason: "no_target", RetryAfter: s.callTime(s.profile.Size)})
@@ -330,14 +381,22 @@
 		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: max(over, minRetryAfter), Waited: wait})
 		return
 	}
+	s.noteArrival(j, now)
 	for i := range j.Pieces {
 		s.queue = append(s.queue, Piece{Job: j, Segment: i})
 	}
 }
 
-// Cancel withdraws a job whose caller has left.
+// Cancel withdraws a job whose caller has left. Results that it has already are
+// given up.
 func (s *Scheduler) Cancel(j *Job) {
 	j.ended = true
+	for _, r := range j.results {
+		if r.Handle != "" {
+			s.orphans = append(s.orphans, r)
+		}
+	}
+	j.results = nil
 	s.queue = slices.DeleteFunc(s.queue, func(p Piece) bool { return p.Job == j })
 }
 
@@ -345,40 +404,105 @@
 	if j.ended {
 		return
 	}
-	s.Cancel(j)
 	if o.Kind == Done {
 		o.Results = j.results
+		j.results = nil
 	}
+	s.Cancel(j)
 	j.end(o)
 }
 
+// Orphans returns the results that no job needs, for the runner to give up.
+func (s *Scheduler) Orphans() []Result {
+	o := s.orphans
+	s.orphans = nil
+	return o
+}
+
 // Next returns a call to begin now. The time after which to ask again, when
 // nothing else happens, is 0 if that isn't needed.
 func (s *Scheduler) Next(now time.Time) (call *Call, again time.Duration) {
 	s.expire(now)
-	s.dropLate(now)
 	if len(s.queue) == 0 {
 		return nil, 0
 	}
-	slices.SortStableFunc(s.queue, func(a, b Piece) int {
-		switch {
-		case a.Job == b.Job:
-			return cmp.Compare(a.Segment, b.Segment)
-		case s.before(a.Job, b.Job, now):
-			return -1
-		case s.before(b.Job, a.Job, now):
-			return 1
-		}
-		return 0
-	})
+	s.sort(now)
+	s.dropHopeless(now)
+	if len(s.queue) == 0 {
+		return nil, 0
+	}
 	if linger := s.linger(now); linger > 0 {
 		return nil, linger
 	}
-	w, room := s.choose(now)
+	w, again := s.choose(now)
 	if w == nil {
-		return nil, s.nextPause(now)
+		return nil, max(again, s.nextPause(now))
+	}
+	return s.begin(w, now), 0
+}
+
+// sort orders the queue by rank, the pieces of a job together.
+func (s *Scheduler) sort(now time.Time) {
+	type key struct {
+		started int
+		group   int
+		at      time.Time
+	}
+	keys := make(map[*Job]key, len(s.queue))
+	for _, p := range s.queue {
+		if _, ok := keys[p.Job]; !ok {
+			group, at := s.rank(p.Job, now)
+			keys[p.Job] = key{p.Job.startedRank(), group, at}
+		}
+	}
+	slices.SortStableFunc(s.queue, func(a, b Piece) int {
+		ka, kb := keys[a.Job], keys[b.Job]
+		return cmp.Or(
+			cmp.Compare(ka.started, kb.started), cmp.Compare(ka.group, kb.group), ka.at.Compare(kb.at), cmp.Compare(a.Job.RequestID, b.Job.RequestID),
+			cmp.Compare(a.Job.Stage, b.Job.Stage), cmp.Compare(a.Segment, b.Segment),
+		)
+	})
+}
+
+// startedRank orders a job some of whose pieces have begun before others: their
+// results take up room and are of no use until the rest is done.
+func (j *Job) startedRank() int {
+	if j.began.IsZero() {
+		return 1
 	}
-	return s.begin(w, room, now), 0
+	return 0
+}
+
+// dropHopeless ends the jobs that can't be done by their deadline, given the
+// pieces before them, as soon as that is known.
+func (s *Scheduler) dropHopeless(now time.Time) {
+	var hopeless []*Job
+	ahead := 0
+	var last *Job
+	for _, p := range s.queue {
+		if p.Job != last {
+			last = p.Job
+			need := s.callTime(min(p.Job.pending, s.profile.Size))
+			if now.Add(s.waitBehind(p.Job, ahead, now) + need).After(p.Job.Deadline) {
+				hopeless = append(hopeless, p.Job)
+			}
+		}
+		if len(hopeless) == 0 || hopeless[len(hopeless)-1] != p.Job {
+			ahead++
+		}
+	}
+	for _, j := range hopeless {
+		s.finish(j, Outcome{Kind: Late, Reason: "queue_too_long", Waited: now.Sub(j.added), RetryAfter: s.backlog(now)})
+	}
+}
+
+// backlog returns how long the targets take for what is queued.
+func (s *Scheduler) backlog(now time.Time) time.Duration {
+	rate := s.rate(now)
+	if rate <= 0 {
+		return s.callTime(s.profile.Size)
+	}
+	return max(time.Duration(float64(len(s.queue))/rate*float64(time.Second)), minRetryAfter)
 }
 
 // linger returns how long to wait for more pieces before the next call. The fewer
@@ -389,7 +513,7 @@
 	}
 	free := 0
 	for _, w := range s.order {
-		if w.calls < s.profile.Concurrency && !now.Before(w.pause) {
+		if s.isFree(w, now) {
 			free++
 		}
 	}
@@ -406,49 +530,73 @@
 	return max(limit-now.Sub(oldest), 0)
 }
 
-// dropLate ends the jobs that can't be done by their deadline.
-func (s *Scheduler) dropLate(now time.Time) {
-	var late []*Job
-	for _, p := range s.queue {
-		need := s.callTime(1)
-		if now.Add(need).After(p.Job.Deadline) && (len(late) == 0 || late[len(late)-1] != p.Job) {
-			late = append(late, p.Job)
-		}
-	}
-	for _, j := range late {
-		s.finish(j, Outcome{Kind: Late, Reason: "deadline", Waited: now.Sub(j.added)})
-	}
+func (s *Scheduler) isFree(w *worker, now time.Time) bool {
+	return w.calls < s.profile.Concurrency && !now.Before(w.pause)
 }
 
-// choose returns the free target for the first pieces of the queue, and for how
-// many pieces it has room. Targets of the gateway's failure domain go first, as
-// results are fetched from there.
-func (s *Scheduler) choose(now time.Time) (best *worker, room int) {
+// choose returns the free target for the first job of the queue, or the time after
+// which to look again. A target of the job's failure domain goes first, as the
+// results cross to another one otherwise.
+func (s *Scheduler) choose(now time.Time) (best *worker, again time.Duration) {
 	j := s.queue[0].Job
 	bestScore := 0.0
+	full := false
 	for _, w := range s.order {
-		if w.calls >= s.profile.Concurrency || now.Before(w.pause) {
+		if !s.isFree(w, now) {
 			continue
 		}
-		n := s.roomFor(w, j.ResultBytes)
-		if n == 0 {
+		if !s.worthwhile(w, j) {
+			full = true
 			continue
 		}
-		score := w.ratio
-		if w.ratio < slowRatio {
-			score = 1
+		score := 1.0
+		if w.ratio >= slowRatio {
+			score = w.ratio
 		}
 		if w.Domain != j.Domain {
-			score += 0.01
+			score += 0.5
 		}
 		if best == nil || score < bestScore {
-			best, bestScore, room = w, score, n
+			best, bestScore = w, score
+		}
+	}
+	if best == nil {
+		if full {
+			again = roomPause
 		}
+		return nil, again
 	}
-	if best != nil && best.ratio >= slowRatio && s.fasterSoon(best, now) {
+	if best.ratio >= slowRatio && s.fasterSoon(best, now) {
 		return nil, 0
 	}
-	return best, room
+	if wait := foreignWait - now.Sub(j.added); best.Domain != j.Domain && wait > 0 && len(s.queue) < s.profile.Size && s.hasDomain(j.Domain) {
+		return nil, wait
+	}
+	return best, 0
+}
+
+// worthwhile says whether a target has room for the queue's first job, and for
+// half a call when more than that waits. A smaller call would spend the call's own
+// time on few pieces just when there is the most to do.
+func (s *Scheduler) worthwhile(w *worker, first *Job) bool {
+	if s.profile.ResultBytes <= 0 {
+		return true
+	}
+	room := s.profile.ResultBytes - w.room
+	need := int64(0)
+	for i, p := range s.queue {
+		if p.Job != first && i >= s.profile.Size/2 {
+			break
+		}
+		need += p.Job.ResultBytes
+	}
+	// A job that is larger than a target's memory takes what there is.
+	return room >= min(need, s.profile.ResultBytes/2)
+}
+
+// hasDomain says whether an ordinary target is in a failure domain.
+func (s *Scheduler) hasDomain(domain string) bool {
+	return slices.ContainsFunc(s.order, func(w *worker) bool { return w.Domain == domain && w.failures == 0 && w.ratio < slowRatio })
 }
 
 // fasterSoon says whether waiting for an ordinary target ends a call earlier than
@@ -467,13 +615,6 @@
 	return false
 }
 
-func (s *Scheduler) roomFor(w *worker, bytes int64) int {
-	if s.profile.ResultBytes <= 0 || bytes <= 0 {
-		return s.profile.Size
-	}
-	return int(max((s.profile.ResultBytes-w.room)/bytes, 0))
-}
-
 // nextPause returns the time until the first pause ends, or 0.
 func (s *Scheduler) nextPause(now time.Time) time.Duration {
 	best := time.Duration(0)
@@ -488,32 +629,78 @@
 	return best
 }
 
-// begin takes the first pieces that the target has room for into a call.
-func (s *Scheduler) begin(w *worker, room int, now time.Time) *Call {
-	left := s.profile.ResultBytes - w.room
+// begin takes the first jobs that the target has room for into a call. Jobs of the
+// target's failure domain go before others that are about as urgent. A job is
+// split only when the call would not be full otherwise.
+func (s *Scheduler) begin(w *worker, now time.Time) *Call {
 	c := &Call{Target: w.Target, Began: now}
-	rest := s.queue[:0:0]
-	for _, p := range s.queue {
-		fits := s.profile.ResultBytes <= 0 || p.Job.ResultBytes <= left
-		if len(c.Pieces) >= s.profile.Size || !fits {
-			rest = append(rest, p)
-			continue
-		}
-		left -= p.Job.ResultBytes
+	first := s.queue[0].Job
+	taken := map[Piece]bool{}
+	take := func(p Piece) {
 		w.room += p.Job.ResultBytes
 		p.Job.began = now
+		p.Job.waiting--
+		taken[p] = true
 		c.Pieces = append(c.Pieces, p)
 	}
-	_ = room
-	s.queue = rest
+	for _, job := range s.jobsFor(w, now) {
+		space := s.profile.Size - len(c.Pieces)
+		if s.profile.ResultBytes > 0 && job.bytes > 0 {
+			space = min(space, int((s.profile.ResultBytes-w.room)/job.bytes))
+		}
+		foreign := job.job.Domain != w.Domain && job.job != first && s.mayWait(job.job, now)
+		whole := len(job.pieces) <= space || job.job == first || len(job.pieces) > s.profile.Size
+		if space <= 0 || foreign || !whole {
+			continue
+		}
+		for _, p := range job.pieces[:min(space, len(job.pieces))] {
+			take(p)
+		}
+	}
+	s.queue = slices.DeleteFunc(s.queue, func(p Piece) bool { return taken[p] })
 	s.nextID++
 	c.ID = s.nextID
 	c.Expected = time.Duration(float64(s.callTime(len(c.Pieces))) * max(w.ratio, 1))
+	c.Queued, c.Room = len(s.queue), w.room
 	w.calls++
 	s.calls[c.ID] = c
 	return c
 }
 
+// queuedJob is a job with its pieces that wait.
+type queuedJob struct {
+	job    *Job
+	pieces []Piece
+	bytes  int64
+	at     time.Time
+	group  int
+}
+
+// jobsFor returns the queued jobs in the order in which a target takes them.
+func (s *Scheduler) jobsFor(w *worker, now time.Time) []*queuedJob {
+	var jobs []*queuedJob
+	for _, p := range s.queue {
+		if len(jobs) == 0 || jobs[len(jobs)-1].job != p.Job {
+			group, at := s.rank(p.Job, now)
+			if p.Job.Domain != w.Domain {
+				at = at.Add(foreignDelay)
+			}
+			jobs = append(jobs, &queuedJob{job: p.Job, bytes: p.Job.ResultBytes, at: at, group: group})
+		}
+		last := jobs[len(jobs)-1]
+		last.pieces = append(last.pieces, p)
+	}
+	slices.SortStableFunc(jobs, func(a, b *queuedJob) int {
+		return cmp.Or(cmp.Compare(a.job.startedRank(), b.job.startedRank()), cmp.Compare(a.group, b.group), a.at.Compare(b.at))
+	})
+	return jobs
+}
+
+// mayWait says whether a job still waits for a target of its failure domain.
+func (s *Scheduler) mayWait(j *Job, now time.Time) bool {
+	return now.Sub(j.added) < foreignWait && s.hasDomain(j.Domain)
+}
+
 // Finish takes the outcome of a call.
 func (s *Scheduler) Finish(c *Call, o CallOutcome, now time.Time) {
 	delete(s.calls, c.ID)
@@ -525,8 +712,7 @@
 	switch o := o.(type) {
 	case Answered:
 		w.failures = 0
-		took := now.Sub(c.Began).Seconds() / s.callTime(len(c.Pieces)).Seconds()
-		w.ratio += ratioWeight * (took - w.ratio)
+		s.learn(w, c, o, now)
 		for i, p := range c.Pieces {
 			s.finishPiece(w, p, o.Pieces[i], o.Handles[i], now)
 		}
@@ -544,6 +730,20 @@
 	}
 }
 
+// learn updates the averages by a call that ran whole.
+func (s *Scheduler) learn(w *worker, c *Call, o Answered, now time.Time) {
+	if slices.ContainsFunc(o.Pieces, func(p PieceOutcome) bool { return p == PieceRetry }) {
+		w.pause = now.Add(fullPause)
+		return
+	}
+	took := now.Sub(c.Began).Seconds()
+	w.ratio += ratioWeight * (took/s.callTime(len(c.Pieces)).Seconds() - w.ratio)
+	if w.ratio < slowRatio {
+		each := max(took-s.profile.CallTime.Seconds(), 0) / float64(len(c.Pieces))
+		s.pieceTime += pieceWeight * (min(each, 2*s.profile.PieceTime.Seconds()) - s.pieceTime)
+	}
+}
+
 func (s *Scheduler) finishPiece(w *worker, p Piece, o PieceOutcome, handle string, now time.Time) {
 	if o != PieceDone {
 		w.room -= p.Job.ResultBytes
@@ -551,7 +751,12 @@
 	switch o {
 	case PieceDone:
 		s.results[handle] = held{target: w.ID, bytes: p.Job.ResultBytes, expires: now.Add(s.profile.ResultTTL)}
-		p.Job.results[p.Segment] = Result{Handle: handle, Target: w.ID, Domain: w.Domain}
+		r := Result{Handle: handle, Target: w.ID, Domain: w.Domain}
+		if p.Job.ended {
+			s.orphans = append(s.orphans, r)
+			return
+		}
+		p.Job.results[p.Segment] = r
 		p.Job.pending--
 		if p.Job.pending == 0 {
 			s.finish(p.Job, Outcome{Kind: Done, Waited: p.Job.began.Sub(p.Job.added), Worked: now.Sub(p.Job.began)})
@@ -584,9 +789,23 @@
 		s.finish(p.Job, Outcome{Kind: Failed, Reason: "too_many_failures"})
 		return
 	}
+	p.Job.waiting++
 	s.queue = append(s.queue, p)
 }
 
+// Fetched returns the results that nobody needs any more because the last pieces
+// of jobs in a call have fetched them.
+func (s *Scheduler) Fetched(c *Call) []Result {
+	var list []Result
+	for _, p := range c.Pieces {
+		if p.Job.waiting == 0 {
+			list = append(list, p.Job.Release...)
+			p.Job.Release = nil
+		}
+	}
+	return list
+}
+
 // Free takes the handles of results that are no longer needed and returns the
 // target of each that is known.
 func (s *Scheduler) Free(handles []string) map[string][]string {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -22,8 +22,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says what may be repeated of a route's requests.
@@ -66,6 +64,9 @@
 	Objective time.Duration
 	// EventGap is the longest pause between events for a full success.
 	EventGap time.Duration
+	// Patience is how long callers wait for the first event of a stream, and for
+	// each further one, before they leave; 0 when they wait until their deadline.
+	Patience time.Duration
 	// Priority is the rank; 0 is the most urgent.
 	Priority int
 	Split    []Share
@@ -353,6 +354,10 @@
 // EventGap returns the longest pause between events for a full success.
 func (r *Route) EventGap() time.Duration { return r.in.EventGap }
 
+// Patience returns how long callers wait for an event of a stream; 0 when they
+// wait until their deadline.
+func (r *Route) Patience() time.Duration { return r.in.Patience }
+
 // Priority returns the route's rank; 0 is the most urgent.
 func (r *Route) Priority() int { return r.in.Priority }
 
@@ -421,9 +426,3 @@
 
 // Priority returns the rank that goes before the route's, if there is one.
 func (c *Customer) Priority() (int, bool) { return c.in.Priority, c.in.HasPriority }
-
-// Spread returns a number that is the same for a service everywhere, by which
-// its collector is chosen.
-func Spread(service string) int {
-	return int(xxhash.Sum64String(service) >> 1)
-}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -91,7 +91,20 @@
 }
 
 func (x *exchange) routingRequest() routing.Request {
-	return routing.Request{Prefix: x.prefix(), Exclude: x.tried, MayProbe: x.route.Repeatable() && x.ran == 0}
+	return routing.Request{
+		Prefix: x.prefix(), Rendezvous: true, Exclude: x.tried, MayProbe: x.route.Repeatable() && x.ran == 0, FailureDomain: x.home,
+	}
+}
+
+// homeDomain returns the failure domain of the target that the request will most
+// likely go to, so that its stages run where their results are fetched.
+func (x *exchange) homeDomain() string {
+	if pool := x.g.pool(x.service); pool != nil {
+		if domain, ok := pool.Home(x.prefix(), x.g.o.Timers.Now()); ok {
+			return domain
+		}
+	}
+	return x.g.o.Domain
 }
 
 // prefix names the part of the prompt that other requests share.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,6 +34,7 @@
 	// timeoutFirst says that the route's timeout ends the request.
 	timeoutFirst bool
 
+	home    string   // failure domain of the target that the request will go to
 	ran     int      // targets on which the request may have run
 	tried   []string // targets that were chosen
 	status  int      // of the answer; 0 when the connection was closed without one
@@ -192,7 +193,12 @@
 	x.answer(status, reason)
 }
 
+// answer ends the request with an answer of this gateway. An answer that a target
+// began is broken off, since anything added to it would make it look complete.
 func (x *exchange) answer(status int, reason string) {
+	if x.started {
+		x.breakOff(reason)
+	}
 	x.status, x.reason, x.started = status, reason, true
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -4,24 +4,27 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
 const (
 	// freePeriod is how long results that are given up are collected, so that one
 	// message carries those of many requests.
-	freePeriod = 60 * time.Millisecond
+	freePeriod = 20 * time.Millisecond
 	// freeTimeout bounds that message.
 	freeTimeout = time.Second
 	// queueEstimate is what a stage's pieces usually wait for their call, as part
 	// of the time that the rest of a request's path is expected to take.
 	queueEstimate = 60 * time.Millisecond
+	// startDelayShare is the part of the estimated spare time that a stage waits,
+	// as the estimate may be too long.
+	startDelayShare = 0.7
 	// maxCollectors bounds the collectors that one stage is sent to, one after the
 	// other, as they fail.
 	maxCollectors = 3
@@ -29,10 +32,17 @@
 
 // inputs are the results that a request needs, until they are given up.
 type inputs struct {
-	mu      sync.Mutex
-	client  *stageClient
-	service map[string][]*wire.PieceResult // to give up, by stage service
-	last    []*wire.PieceResult
+	mu     sync.Mutex
+	client *stageClient
+	held   []heldResults
+	last   []*wire.PieceResult
+}
+
+// heldResults are the results of one stage.
+type heldResults struct {
+	stage   int
+	service string
+	results []*wire.PieceResult
 }
 
 func (in *inputs) handles() []string {
@@ -59,26 +69,31 @@
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	for service, results := range in.service {
-		in.client.give(service, results)
+	for _, h := range in.held {
+		in.client.give(h.service, h.results)
 	}
-	in.service = map[string][]*wire.PieceResult{}
+	in.held = nil
+}
+
+// forgetStage drops the results of a stage that a later one has given up.
+func (in *inputs) forgetStage(stage int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.held = slices.DeleteFunc(in.held, func(h heldResults) bool { return h.stage == stage })
 }
 
-// freeStage gives up the results of one stage.
-func (in *inputs) add(service string, results []*wire.PieceResult) {
+// add takes the results of one stage.
+func (in *inputs) add(stage int, service string, results []*wire.PieceResult) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.service[service] = append(in.service[service], results...)
+	in.held = append(in.held, heldResults{stage: stage, service: service, results: results})
 }
 
 // replace takes the results of a second run of the stages.
 func (in *inputs) replace(again *inputs) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	for service, results := range again.service {
-		in.service[service] = append(in.service[service], results...)
-	}
+	in.held = append(in.held, again.held...)
 	in.last = again.last
 }
 
@@ -86,6 +101,8 @@
 type stageState struct {
 	done    chan struct{}
 	results []*wire.PieceResult
+	// users counts the stages that still need the results.
+	users atomic.Int32
 }
 
 // StageError reports a stage that did not give its results.
@@ -101,7 +118,7 @@
 // runStages runs the stages of the request and returns their results. It answers
 // the caller if there are none.
 func (x *exchange) runStages(ctx context.Context) (*inputs, bool) {
-	in := &inputs{client: x.g.stages, service: map[string][]*wire.PieceResult{}}
+	in := &inputs{client: x.g.stages}
 	stages := x.route.Stages()
 	if len(stages) == 0 {
 		return in, true
@@ -113,6 +130,14 @@
 	for i := range states {
 		states[i] = &stageState{done: make(chan struct{})}
 	}
+	for i, stage := range stages {
+		if x.pieces(i) > 0 {
+			for _, need := range stage.Needs {
+				states[need].users.Add(1)
+			}
+		}
+	}
+	x.home = x.homeDomain()
 	var wg sync.WaitGroup
 	var once sync.Once
 	var failed error
@@ -168,28 +193,65 @@
 		close(states[i].done)
 		return nil
 	}
+	if len(stage.Needs) == 0 {
+		if err := x.g.o.Timers.Sleep(ctx, x.startDelay(i)); err != nil {
+			return err
+		}
+	}
 	now := x.g.o.Timers.Now()
 	after := x.pathAfter(i)
 	req := &wire.RunStageRequest{
 		RequestId: x.r.ID, Service: stage.Service, Stage: uint32(i), Inputs: handles, Pieces: uint32(n), ResultBytes: uint64(stage.ResultBytes),
-		Priority: uint32(x.priority), FailureDomain: x.g.o.Domain,
+		Priority: uint32(x.priority), FailureDomain: x.home,
 		ObjectiveLeftMs: x.began.Add(x.route.Objective() - after).Sub(now).Milliseconds(),
-		DeadlineLeftMs:  x.deadline.Add(-after).Sub(now).Milliseconds(),
+		DeadlineLeftMs:  x.firstEventBy().Add(-after).Sub(now).Milliseconds(),
 	}
 	if len(stage.Needs) == 0 {
 		req.Key = x.r.PieceKey
 	}
+	for _, need := range stage.Needs {
+		if states[need].users.Load() == 1 {
+			req.Release = append(req.Release, states[need].results...)
+		}
+	}
 	resp, err := x.g.stages.run(ctx, req)
 	if err != nil {
 		return err
 	}
-	in.add(stage.Service, resp.GetResults())
+	in.add(i, stage.Service, resp.GetResults())
+	for _, need := range stage.Needs {
+		if states[need].users.Add(-1) == 0 {
+			in.forgetStage(need)
+		}
+	}
 	klog.V(1).InfoS("Stage done", "request", x.r.ID, "stage", i, "service", stage.Service, "pieces", n, "waited_ms", resp.GetWaitedMs(), "worked_ms", resp.GetWorkedMs())
 	states[i].results = resp.GetResults()
 	close(states[i].done)
 	return nil
 }
 
+// firstEventBy returns when the answer has to begin.
+func (x *exchange) firstEventBy() time.Time {
+	by := x.deadline
+	if p := x.route.Patience(); p > 0 && x.began.Add(p).Before(by) {
+		by = x.began.Add(p)
+	}
+	return by
+}
+
+// startDelay returns how long a stage may wait because others take longer. Its
+// results would take up room at their target until those are done.
+func (x *exchange) startDelay(i int) time.Duration {
+	own := x.stageTime(i) + x.pathAfter(i)
+	longest := own
+	for j := range x.route.Stages() {
+		if x.pieces(j) > 0 {
+			longest = max(longest, x.stageTime(j)+x.pathAfter(j))
+		}
+	}
+	return time.Duration(float64(longest-own) * startDelayShare)
+}
+
 // pathAfter estimates the time from the end of a stage to the first event.
 func (x *exchange) pathAfter(i int) time.Duration {
 	longest := time.Duration(0)
@@ -227,14 +289,15 @@
 	return &stageClient{o: o, ctx: ctx, given: map[string][]*wire.PieceResult{}}
 }
 
-// collector returns the control VM that collects the pieces for a service; nth
-// counts the ones that failed for this stage.
-func (c *stageClient) collector(service string, nth int) (string, bool) {
+// collector returns the control VM that collects the pieces of all services; nth
+// counts the ones that failed for this stage. One VM collects for all, because it
+// gives up the results of one stage as the next one fetches them.
+func (c *stageClient) collector(nth int) (string, bool) {
 	working := c.o.Follower.Working()
 	if len(working) == 0 {
 		return "", false
 	}
-	return working[(catalog.Spread(service)+nth)%len(working)], true
+	return working[nth%len(working)], true
 }
 
 // run runs a stage at its collector, and at the next one when that fails: a piece
@@ -244,7 +307,7 @@
 	began := c.o.Timers.Now()
 	objective, deadline := req.GetObjectiveLeftMs(), req.GetDeadlineLeftMs()
 	for nth := range maxCollectors {
-		address, ok := c.collector(req.GetService(), nth)
+		address, ok := c.collector(nth)
 		if !ok {
 			return nil, last
 		}
@@ -295,7 +358,7 @@
 		c.given = map[string][]*wire.PieceResult{}
 		c.mu.Unlock()
 		for service, results := range given {
-			address, ok := c.collector(service, 0)
+			address, ok := c.collector(0)
 			if !ok {
 				continue // the results end by themselves after their lifetime
 			}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -29,6 +29,11 @@
 type Request struct {
 	Model  string // model that the target must serve; any when empty
 	Prefix string // prompt prefix; none when empty
+	// Rendezvous chooses the target by a hash of the prefix, which is the same at
+	// all entries, in the place of what this entry learned of prompt caches.
+	Rendezvous bool
+	// FailureDomain is preferred to the pool's own when it is set.
+	FailureDomain string
 	// Exclude names the targets already tried.
 	Exclude []string
 	// MayProbe tells that the call is idempotent and has time for a second
@@ -84,7 +89,7 @@
 	c.Slots = t.slots
 	c.epoch = t.epoch
 	t.count(1, now)
-	if _, ok := p.policy.(Adaptive); ok && r.Prefix != "" {
+	if _, ok := p.policy.(Adaptive); ok && r.Prefix != "" && !r.Rendezvous {
 		// The target holds the prefix once it has begun the call. Learning it
 		// here keeps a burst with the same prefix together.
 		p.affinity.store(r.Prefix, t, now, now)
@@ -126,6 +131,11 @@
 	if !ok {
 		return Choice{}
 	}
+	if r.Rendezvous && r.Prefix != "" {
+		if t, alternative := p.rendezvous(g.all, r, now); t != nil {
+			return Choice{ref: t, Reason: ReasonRendezvous, Compared: alternative}
+		}
+	}
 	best, second := p.sample(g.all, r, now)
 	if best.t == nil {
 		return Choice{}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -22,6 +22,7 @@
 	ReasonLeastLoaded   Reason = "least_loaded"
 	ReasonLocalDomain   Reason = "local_domain"
 	ReasonPrefixCached  Reason = "prefix_cached"
+	ReasonRendezvous    Reason = "rendezvous"
 	ReasonProbe         Reason = "probe"
 	ReasonOnlyCandidate Reason = "only_candidate"
 	ReasonRoundRobin    Reason = "round_robin"
