batching, gateway: Forget slowness, make lost inputs again

Change: what was seen of a target's speed counts less with age; stages whose inputs were lost with their target are run again once. Tests: simulation of the scheduler by load pattern.

--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -59,6 +59,9 @@
 	slowRatio = 1.6
 	// ratioWeight is the weight of one call in the average of that ratio.
 	ratioWeight = 0.4
+	// maxRatio bounds what one call says, and ratioMemory is how fast it is forgotten.
+	maxRatio    = 6.0
+	ratioMemory = 3 * time.Second
 	// firstPause is how long a target rests after a failed call; the pause doubles
 	// with each further failure in a row up to maxPause.
 	firstPause = 250 * time.Millisecond
@@ -186,12 +189,20 @@
 	Target
 	calls    int
 	room     int64 // bytes of results that it holds
-	ratio    float64
+	slowness float64
+	judged   time.Time // last change of slowness
 	failures int
 	pause    time.Time
 	present  bool
 }
 
+// ratio returns how long calls take there, relative to the profile. What was seen
+// counts less as it grows older: a target that is avoided gives no newer figure, and
+// this process may have been what was slow.
+func (w *worker) ratio(now time.Time) float64 {
+	return 1 + (w.slowness-1)*math.Exp(-now.Sub(w.judged).Seconds()/ratioMemory.Seconds())
+}
+
 // held is a result that takes up room at a target.
 type held struct {
 	target  string
@@ -233,7 +244,7 @@
 	for _, t := range targets {
 		w := s.workers[t.ID]
 		if w == nil {
-			w = &worker{Target: t, ratio: 1}
+			w = &worker{Target: t, slowness: 1}
 			s.workers[t.ID] = w
 		}
 		w.Target = t
@@ -264,7 +275,7 @@
 		if now.Before(w.pause) {
 			continue
 		}
-		total += float64(s.profile.Concurrency*s.profile.Size) / (full * max(w.ratio, 1))
+		total += float64(s.profile.Concurrency*s.profile.Size) / (full * max(w.ratio(now), 1))
 	}
 	return total
 }
@@ -550,8 +561,8 @@
 			continue
 		}
 		score := 1.0
-		if w.ratio >= slowRatio {
-			score = w.ratio
+		if w.ratio(now) >= slowRatio {
+			score = w.ratio(now)
 		}
 		if w.Domain != j.Domain {
 			score += 0.5
@@ -566,10 +577,10 @@
 		}
 		return nil, again
 	}
-	if best.ratio >= slowRatio && s.fasterSoon(best, now) {
+	if best.ratio(now) >= slowRatio && s.fasterSoon(best, now) {
 		return nil, 0
 	}
-	if wait := foreignWait - now.Sub(j.added); best.Domain != j.Domain && wait > 0 && len(s.queue) < s.profile.Size && s.hasDomain(j.Domain) {
+	if wait := foreignWait - now.Sub(j.added); best.Domain != j.Domain && wait > 0 && len(s.queue) < s.profile.Size && s.hasDomain(j.Domain, now) {
 		return nil, wait
 	}
 	return best, 0
@@ -595,17 +606,17 @@
 }
 
 // hasDomain says whether an ordinary target is in a failure domain.
-func (s *Scheduler) hasDomain(domain string) bool {
-	return slices.ContainsFunc(s.order, func(w *worker) bool { return w.Domain == domain && w.failures == 0 && w.ratio < slowRatio })
+func (s *Scheduler) hasDomain(domain string, now time.Time) bool {
+	return slices.ContainsFunc(s.order, func(w *worker) bool { return w.Domain == domain && w.failures == 0 && w.ratio(now) < slowRatio })
 }
 
 // fasterSoon says whether waiting for an ordinary target ends a call earlier than
 // beginning it at a slow one.
 func (s *Scheduler) fasterSoon(slow *worker, now time.Time) bool {
 	n := min(len(s.queue), s.profile.Size)
-	there := time.Duration(float64(s.callTime(n)) * slow.ratio)
+	there := time.Duration(float64(s.callTime(n)) * slow.ratio(now))
 	for _, w := range s.order {
-		if w == slow || w.ratio >= slowRatio || w.failures > 0 {
+		if w == slow || w.ratio(now) >= slowRatio || w.failures > 0 {
 			continue
 		}
 		if s.callLeft(w.ID, now)+s.callTime(n) < there {
@@ -660,7 +671,7 @@
 	s.queue = slices.DeleteFunc(s.queue, func(p Piece) bool { return taken[p] })
 	s.nextID++
 	c.ID = s.nextID
-	c.Expected = time.Duration(float64(s.callTime(len(c.Pieces))) * max(w.ratio, 1))
+	c.Expected = time.Duration(float64(s.callTime(len(c.Pieces))) * max(w.ratio(now), 1))
 	c.Queued, c.Room = len(s.queue), w.room
 	w.calls++
 	s.calls[c.ID] = c
@@ -698,7 +709,7 @@
 
 // mayWait says whether a job still waits for a target of its failure domain.
 func (s *Scheduler) mayWait(j *Job, now time.Time) bool {
-	return now.Sub(j.added) < foreignWait && s.hasDomain(j.Domain)
+	return now.Sub(j.added) < foreignWait && s.hasDomain(j.Domain, now)
 }
 
 // Finish takes the outcome of a call.
@@ -706,7 +717,7 @@
 	delete(s.calls, c.ID)
 	w := s.workers[c.Target.ID]
 	if w == nil {
-		w = &worker{Target: c.Target, ratio: 1, calls: 1}
+		w = &worker{Target: c.Target, slowness: 1, calls: 1}
 	}
 	w.calls--
 	switch o := o.(type) {
@@ -737,8 +748,10 @@
 		return
 	}
 	took := now.Sub(c.Began).Seconds()
-	w.ratio += ratioWeight * (took/s.callTime(len(c.Pieces)).Seconds() - w.ratio)
-	if w.ratio < slowRatio {
+	seen := min(took/s.callTime(len(c.Pieces)).Seconds(), maxRatio)
+	before := w.ratio(now)
+	w.slowness, w.judged = before+ratioWeight*(seen-before), now
+	if w.ratio(now) < slowRatio {
 		each := max(took-s.profile.CallTime.Seconds(), 0) / float64(len(c.Pieces))
 		s.pieceTime += pieceWeight * (min(each, 2*s.profile.PieceTime.Seconds()) - s.pieceTime)
 	}
--- /dev/null
+++ b/internal/batching/simulation_test.go
@@ -0,0 +1,253 @@
+package batching
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/catalog"
+)
+
+// The services of the users' sheets that run stages.
+var (
+	invoicing   = catalog.BatchProfile{Concurrency: 1, Queue: 2, Size: 8, CallTime: 200 * time.Millisecond, PieceTime: 21 * time.Millisecond, ResultBytes: 18e6, ResultTTL: 4 * time.Second}
+	bargeRoster = catalog.BatchProfile{Concurrency: 1, Queue: 2, Size: 22, CallTime: 200 * time.Millisecond, PieceTime: 7800 * time.Microsecond, ResultBytes: 3e6, ResultTTL: 4 * time.Second}
+)
+
+// event is something that happens at a time in a world.
+type event struct {
+	at time.Time
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+// world drives a Scheduler against targets that behave as the sheets say.
+type world struct {
+	t       *testing.T
+	s       *Scheduler
+	profile catalog.BatchProfile
+	now     time.Time
+	events  events
+	n       int
+	random  *rand.Rand
+	// slow is how much longer calls take at a target.
+	slow map[string]float64
+	// hold is how long a result is needed after its job is done.
+	hold  time.Duration
+	room  map[string]int64
+	calls map[string]int
+	// pieces counts the pieces of calls, and outcomes how jobs ended.
+	pieces   int
+	outcomes map[OutcomeKind]int
+	inTime   int
+	refusals []time.Duration // time from arrival to the refusal
+}
+
+func newWorld(t *testing.T, p catalog.BatchProfile, targets int) *world {
+	w := &world{
+		t: t, s: NewScheduler(p), profile: p, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), slow: map[string]float64{},
+		room: map[string]int64{}, calls: map[string]int{}, outcomes: map[OutcomeKind]int{},
+	}
+	var list []Target
+	for i := range targets {
+		list = append(list, Target{ID: fmt.Sprint("t", i), Domain: fmt.Sprint("d", i%3)})
+	}
+	w.s.SetTargets(list)
+	return w
+}
+
+func (w *world) at(d time.Duration, do func()) {
+	w.n++
+	heap.Push(&w.events, event{at: w.now.Add(d), n: w.n, do: do})
+}
+
+// run plays all events up to a time from now, and begins calls after each.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+		w.begin()
+	}
+	w.now = end
+}
+
+func (w *world) begin() {
+	for {
+		c, again := w.s.Next(w.now)
+		if c == nil {
+			if again > 0 {
+				w.at(again, func() {})
+			}
+			return
+		}
+		w.start(c)
+	}
+}
+
+// start runs a call: a target that has no room refuses pieces at once.
+func (w *world) start(c *Call) {
+	w.calls[c.Target.ID]++
+	w.pieces += len(c.Pieces)
+	o := Answered{}
+	for _, p := range c.Pieces {
+		w.room[c.Target.ID] += p.Job.ResultBytes
+		require.LessOrEqual(w.t, w.room[c.Target.ID], w.profile.ResultBytes, "a call begins only where there is room for its results")
+		w.n++
+		o.Pieces = append(o.Pieces, PieceDone)
+		o.Handles = append(o.Handles, fmt.Sprint(c.Target.ID, "/", w.n))
+	}
+	took := w.profile.CallTime + w.profile.PieceTime*time.Duration(len(c.Pieces))
+	if x := w.slow[c.Target.ID]; x > 0 {
+		took = time.Duration(float64(took) * x)
+	}
+	w.at(took, func() {
+		w.s.Finish(c, o, w.now)
+		w.free(w.s.Orphans())
+	})
+}
+
+func (w *world) free(results []Result) {
+	for _, r := range results {
+		held, ok := w.s.results[r.Handle]
+		if ok {
+			w.room[r.Target] -= held.bytes
+		}
+		w.s.Free([]string{r.Handle})
+	}
+}
+
+// add queues a job whose results are needed for the world's hold time.
+func (w *world) add(j *Job) {
+	j.RequestID = fmt.Sprint("r", w.n)
+	began := w.now
+	w.s.Add(j, func(o Outcome) {
+		w.outcomes[o.Kind]++
+		switch {
+		case o.Kind == Done && !w.now.After(j.Objective):
+			w.inTime++
+		case o.Kind != Done:
+			w.refusals = append(w.refusals, w.now.Sub(began))
+		}
+		w.at(w.hold, func() { w.free(o.Results) })
+	}, w.now)
+}
+
+// arrive adds jobs at random times with a mean rate, for a time.
+func (w *world) arrive(perSecond float64, d time.Duration, make func() *Job) {
+	for at := time.Duration(0); at < d; at += time.Duration(w.random.ExpFloat64() / perSecond * float64(time.Second)) {
+		w.at(at, func() { w.add(make()) })
+	}
+}
+
+func (w *world) job(pieces int, bytes int64, objective, deadline time.Duration) *Job {
+	return &Job{
+		Pieces: pieces, ResultBytes: bytes, Objective: w.now.Add(objective), Deadline: w.now.Add(deadline),
+		Domain: fmt.Sprint("d", w.random.IntN(3)),
+	}
+}
+
+// Load pattern: a burst of drafts, six pieces each, whose results fill the memory
+// of the targets. Guards against the collapse in which pieces of many requests lie
+// half done, take up all room, and calls of two pieces are begun.
+func TestDraftBurstKeepsCallsLarge(t *testing.T) {
+	w := newWorld(t, bargeRoster, 5)
+	w.hold = 300 * time.Millisecond
+	w.arrive(42, 10*time.Second, func() *Job { return w.job(6, 60_000, 900*time.Millisecond, 4*time.Second) })
+	w.run(14 * time.Second)
+	total := 0
+	for _, n := range w.calls {
+		total += n
+	}
+	require.Greater(t, float64(w.pieces)/float64(total), 12.0, "pieces in a call")
+	served := w.outcomes[Done]
+	require.Greater(t, served, 95*len(w.refusals)/5, "served, of those that came: %v", w.outcomes)
+}
+
+// Load pattern: a burst of summaries beyond what the targets can do. Guards against
+// requests that wait in vain until their deadline: who can't be served is told early.
+func TestSummaryBurstRefusesEarly(t *testing.T) {
+	w := newWorld(t, invoicing, 4)
+	w.hold = 250 * time.Millisecond
+	w.arrive(80, 6*time.Second, func() *Job { return w.job(2, 1_500_000, 800*time.Millisecond, 4*time.Second) })
+	w.run(12 * time.Second)
+	require.NotEmpty(t, w.refusals, "twice the capacity can't be served")
+	for _, after := range w.refusals {
+		require.Less(t, after, 3*time.Second, "refused long before the deadline")
+	}
+	// Four targets do 87 pieces a second in full calls.
+	require.Greater(t, w.pieces, 6*70, "the targets were kept busy")
+}
+
+// Load pattern: the collector was frozen while calls ran. Guards against targets
+// that count as slow for good because of one call that seemed to take seconds.
+func TestSlownessIsForgotten(t *testing.T) {
+	w := newWorld(t, invoicing, 4)
+	for _, id := range []string{"t0", "t1", "t2"} {
+		w.s.workers[id].slowness, w.s.workers[id].judged = maxRatio, w.now
+	}
+	w.arrive(25, 20*time.Second, func() *Job { return w.job(2, 8_000, time.Second, 5*time.Second) })
+	w.run(8 * time.Second)
+	before := map[string]int{"t0": w.calls["t0"], "t1": w.calls["t1"], "t2": w.calls["t2"]}
+	w.run(8 * time.Second)
+	for id, n := range before {
+		require.Greater(t, w.calls[id], n, "target %s is used again", id)
+	}
+}
+
+// Load pattern: one target works five times as long. Guards against requests that
+// miss their objective because their call went there while others were free soon.
+func TestSlowTargetIsAvoided(t *testing.T) {
+	w := newWorld(t, invoicing, 4)
+	w.slow["t1"] = 5
+	w.arrive(12, 20*time.Second, func() *Job { return w.job(2, 8_000, time.Second, 5*time.Second) })
+	w.run(25 * time.Second)
+	require.Less(t, w.calls["t1"], w.calls["t0"]/4)
+	require.Greater(t, w.inTime, w.outcomes[Done]*8/10)
+}
+
+// Guards against a caller that has left but whose results keep their room.
+func TestCancelledJobGivesUpItsResults(t *testing.T) {
+	w := newWorld(t, bargeRoster, 1)
+	j := w.job(6, 60_000, time.Second, 4*time.Second)
+	w.add(j)
+	w.at(100*time.Millisecond, func() { w.s.Cancel(j) })
+	w.run(2 * time.Second)
+	require.Zero(t, w.room["t0"])
+	require.Zero(t, w.s.workers["t0"].room)
+}
+
+// Guards against a job of which half is lost when its call breaks.
+func TestBrokenCallRunsAgainElsewhere(t *testing.T) {
+	s := NewScheduler(invoicing)
+	now := time.Unix(1000, 0)
+	s.SetTargets([]Target{{ID: "a"}, {ID: "b"}})
+	var got []Outcome
+	s.Add(&Job{RequestID: "r", Pieces: 2, ResultBytes: 8_000, Objective: now.Add(time.Second), Deadline: now.Add(5 * time.Second)}, func(o Outcome) { got = append(got, o) }, now)
+	now = now.Add(maxLinger)
+	c, _ := s.Next(now)
+	require.NotNil(t, c)
+	s.Finish(c, Broken{Reason: "reset"}, now)
+	again, _ := s.Next(now.Add(time.Millisecond))
+	require.NotNil(t, again)
+	require.NotEqual(t, c.Target.ID, again.Target.ID)
+	s.Finish(again, Answered{Pieces: []PieceOutcome{PieceDone, PieceDone}, Handles: []string{"x", "y"}}, now.Add(250*time.Millisecond))
+	require.Len(t, got, 1)
+	require.Equal(t, Done, got[0].Kind)
+	require.Equal(t, "x", got[0].Results[0].Handle)
+}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -22,6 +22,10 @@
 	// queueEstimate is what a stage's pieces usually wait for their call, as part
 	// of the time that the rest of a request's path is expected to take.
 	queueEstimate = 60 * time.Millisecond
+	// stageRounds is how often the stages of a request are run when results are lost.
+	stageRounds = 2
+	// reasonInputGone is the collector's reason for a lost result.
+	reasonInputGone = "input_gone"
 	// startDelayShare is the part of the estimated spare time that a stage waits,
 	// as the estimate may be too long.
 	startDelayShare = 0.7
@@ -116,28 +120,43 @@
 func (e *StageError) Error() string { return "stage service " + e.service + ": " + e.reason }
 
 // runStages runs the stages of the request and returns their results. It answers
-// the caller if there are none.
+// the caller if there are none. Results that were lost with their target are made
+// again, once.
 func (x *exchange) runStages(ctx context.Context) (*inputs, bool) {
-	in := &inputs{client: x.g.stages}
-	stages := x.route.Stages()
-	if len(stages) == 0 {
-		return in, true
+	if len(x.route.Stages()) == 0 {
+		return &inputs{client: x.g.stages}, true
 	}
 	began := x.g.o.Timers.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	states := make([]*stageState, len(stages))
-	for i := range states {
-		states[i] = &stageState{done: make(chan struct{})}
-	}
-	for i, stage := range stages {
-		if x.pieces(i) > 0 {
-			for _, need := range stage.Needs {
-				states[need].users.Add(1)
-			}
+	defer func() { x.stagesT += x.g.o.Timers.Since(began) }()
+	x.home = x.homeDomain()
+	var failed error
+	for range stageRounds {
+		in, err := x.stageRound(ctx)
+		if err == nil {
+			return in, true
+		}
+		failed = err
+		x.lastErr = err.Error()
+		var stage *StageError
+		if !errors.As(err, &stage) || stage.reason != reasonInputGone {
+			break
 		}
 	}
-	x.home = x.homeDomain()
+	var stage *StageError
+	if errors.As(failed, &stage) {
+		x.refuse("stage_"+stage.reason, stage.after)
+	} else {
+		x.giveUp(ctx)
+	}
+	return nil, false
+}
+
+// stageRound runs all stages once, each as soon as those that it needs are done.
+func (x *exchange) stageRound(ctx context.Context) (*inputs, error) {
+	in := &inputs{client: x.g.stages}
+	states := x.newStates()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg sync.WaitGroup
 	var once sync.Once
 	var failed error
@@ -150,22 +169,32 @@
 		})
 	}
 	wg.Wait()
-	x.stagesT += x.g.o.Timers.Since(began)
-	if failed == nil {
-		for _, i := range x.route.LastStages() {
-			in.last = append(in.last, states[i].results...)
-		}
-		return in, true
+	if failed != nil {
+		in.free()
+		return nil, failed
 	}
-	in.free()
-	x.lastErr = failed.Error()
-	var stage *StageError
-	if errors.As(failed, &stage) {
-		x.refuse("stage_"+stage.reason, stage.after)
-	} else {
-		x.giveUp(ctx)
+	for _, i := range x.route.LastStages() {
+		in.last = append(in.last, states[i].results...)
 	}
-	return nil, false
+	return in, nil
+}
+
+// newStates returns the states of all stages, before any of them has run.
+func (x *exchange) newStates() []*stageState {
+	stages := x.route.Stages()
+	states := make([]*stageState, len(stages))
+	for i := range states {
+		states[i] = &stageState{done: make(chan struct{})}
+	}
+	for i, stage := range stages {
+		if x.pieces(i) == 0 {
+			continue
+		}
+		for _, need := range stage.Needs {
+			states[need].users.Add(1)
+		}
+	}
+	return states
 }
 
 // pieces returns the number of pieces of a stage; 0 leaves it out.
