--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -31,7 +31,7 @@
 	// priorityDelay is how much later than its objective says a request is ordered
 	// for each rank below the most urgent. It decides who waits when not all
 	// objectives can be met; a request passes through two or three calls.
-	priorityDelay = 600 * time.Millisecond
+	priorityDelay = 1500 * time.Millisecond
 	// foreignDelay is the same for a request whose results would cross to another
 	// failure domain at the target that is free. It is half a call: a target of
 	// the own domain becomes free about then.
