batching: Order jobs instead of pieces, look only when a target is free

Change: the queue holds jobs; it is ordered only when a target is free or every 50 ms; gateways and the collector give results up less often and together.

--- a/internal/batching/runner.go
+++ b/internal/batching/runner.go
@@ -26,6 +26,8 @@
 	// fetchTime is the time from the beginning of a call to when its target has
 	// fetched the inputs. Those of a full call, 14 MB, take 12 ms at 10 Gbit/s.
 	fetchTime = 100 * time.Millisecond
+	// freePeriod is how long results to give up at one target are collected.
+	freePeriod = 25 * time.Millisecond
 	// freeTimeout bounds a call that gives up results.
 	freeTimeout = time.Second
 )
@@ -53,6 +55,7 @@
 	o        Options
 	mu       sync.Mutex
 	services map[string]*serviceRunner
+	given    map[Target]*givenUp
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -71,7 +74,7 @@
 // NewRunner returns a Runner.
 func NewRunner(o Options) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Runner{o: o, services: map[string]*serviceRunner{}, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	return &Runner{o: o, services: map[string]*serviceRunner{}, given: map[Target]*givenUp{}, ctx: ctx, cancel: cancel, done: make(chan struct{})}
 }
 
 // Start implements kernel.Starter.
@@ -200,25 +203,47 @@
 	}
 }
 
-// free gives up results at one target. The room counts as free once it has answered.
+// givenUp are the results to give up at one target with the next message.
+type givenUp struct {
+	handles []string
+	service *serviceRunner
+}
+
+// free gives up results at one target, together with others that follow soon.
 func (r *Runner) free(t Target, handles []string, s *serviceRunner) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ctx.Err() != nil {
 		return
 	}
-	r.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(r.ctx, freeTimeout)
-		defer cancel()
-		if err := r.o.Target.Free(ctx, t, handles); err != nil {
-			// The results end by themselves after their lifetime.
-			klog.V(1).InfoS("Results not given up", "target", t.ID, "results", len(handles), "cause", err.Error())
-			return
-		}
-		if s != nil {
-			s.change(func(sch *Scheduler) { sch.Free(handles) })
-		}
-	})
+	if g := r.given[t]; g != nil {
+		g.handles = append(g.handles, handles...)
+		return
+	}
+	r.given[t] = &givenUp{handles: handles, service: s}
+	r.wg.Go(func() { r.sendFree(t) })
+}
+
+// sendFree sends what was given up at a target. The room counts as free once the
+// target has answered.
+func (r *Runner) sendFree(t Target) {
+	if err := r.o.Timers.Sleep(r.ctx, freePeriod); err != nil {
+		return // the runner stops
+	}
+	r.mu.Lock()
+	g := r.given[t]
+	delete(r.given, t)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.ctx, freeTimeout)
+	defer cancel()
+	if err := r.o.Target.Free(ctx, t, g.handles); err != nil {
+		// The results end by themselves after their lifetime.
+		klog.V(1).InfoS("Results not given up", "target", t.ID, "results", len(g.handles), "cause", err.Error())
+		return
+	}
+	if g.service != nil {
+		g.service.change(func(sch *Scheduler) { sch.Free(g.handles) })
+	}
 }
 
 // change runs f on the scheduler and wakes the loop.
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -42,6 +42,8 @@
 	// roomPause is how soon a target is looked at again that has no room. The
 	// gateways tell about as often which results they no longer need.
 	roomPause = 10 * time.Millisecond
+	// checkPeriod is how often jobs are looked for that wait in vain.
+	checkPeriod = 50 * time.Millisecond
 	// pieceWeight is the weight of one call in the average time for a piece.
 	pieceWeight = 0.1
 	// arrivalWindow is the time over which arrivals are averaged.
@@ -101,7 +103,9 @@
 	pending int       // pieces without a result
 	results []Result
 	ended   bool
-	waiting int // pieces that are in no call
+	queue   []int // segments that are in no call, in order
+	group   int   // see rank; as of the last sort
+	rankAt  time.Time
 	tries   int // calls that failed with a piece of this job
 	end     func(Outcome)
 }
@@ -215,7 +219,8 @@
 	profile   catalog.BatchProfile
 	workers   map[string]*worker
 	order     []*worker
-	queue     []Piece
+	jobs      []*Job // that have pieces in no call
+	waiting   int    // number of these pieces
 	calls     map[uint64]*Call
 	results   map[string]held
 	nextID    uint64
@@ -223,6 +228,7 @@
 	pieceTime float64  // average time of a call for each of its pieces, seconds
 	arrivals  float64  // pieces a second that can meet their objective
 	arrivedAt time.Time
+	checked   time.Time // when hopeless jobs were last looked for
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -289,44 +295,64 @@
 	return 0, j.Objective.Add(time.Duration(j.Priority) * priorityDelay)
 }
 
-func (s *Scheduler) before(a, b *Job, now time.Time) bool {
-	aGroup, aAt := s.rank(a, now)
-	bGroup, bAt := s.rank(b, now)
-	if aGroup != bGroup {
-		return aGroup < bGroup
+// before orders two jobs whose ranks are up to date. A job some of whose pieces
+// have begun goes first: their results take up room and are of no use until the
+// rest is done.
+func before(a, b *Job) bool { return compareJobs(a, b) < 0 }
+
+func compareJobs(a, b *Job) int {
+	return cmp.Or(cmp.Compare(a.startedRank(), b.startedRank()), cmp.Compare(a.group, b.group), a.rankAt.Compare(b.rankAt), cmp.Compare(a.RequestID, b.RequestID), cmp.Compare(a.Stage, b.Stage))
+}
+
+func (j *Job) startedRank() int {
+	if j.began.IsZero() {
+		return 1
 	}
-	return aAt.Before(bAt)
+	return 0
+}
+
+// outlook is what the targets can do from now on.
+type outlook struct {
+	rate float64       // pieces a second
+	late float64       // those of them for jobs that have missed their objective
+	free time.Duration // until a target can begin a call
+}
+
+func (s *Scheduler) outlook(now time.Time) outlook {
+	rate := s.rate(now)
+	return outlook{rate: rate, late: max(rate-s.arrivalRate(now), lateRate*rate), free: s.nextFree(now)}
 }
 
 // wait estimates when a job that is added now would begin: when the pieces before
 // it have been run and a target is free.
 func (s *Scheduler) wait(j *Job, now time.Time) time.Duration {
+	j.group, j.rankAt = s.rank(j, now)
 	ahead := 0
-	for _, p := range s.queue {
-		if s.before(p.Job, j, now) {
-			ahead++
+	for _, other := range s.jobs {
+		other.group, other.rankAt = s.rank(other, now)
+		if before(other, j) {
+			ahead += len(other.queue)
 		}
 	}
-	return s.waitBehind(j, ahead, now)
+	return s.waitBehind(j, ahead, s.outlook(now))
 }
 
 // waitBehind estimates when a job begins that has a number of pieces before it. A
 // job that has missed its objective is overtaken by those that come later and
 // haven't.
-func (s *Scheduler) waitBehind(j *Job, ahead int, now time.Time) time.Duration {
-	rate := s.rate(now)
-	if rate <= 0 {
+func (s *Scheduler) waitBehind(j *Job, ahead int, o outlook) time.Duration {
+	if o.rate <= 0 {
 		return s.profile.CallTime
 	}
-	free := s.nextFree(now)
 	if ahead+j.Pieces <= s.profile.Size {
-		return free
+		return o.free
 	}
-	if group, _ := s.rank(j, now); group > 0 {
-		rate = max(rate-s.arrivalRate(now), lateRate*rate)
+	rate := o.rate
+	if j.group > 0 {
+		rate = o.late
 	}
 	over := max(ahead+j.Pieces-s.profile.Size, 0)
-	return free + time.Duration(float64(over)/rate*float64(time.Second))
+	return o.free + time.Duration(float64(over)/rate*float64(time.Second))
 }
 
 // arrivalRate returns the pieces a second that came lately and can meet their
@@ -380,7 +406,6 @@
 	j.added = now
 	j.end = end
 	j.pending = j.Pieces
-	j.waiting = j.Pieces
 	j.results = make([]Result, j.Pieces)
 	if len(s.order) == 0 {
 		s.finish(j, Outcome{Kind: Refused, Reason: "no_target", RetryAfter: s.callTime(s.profile.Size)})
@@ -394,8 +419,10 @@
 	}
 	s.noteArrival(j, now)
 	for i := range j.Pieces {
-		s.queue = append(s.queue, Piece{Job: j, Segment: i})
+		j.queue = append(j.queue, i)
 	}
+	s.waiting += j.Pieces
+	s.jobs = append(s.jobs, j)
 }
 
 // Cancel withdraws a job whose caller has left. Results that it has already are
@@ -408,7 +435,11 @@
 		}
 	}
 	j.results = nil
-	s.queue = slices.DeleteFunc(s.queue, func(p Piece) bool { return p.Job == j })
+	if len(j.queue) > 0 {
+		s.waiting -= len(j.queue)
+		j.queue = nil
+		s.jobs = slices.DeleteFunc(s.jobs, func(other *Job) bool { return other == j })
+	}
 }
 
 func (s *Scheduler) finish(j *Job, o Outcome) {
@@ -433,16 +464,20 @@
 // Next returns a call to begin now. The time after which to ask again, when
 // nothing else happens, is 0 if that isn't needed.
 func (s *Scheduler) Next(now time.Time) (call *Call, again time.Duration) {
-	s.expire(now)
-	if len(s.queue) == 0 {
+	if len(s.jobs) == 0 {
 		return nil, 0
 	}
+	free := s.freeTargets(now)
+	if free == 0 && now.Sub(s.checked) < checkPeriod {
+		return nil, cmp.Or(s.nextPause(now), checkPeriod)
+	}
+	s.expire(now)
 	s.sort(now)
 	s.dropHopeless(now)
-	if len(s.queue) == 0 {
-		return nil, 0
+	if len(s.jobs) == 0 || free == 0 {
+		return nil, s.nextPause(now)
 	}
-	if linger := s.linger(now); linger > 0 {
+	if linger := s.linger(free, now); linger > 0 {
 		return nil, linger
 	}
 	w, again := s.choose(now)
@@ -452,55 +487,28 @@
 	return s.begin(w, now), 0
 }
 
-// sort orders the queue by rank, the pieces of a job together.
+// sort orders the jobs by rank.
 func (s *Scheduler) sort(now time.Time) {
-	type key struct {
-		started int
-		group   int
-		at      time.Time
-	}
-	keys := make(map[*Job]key, len(s.queue))
-	for _, p := range s.queue {
-		if _, ok := keys[p.Job]; !ok {
-			group, at := s.rank(p.Job, now)
-			keys[p.Job] = key{p.Job.startedRank(), group, at}
-		}
-	}
-	slices.SortStableFunc(s.queue, func(a, b Piece) int {
-		ka, kb := keys[a.Job], keys[b.Job]
-		return cmp.Or(
-			cmp.Compare(ka.started, kb.started), cmp.Compare(ka.group, kb.group), ka.at.Compare(kb.at), cmp.Compare(a.Job.RequestID, b.Job.RequestID),
-			cmp.Compare(a.Job.Stage, b.Job.Stage), cmp.Compare(a.Segment, b.Segment),
-		)
-	})
-}
-
-// startedRank orders a job some of whose pieces have begun before others: their
-// results take up room and are of no use until the rest is done.
-func (j *Job) startedRank() int {
-	if j.began.IsZero() {
-		return 1
+	for _, j := range s.jobs {
+		j.group, j.rankAt = s.rank(j, now)
 	}
-	return 0
+	slices.SortFunc(s.jobs, compareJobs)
 }
 
 // dropHopeless ends the jobs that can't be done by their deadline, given the
 // pieces before them, as soon as that is known.
 func (s *Scheduler) dropHopeless(now time.Time) {
+	s.checked = now
+	o := s.outlook(now)
 	var hopeless []*Job
 	ahead := 0
-	var last *Job
-	for _, p := range s.queue {
-		if p.Job != last {
-			last = p.Job
-			need := s.callTime(min(p.Job.pending, s.profile.Size))
-			if now.Add(s.waitBehind(p.Job, ahead, now) + need).After(p.Job.Deadline) {
-				hopeless = append(hopeless, p.Job)
-			}
-		}
-		if len(hopeless) == 0 || hopeless[len(hopeless)-1] != p.Job {
-			ahead++
+	for _, j := range s.jobs {
+		need := s.callTime(min(j.pending, s.profile.Size))
+		if now.Add(s.waitBehind(j, ahead, o) + need).After(j.Deadline) {
+			hopeless = append(hopeless, j)
+			continue
 		}
+		ahead += len(j.queue)
 	}
 	for _, j := range hopeless {
 		s.finish(j, Outcome{Kind: Late, Reason: "queue_too_long", Waited: now.Sub(j.added), RetryAfter: s.backlog(now)})
@@ -513,32 +521,33 @@
 	if rate <= 0 {
 		return s.callTime(s.profile.Size)
 	}
-	return max(time.Duration(float64(len(s.queue))/rate*float64(time.Second)), minRetryAfter)
+	return max(time.Duration(float64(s.waiting)/rate*float64(time.Second)), minRetryAfter)
 }
 
 // linger returns how long to wait for more pieces before the next call. The fewer
 // targets are free, the more a call that isn't full costs those who come next.
-func (s *Scheduler) linger(now time.Time) time.Duration {
-	if len(s.queue) >= s.profile.Size {
+func (s *Scheduler) linger(free int, now time.Time) time.Duration {
+	if s.waiting >= s.profile.Size {
 		return 0
 	}
+	oldest := s.jobs[0].added
+	for _, j := range s.jobs {
+		if j.added.Before(oldest) {
+			oldest = j.added
+		}
+	}
+	limit := maxLinger / time.Duration(free)
+	return max(limit-now.Sub(oldest), 0)
+}
+
+func (s *Scheduler) freeTargets(now time.Time) int {
 	free := 0
 	for _, w := range s.order {
 		if s.isFree(w, now) {
 			free++
 		}
 	}
-	if free == 0 {
-		return 0
-	}
-	oldest := s.queue[0].Job.added
-	for _, p := range s.queue {
-		if p.Job.added.Before(oldest) {
-			oldest = p.Job.added
-		}
-	}
-	limit := maxLinger / time.Duration(free)
-	return max(limit-now.Sub(oldest), 0)
+	return free
 }
 
 func (s *Scheduler) isFree(w *worker, now time.Time) bool {
@@ -549,7 +558,7 @@
 // which to look again. A target of the job's failure domain goes first, as the
 // results cross to another one otherwise.
 func (s *Scheduler) choose(now time.Time) (best *worker, again time.Duration) {
-	j := s.queue[0].Job
+	j := s.jobs[0]
 	bestScore := 0.0
 	full := false
 	for _, w := range s.order {
@@ -580,7 +589,7 @@
 	if best.ratio(now) >= slowRatio && s.fasterSoon(best, now) {
 		return nil, 0
 	}
-	if wait := foreignWait - now.Sub(j.added); best.Domain != j.Domain && wait > 0 && len(s.queue) < s.profile.Size && s.hasDomain(j.Domain, now) {
+	if wait := foreignWait - now.Sub(j.added); best.Domain != j.Domain && wait > 0 && s.waiting < s.profile.Size && s.hasDomain(j.Domain, now) {
 		return nil, wait
 	}
 	return best, 0
@@ -594,12 +603,16 @@
 		return true
 	}
 	room := s.profile.ResultBytes - w.room
-	need := int64(0)
-	for i, p := range s.queue {
-		if p.Job != first && i >= s.profile.Size/2 {
+	need := int64(len(first.queue)) * first.ResultBytes
+	pieces := len(first.queue)
+	for _, j := range s.jobs {
+		if pieces >= s.profile.Size/2 {
 			break
 		}
-		need += p.Job.ResultBytes
+		if j != first {
+			need += int64(len(j.queue)) * j.ResultBytes
+			pieces += len(j.queue)
+		}
 	}
 	// A job that is larger than a target's memory takes what there is.
 	return room >= min(need, s.profile.ResultBytes/2)
@@ -613,7 +626,7 @@
 // fasterSoon says whether waiting for an ordinary target ends a call earlier than
 // beginning it at a slow one.
 func (s *Scheduler) fasterSoon(slow *worker, now time.Time) bool {
-	n := min(len(s.queue), s.profile.Size)
+	n := min(s.waiting, s.profile.Size)
 	there := time.Duration(float64(s.callTime(n)) * slow.ratio(now))
 	for _, w := range s.order {
 		if w == slow || w.ratio(now) >= slowRatio || w.failures > 0 {
@@ -642,67 +655,50 @@
 
 // begin takes the first jobs that the target has room for into a call. Jobs of the
 // target's failure domain go before others that are about as urgent. A job is
-// split only when the call would not be full otherwise.
+// split only when it is the first or larger than a call.
 func (s *Scheduler) begin(w *worker, now time.Time) *Call {
 	c := &Call{Target: w.Target, Began: now}
-	first := s.queue[0].Job
-	taken := map[Piece]bool{}
-	take := func(p Piece) {
-		w.room += p.Job.ResultBytes
-		p.Job.began = now
-		p.Job.waiting--
-		taken[p] = true
-		c.Pieces = append(c.Pieces, p)
-	}
-	for _, job := range s.jobsFor(w, now) {
+	first := s.jobs[0]
+	for _, j := range s.jobsFor(w) {
 		space := s.profile.Size - len(c.Pieces)
-		if s.profile.ResultBytes > 0 && job.bytes > 0 {
-			space = min(space, int((s.profile.ResultBytes-w.room)/job.bytes))
+		if s.profile.ResultBytes > 0 && j.ResultBytes > 0 {
+			space = min(space, int((s.profile.ResultBytes-w.room)/j.ResultBytes))
 		}
-		foreign := job.job.Domain != w.Domain && job.job != first && s.mayWait(job.job, now)
-		whole := len(job.pieces) <= space || job.job == first || len(job.pieces) > s.profile.Size
+		foreign := j.Domain != w.Domain && j != first && s.mayWait(j, now)
+		whole := len(j.queue) <= space || j == first || len(j.queue) > s.profile.Size
 		if space <= 0 || foreign || !whole {
 			continue
 		}
-		for _, p := range job.pieces[:min(space, len(job.pieces))] {
-			take(p)
+		n := min(space, len(j.queue))
+		for _, segment := range j.queue[:n] {
+			c.Pieces = append(c.Pieces, Piece{Job: j, Segment: segment})
 		}
+		j.queue = j.queue[n:]
+		j.began = now
+		s.waiting -= n
+		w.room += int64(n) * j.ResultBytes
 	}
-	s.queue = slices.DeleteFunc(s.queue, func(p Piece) bool { return taken[p] })
+	s.jobs = slices.DeleteFunc(s.jobs, func(j *Job) bool { return len(j.queue) == 0 })
 	s.nextID++
 	c.ID = s.nextID
 	c.Expected = time.Duration(float64(s.callTime(len(c.Pieces))) * max(w.ratio(now), 1))
-	c.Queued, c.Room = len(s.queue), w.room
+	c.Queued, c.Room = s.waiting, w.room
 	w.calls++
 	s.calls[c.ID] = c
 	return c
 }
 
-// queuedJob is a job with its pieces that wait.
-type queuedJob struct {
-	job    *Job
-	pieces []Piece
-	bytes  int64
-	at     time.Time
-	group  int
-}
-
-// jobsFor returns the queued jobs in the order in which a target takes them.
-func (s *Scheduler) jobsFor(w *worker, now time.Time) []*queuedJob {
-	var jobs []*queuedJob
-	for _, p := range s.queue {
-		if len(jobs) == 0 || jobs[len(jobs)-1].job != p.Job {
-			group, at := s.rank(p.Job, now)
-			if p.Job.Domain != w.Domain {
-				at = at.Add(foreignDelay)
-			}
-			jobs = append(jobs, &queuedJob{job: p.Job, bytes: p.Job.ResultBytes, at: at, group: group})
+// jobsFor returns the jobs in the order in which a target takes them.
+func (s *Scheduler) jobsFor(w *worker) []*Job {
+	at := func(j *Job) time.Time {
+		if j.Domain != w.Domain {
+			return j.rankAt.Add(foreignDelay)
 		}
-		last := jobs[len(jobs)-1]
-		last.pieces = append(last.pieces, p)
+		return j.rankAt
 	}
-	slices.SortStableFunc(jobs, func(a, b *queuedJob) int {
-		return cmp.Or(cmp.Compare(a.job.startedRank(), b.job.startedRank()), cmp.Compare(a.group, b.group), a.at.Compare(b.at))
+	jobs := slices.Clone(s.jobs)
+	slices.SortStableFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(a.startedRank(), b.startedRank()), cmp.Compare(a.group, b.group), at(a).Compare(at(b)))
 	})
 	return jobs
 }
@@ -802,8 +798,11 @@
 		s.finish(p.Job, Outcome{Kind: Failed, Reason: "too_many_failures"})
 		return
 	}
-	p.Job.waiting++
-	s.queue = append(s.queue, p)
+	if len(p.Job.queue) == 0 {
+		s.jobs = append(s.jobs, p.Job)
+	}
+	p.Job.queue = append(p.Job.queue, p.Segment)
+	s.waiting++
 }
 
 // Fetched returns the results that nobody needs any more because the last pieces
@@ -811,7 +810,7 @@
 func (s *Scheduler) Fetched(c *Call) []Result {
 	var list []Result
 	for _, p := range c.Pieces {
-		if p.Job.waiting == 0 {
+		if len(p.Job.queue) == 0 && !p.Job.ended {
 			list = append(list, p.Job.Release...)
 			p.Job.Release = nil
 		}
@@ -851,7 +850,7 @@
 }
 
 // Queued returns the number of pieces that wait.
-func (s *Scheduler) Queued() int { return len(s.queue) }
+func (s *Scheduler) Queued() int { return s.waiting }
 
 // InCalls returns the number of calls under way.
 func (s *Scheduler) InCalls() int { return len(s.calls) }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -16,7 +16,7 @@
 const (
 	// freePeriod is how long results that are given up are collected, so that one
 	// message carries those of many requests.
-	freePeriod = 20 * time.Millisecond
+	freePeriod = 80 * time.Millisecond
 	// freeTimeout bounds that message.
 	freeTimeout = time.Second
 	// queueEstimate is what a stage's pieces usually wait for their call, as part
