batching: Hold back requests that have missed their objective

Cause: in bursts every request waited in all three stages and nearly all of them missed their objective by a little. Change: the collector plans the whole path by the waits in all stages; a request that can't meet its objective comes after all that can, and waits before its first stage while a later one is busy.

--- a/internal/batching/runner.go
+++ b/internal/batching/runner.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -23,11 +25,17 @@
 	// together is given up, and its pieces are run elsewhere.
 	callSlack  = 400 * time.Millisecond
 	callFactor = 3
+	// waitMargin scales the waits that are expected in later stages: they vary, and
+	// a request that misses its objective by little is as late as any other.
+	waitMargin = 1.25
+	// gateBacklog is the backlog of a later stage above which a request that has
+	// missed its objective waits before its first stage. It is half a call.
+	gateBacklog = 180 * time.Millisecond
 	// fetchTime is the time from the beginning of a call to when its target has
 	// fetched the inputs. Those of a full call, 14 MB, take 12 ms at 10 Gbit/s.
 	fetchTime = 100 * time.Millisecond
 	// freePeriod is how long results to give up at one target are collected.
-	freePeriod = 25 * time.Millisecond
+	freePeriod = 10 * time.Millisecond
 	// freeTimeout bounds a call that gives up results.
 	freeTimeout = time.Second
 )
@@ -69,6 +77,10 @@
 	mu   sync.Mutex
 	s    *Scheduler
 	wake chan struct{}
+	// backlog, wait and fullCall are what other services' jobs are planned by, in ns.
+	backlog  atomic.Int64
+	wait     atomic.Int64
+	fullCall atomic.Int64
 }
 
 // NewRunner returns a Runner.
@@ -113,6 +125,7 @@
 	}
 	s := &serviceRunner{r: r, name: name, s: NewScheduler(*service.Batch()), wake: make(chan struct{}, 1)}
 	s.refresh()
+	s.publish()
 	r.services[name] = s
 	r.wg.Go(s.run)
 	return s
@@ -125,11 +138,13 @@
 		return &wire.RunStageResponse{Outcome: wire.StageOutcome_STAGE_OUTCOME_REFUSED, Reason: "unknown_service", RetryAfterMs: uint32(minRetryAfter.Milliseconds())}, nil
 	}
 	now := r.o.Timers.Now()
+	path := r.path(req)
 	j := &Job{
 		RequestID: req.GetRequestId(), Stage: int(req.GetStage()), Key: req.GetKey(), Inputs: req.GetInputs(),
 		Pieces: int(req.GetPieces()), ResultBytes: int64(req.GetResultBytes()), Priority: int(req.GetPriority()), Domain: req.GetFailureDomain(),
-		Objective: now.Add(time.Duration(req.GetObjectiveLeftMs()) * time.Millisecond),
-		Deadline:  now.Add(time.Duration(req.GetDeadlineLeftMs()) * time.Millisecond),
+		Objective: now.Add(time.Duration(req.GetObjectiveLeftMs())*time.Millisecond - path.expected()),
+		Deadline:  now.Add(time.Duration(req.GetDeadlineLeftMs())*time.Millisecond - path.least()),
+		Gated:     path.congested,
 	}
 	for _, p := range req.GetRelease() {
 		j.Release = append(j.Release, Result{Handle: p.GetHandle(), Target: p.GetTarget(), Domain: p.GetFailureDomain()})
@@ -148,6 +163,47 @@
 	}
 }
 
+// path is what follows a stage on the longest path of its request.
+type path struct {
+	services []*serviceRunner
+	after    time.Duration // from the last stage to the beginning of the answer
+}
+
+func (r *Runner) path(req *wire.RunStageRequest) path {
+	p := path{after: time.Duration(req.GetAfterMs()) * time.Millisecond}
+	for _, name := range req.GetFollowing() {
+		if s := r.service(name); s != nil {
+			p.services = append(p.services, s)
+		}
+	}
+	return p
+}
+
+// least returns how long the path takes without any wait.
+func (p path) least() time.Duration {
+	d := p.after
+	for _, s := range p.services {
+		d += time.Duration(s.fullCall.Load())
+	}
+	return d
+}
+
+// expected returns how long the path takes as the queues are.
+func (p path) expected() time.Duration {
+	d := p.least()
+	for _, s := range p.services {
+		d += time.Duration(waitMargin * float64(s.wait.Load()))
+	}
+	return d
+}
+
+// congested says whether a service on the path has more to do than it can begin soon.
+func (p path) congested() bool {
+	return slices.ContainsFunc(p.services, func(s *serviceRunner) bool {
+		return time.Duration(s.backlog.Load()) > gateBacklog
+	})
+}
+
 func (r *Runner) observe(service string, o Outcome) {
 	kind := [...]string{"done", "refused", "input_gone", "failed", "late"}[o.Kind]
 	r.o.Metrics.CountReason("stage_outcomes", service+"_"+kind)
@@ -251,6 +307,7 @@
 	s.mu.Lock()
 	f(s.s)
 	orphans := s.s.Orphans()
+	s.publish()
 	s.mu.Unlock()
 	if len(orphans) > 0 {
 		s.r.release(orphans)
@@ -261,6 +318,14 @@
 	}
 }
 
+// publish tells the other services how this one stands; s.mu is held.
+func (s *serviceRunner) publish() {
+	now := s.r.o.Timers.Now()
+	s.backlog.Store(int64(s.s.Backlog(now)))
+	s.wait.Store(int64(s.s.TypicalWait(now)))
+	s.fullCall.Store(int64(s.s.FullCall()))
+}
+
 // refresh brings targets and profile up to date.
 func (s *serviceRunner) refresh() {
 	now := s.r.o.Timers.Now()
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -42,6 +42,15 @@
 	// roomPause is how soon a target is looked at again that has no room. The
 	// gateways tell about as often which results they no longer need.
 	roomPause = 10 * time.Millisecond
+	// inputPatience is how long a job whose objective is missed waits behind others
+	// when its inputs take up room elsewhere.
+	inputPatience = 700 * time.Millisecond
+	// gatePause is how soon jobs are looked at again that wait for later stages.
+	gatePause = 20 * time.Millisecond
+	// waitWeight is the weight of one job in the average wait, and waitMemory how
+	// fast the average falls while no job comes.
+	waitWeight = 0.1
+	waitMemory = 2 * time.Second
 	// checkPeriod is how often jobs are looked for that wait in vain.
 	checkPeriod = 50 * time.Millisecond
 	// pieceWeight is the weight of one call in the average time for a piece.
@@ -90,6 +99,9 @@
 	Pieces    int
 	// ResultBytes is the size of one result.
 	ResultBytes int64
+	// Gated says whether the job, which has missed its objective, would only
+	// lengthen the queues of later stages if it began now; may be nil.
+	Gated func() bool
 	// Objective and Deadline are when the stage has to be done.
 	Objective time.Time
 	Deadline  time.Time
@@ -228,7 +240,10 @@
 	pieceTime float64  // average time of a call for each of its pieces, seconds
 	arrivals  float64  // pieces a second that can meet their objective
 	arrivedAt time.Time
-	checked   time.Time // when hopeless jobs were last looked for
+	// waitAverage is the average wait of jobs that are not put back.
+	waitAverage time.Duration
+	waitAt      time.Time
+	checked     time.Time // when hopeless jobs were last looked for
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -286,13 +301,27 @@
 	return total
 }
 
+// Groups of jobs, in the order in which they are served.
+const (
+	groupHopeful = iota // the objective can be met, or results wait for the job
+	groupLate           // the objective is missed
+	groupGated          // the same, and later stages are busy with others
+)
+
 // rank orders jobs: first those whose objective can still be met, by objective
-// and priority; then the others by deadline.
+// and priority; then the others by deadline. A job with inputs waits only a bounded
+// time behind the others, because its inputs take up room elsewhere.
 func (s *Scheduler) rank(j *Job, now time.Time) (group int, at time.Time) {
-	if now.Add(s.callTime(min(j.pending, s.profile.Size))).After(j.Objective) {
-		return 1, j.Deadline.Add(time.Duration(j.Priority) * priorityDelay)
+	behind := time.Duration(j.Priority) * priorityDelay
+	switch {
+	case !now.Add(s.callTime(min(j.pending, s.profile.Size))).After(j.Objective):
+		return groupHopeful, j.Objective.Add(behind)
+	case len(j.Inputs) > 0:
+		return groupLate, j.added.Add(inputPatience + behind)
+	case j.Gated != nil && j.Gated():
+		return groupGated, j.Deadline.Add(behind)
 	}
-	return 0, j.Objective.Add(time.Duration(j.Priority) * priorityDelay)
+	return groupLate, j.Deadline.Add(behind)
 }
 
 // before orders two jobs whose ranks are up to date. A job some of whose pieces
@@ -480,6 +509,9 @@
 	if linger := s.linger(free, now); linger > 0 {
 		return nil, linger
 	}
+	if s.jobs[0].group == groupGated {
+		return nil, gatePause
+	}
 	w, again := s.choose(now)
 	if w == nil {
 		return nil, max(again, s.nextPause(now))
@@ -511,17 +543,8 @@
 		ahead += len(j.queue)
 	}
 	for _, j := range hopeless {
-		s.finish(j, Outcome{Kind: Late, Reason: "queue_too_long", Waited: now.Sub(j.added), RetryAfter: s.backlog(now)})
-	}
-}
-
-// backlog returns how long the targets take for what is queued.
-func (s *Scheduler) backlog(now time.Time) time.Duration {
-	rate := s.rate(now)
-	if rate <= 0 {
-		return s.callTime(s.profile.Size)
+		s.finish(j, Outcome{Kind: Late, Reason: "queue_too_long", Waited: now.Sub(j.added), RetryAfter: max(s.Backlog(now), minRetryAfter)})
 	}
-	return max(time.Duration(float64(s.waiting)/rate*float64(time.Second)), minRetryAfter)
 }
 
 // linger returns how long to wait for more pieces before the next call. The fewer
@@ -666,9 +689,10 @@
 		}
 		foreign := j.Domain != w.Domain && j != first && s.mayWait(j, now)
 		whole := len(j.queue) <= space || j == first || len(j.queue) > s.profile.Size
-		if space <= 0 || foreign || !whole {
+		if space <= 0 || foreign || !whole || j.group == groupGated {
 			continue
 		}
+		s.noteWait(j, now)
 		n := min(space, len(j.queue))
 		for _, segment := range j.queue[:n] {
 			c.Pieces = append(c.Pieces, Piece{Job: j, Segment: segment})
@@ -688,6 +712,33 @@
 	return c
 }
 
+// noteWait averages the time that jobs wait which are not put back.
+func (s *Scheduler) noteWait(j *Job, now time.Time) {
+	if j.group != groupHopeful || !j.began.IsZero() {
+		return
+	}
+	before := s.TypicalWait(now)
+	s.waitAverage, s.waitAt = before+time.Duration(waitWeight*float64(now.Sub(j.added)-before)), now
+}
+
+// TypicalWait returns how long a job waits that is not put back. It falls while
+// none comes.
+func (s *Scheduler) TypicalWait(now time.Time) time.Duration {
+	return time.Duration(float64(s.waitAverage) * math.Exp(-now.Sub(s.waitAt).Seconds()/waitMemory.Seconds()))
+}
+
+// Backlog returns how long the targets need for what waits.
+func (s *Scheduler) Backlog(now time.Time) time.Duration {
+	rate := s.rate(now)
+	if rate <= 0 {
+		return s.callTime(s.profile.Size)
+	}
+	return time.Duration(float64(s.waiting) / rate * float64(time.Second))
+}
+
+// FullCall returns how long a full call takes.
+func (s *Scheduler) FullCall() time.Duration { return s.callTime(s.profile.Size) }
+
 // jobsFor returns the jobs in the order in which a target takes them.
 func (s *Scheduler) jobsFor(w *worker) []*Job {
 	at := func(j *Job) time.Time {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,6 @@
 // Start implements kernel.Starter.
 func (g *Gateway) Start(context.Context) error {
 	g.wg.Go(g.followTargets)
-	g.wg.Go(g.stages.runFrees)
 	return nil
 }
 
@@ -104,6 +103,7 @@
 func (g *Gateway) Stop(context.Context) error {
 	g.cancel()
 	g.wg.Wait()
+	g.stages.wg.Wait()
 	close(g.done)
 	return nil
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// freePeriod is how long results that are given up are collected, so that one
-	// message carries those of many requests.
-	freePeriod = 80 * time.Millisecond
+	// freeDelay is how long results that are given up are collected, so that one
+	// message carries those of several requests.
+	freeDelay = 10 * time.Millisecond
 	// freeTimeout bounds that message.
 	freeTimeout = time.Second
 	// queueEstimate is what a stage's pieces usually wait for their call, as part
@@ -26,9 +26,6 @@
 	stageRounds = 2
 	// reasonInputGone is the collector's reason for a lost result.
 	reasonInputGone = "input_gone"
-	// startDelayShare is the part of the estimated spare time that a stage waits,
-	// as the estimate may be too long.
-	startDelayShare = 0.7
 	// maxCollectors bounds the collectors that one stage is sent to, one after the
 	// other, as they fail.
 	maxCollectors = 3
@@ -45,7 +42,6 @@
 // heldResults are the results of one stage.
 type heldResults struct {
 	stage   int
-	service string
 	results []*wire.PieceResult
 }
 
@@ -74,7 +70,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	for _, h := range in.held {
-		in.client.give(h.service, h.results)
+		in.client.give(h.results)
 	}
 	in.held = nil
 }
@@ -87,10 +83,10 @@
 }
 
 // add takes the results of one stage.
-func (in *inputs) add(stage int, service string, results []*wire.PieceResult) {
+func (in *inputs) add(stage int, results []*wire.PieceResult) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.held = append(in.held, heldResults{stage: stage, service: service, results: results})
+	in.held = append(in.held, heldResults{stage: stage, results: results})
 }
 
 // replace takes the results of a second run of the stages.
@@ -222,18 +218,13 @@
 		close(states[i].done)
 		return nil
 	}
-	if len(stage.Needs) == 0 {
-		if err := x.g.o.Timers.Sleep(ctx, x.startDelay(i)); err != nil {
-			return err
-		}
-	}
 	now := x.g.o.Timers.Now()
-	after := x.pathAfter(i)
 	req := &wire.RunStageRequest{
 		RequestId: x.r.ID, Service: stage.Service, Stage: uint32(i), Inputs: handles, Pieces: uint32(n), ResultBytes: uint64(stage.ResultBytes),
 		Priority: uint32(x.priority), FailureDomain: x.home,
-		ObjectiveLeftMs: x.began.Add(x.route.Objective() - after).Sub(now).Milliseconds(),
-		DeadlineLeftMs:  x.firstEventBy().Add(-after).Sub(now).Milliseconds(),
+		ObjectiveLeftMs: x.began.Add(x.route.Objective()).Sub(now).Milliseconds(),
+		DeadlineLeftMs:  x.firstEventBy().Sub(now).Milliseconds(),
+		Following:       x.following(i), AfterMs: uint32(x.expectedFirst().Milliseconds()),
 	}
 	if len(stage.Needs) == 0 {
 		req.Key = x.r.PieceKey
@@ -247,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	in.add(i, stage.Service, resp.GetResults())
+	in.add(i, resp.GetResults())
 	for _, need := range stage.Needs {
 		if states[need].users.Add(-1) == 0 {
 			in.forgetStage(need)
@@ -268,31 +259,40 @@
 	return by
 }
 
-// startDelay returns how long a stage may wait because others take longer. Its
-// results would take up room at their target until those are done.
-func (x *exchange) startDelay(i int) time.Duration {
-	own := x.stageTime(i) + x.pathAfter(i)
-	longest := own
-	for j := range x.route.Stages() {
-		if x.pieces(j) > 0 {
-			longest = max(longest, x.stageTime(j)+x.pathAfter(j))
+// following returns the services of the stages after a stage, on the longest path.
+func (x *exchange) following(i int) []string {
+	var services []string
+	for {
+		next, ok := x.nextOnPath(i)
+		if !ok {
+			return services
 		}
+		services = append(services, x.route.Stages()[next].Service)
+		i = next
 	}
-	return time.Duration(float64(longest-own) * startDelayShare)
 }
 
-// pathAfter estimates the time from the end of a stage to the first event.
-func (x *exchange) pathAfter(i int) time.Duration {
-	longest := time.Duration(0)
+// nextOnPath returns the stage that follows a stage on the longest path.
+func (x *exchange) nextOnPath(i int) (next int, ok bool) {
+	best := time.Duration(0)
 	for j, other := range x.route.Stages() {
-		if x.pieces(j) > 0 && slices.Contains(other.Needs, i) {
-			longest = max(longest, x.stageTime(j)+x.pathAfter(j))
+		if x.pieces(j) == 0 || !slices.Contains(other.Needs, i) {
+			continue
+		}
+		if length := x.stageTime(j) + x.pathAfter(j); !ok || length > best {
+			next, best, ok = j, length, true
 		}
 	}
-	if longest > 0 {
-		return longest
+	return next, ok
+}
+
+// pathAfter estimates the time that the stages after a stage take.
+func (x *exchange) pathAfter(i int) time.Duration {
+	next, ok := x.nextOnPath(i)
+	if !ok {
+		return 0
 	}
-	return x.expectedFirst()
+	return x.stageTime(next) + x.pathAfter(next)
 }
 
 // stageTime estimates how long a stage takes, with its wait.
@@ -311,11 +311,12 @@
 	o     Options
 	ctx   context.Context
 	mu    sync.Mutex
-	given map[string][]*wire.PieceResult // by stage service
+	given []*wire.PieceResult // to give up with the next message
+	wg    sync.WaitGroup
 }
 
 func newStageClient(ctx context.Context, o Options) *stageClient {
-	return &stageClient{o: o, ctx: ctx, given: map[string][]*wire.PieceResult{}}
+	return &stageClient{o: o, ctx: ctx}
 }
 
 // collector returns the control VM that collects the pieces of all services; nth
@@ -369,34 +370,36 @@
 	return wire.NewBatchingProtobufClient("http://"+address, c.o.HTTP).RunStage(ctx, req)
 }
 
-// give collects results that nobody needs any more.
-func (c *stageClient) give(service string, results []*wire.PieceResult) {
+// give gives up results that nobody needs any more, together with others that
+// follow soon.
+func (c *stageClient) give(results []*wire.PieceResult) {
 	if len(results) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.given[service] = append(c.given[service], results...)
+	c.given = append(c.given, results...)
+	if len(c.given) == len(results) && c.ctx.Err() == nil {
+		c.wg.Go(c.sendFree)
+	}
 }
 
-// runFrees tells the collectors which results are given up.
-func (c *stageClient) runFrees() {
-	c.o.Timers.Every(c.ctx, freePeriod, func(ctx context.Context) {
-		c.mu.Lock()
-		given := c.given
-		c.given = map[string][]*wire.PieceResult{}
-		c.mu.Unlock()
-		for service, results := range given {
-			address, ok := c.collector(0)
-			if !ok {
-				continue // the results end by themselves after their lifetime
-			}
-			ctx, cancel := context.WithTimeout(ctx, freeTimeout)
-			_, err := wire.NewBatchingProtobufClient("http://"+address, c.o.HTTP).FreeResults(ctx, &wire.FreeResultsRequest{Results: results})
-			cancel()
-			if err != nil {
-				klog.V(1).InfoS("Results not given up", "service", service, "results", len(results), "cause", err.Error())
-			}
-		}
-	})
+// sendFree tells the collector which results are given up.
+func (c *stageClient) sendFree() {
+	if err := c.o.Timers.Sleep(c.ctx, freeDelay); err != nil {
+		return // the gateway stops; the results end by themselves
+	}
+	c.mu.Lock()
+	given := c.given
+	c.given = nil
+	c.mu.Unlock()
+	address, ok := c.collector(0)
+	if !ok {
+		return // the results end by themselves after their lifetime
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, freeTimeout)
+	defer cancel()
+	if _, err := wire.NewBatchingProtobufClient("http://"+address, c.o.HTTP).FreeResults(ctx, &wire.FreeResultsRequest{Results: given}); err != nil {
+		klog.V(1).InfoS("Results not given up", "results", len(given), "cause", err.Error())
+	}
 }
