routing, batching: Keep requests and their results in one failure domain

Change: prefixes are spread over engines by a hash that all gateways share, weighted by where the stage targets are; later stages run where their inputs are; jobs wait up to 150 ms for a target of their domain.

--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -35,10 +35,10 @@
 	// foreignDelay is the same for a request whose results would cross to another
 	// failure domain at the target that is free. It is half a call: a target of
 	// the own domain becomes free about then.
-	foreignDelay = 150 * time.Millisecond
+	foreignDelay = 400 * time.Millisecond
 	// foreignWait is how long a request waits for a target of its own failure
 	// domain while only others are free.
-	foreignWait = 60 * time.Millisecond
+	foreignWait = 150 * time.Millisecond
 	// roomPause is how soon a target is looked at again that has no room. The
 	// gateways tell about as often which results they no longer need.
 	roomPause = 10 * time.Millisecond
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -276,6 +276,9 @@
 	return nil, false
 }
 
+// Routes returns all routes, which must not be changed.
+func (c *Catalog) Routes() []*Route { return c.routes }
+
 // Service returns the service with the name.
 func (c *Catalog) Service(name string) (*Service, bool) {
 	s, ok := c.services[name]
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -92,7 +92,7 @@
 
 func (x *exchange) routingRequest() routing.Request {
 	return routing.Request{
-		Prefix: x.prefix(), Rendezvous: true, Exclude: x.tried, MayProbe: x.route.Repeatable() && x.ran == 0, FailureDomain: x.home,
+		Prefix: x.prefix(), Rendezvous: true, DomainWeights: x.g.domainWeights(x.route.Name()), Exclude: x.tried, MayProbe: x.route.Repeatable() && x.ran == 0,
 	}
 }
 
@@ -100,7 +100,7 @@
 // likely go to, so that its stages run where their results are fetched.
 func (x *exchange) homeDomain() string {
 	if pool := x.g.pool(x.service); pool != nil {
-		if domain, ok := pool.Home(x.prefix(), x.g.o.Timers.Now()); ok {
+		if domain, ok := pool.Home(x.routingRequest(), x.g.o.Timers.Now()); ok {
 			return domain
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	times     *latencies
 	mu        sync.Mutex
 	pools     map[string]*routing.Pool
+	weights   map[string]map[string]float64 // by route and failure domain
 	inFlight  atomic.Int64
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -210,6 +211,51 @@
 		}
 		p.Sync(g.targets(name, now), now)
 	}
+	g.weights = g.weigh(c, now)
+}
+
+// weigh returns for each route with stages how the targets that run them are spread
+// over the failure domains, by the bytes of results. Requests that go on in the
+// same proportion find their results near.
+func (g *Gateway) weigh(c *catalog.Catalog, now time.Time) map[string]map[string]float64 {
+	spread := map[string]map[string]float64{}
+	weights := map[string]map[string]float64{}
+	for _, r := range c.Routes() {
+		if len(r.Stages()) == 0 {
+			continue
+		}
+		w := map[string]float64{}
+		for _, stage := range r.Stages() {
+			if spread[stage.Service] == nil {
+				spread[stage.Service] = g.spread(stage.Service, now)
+			}
+			for domain, share := range spread[stage.Service] {
+				w[domain] += share * float64(stage.ResultBytes)
+			}
+		}
+		weights[r.Name()] = w
+	}
+	return weights
+}
+
+// spread returns the share of a service's targets in each failure domain.
+func (g *Gateway) spread(service string, now time.Time) map[string]float64 {
+	share := map[string]float64{}
+	targets := g.targets(service, now)
+	for _, t := range targets {
+		share[t.FailureDomain] += 1 / float64(len(targets))
+	}
+	return share
+}
+
+// domainWeights returns the weights of a route, or nil.
+func (g *Gateway) domainWeights(route string) map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w := g.weights[route]; len(w) > 0 {
+		return w
+	}
+	return nil
 }
 
 // targets returns the members of a service. When all of them are silent, the
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -218,10 +218,14 @@
 		close(states[i].done)
 		return nil
 	}
+	domain := x.home
+	if len(stage.Needs) > 0 {
+		domain = commonDomain(states, stage.Needs, domain)
+	}
 	now := x.g.o.Timers.Now()
 	req := &wire.RunStageRequest{
 		RequestId: x.r.ID, Service: stage.Service, Stage: uint32(i), Inputs: handles, Pieces: uint32(n), ResultBytes: uint64(stage.ResultBytes),
-		Priority: uint32(x.priority), FailureDomain: x.home,
+		Priority: uint32(x.priority), FailureDomain: domain,
 		ObjectiveLeftMs: x.began.Add(x.route.Objective()).Sub(now).Milliseconds(),
 		DeadlineLeftMs:  x.firstEventBy().Sub(now).Milliseconds(),
 		Following:       x.following(i), AfterMs: uint32(x.expectedFirst().Milliseconds()),
@@ -250,6 +254,22 @@
 	return nil
 }
 
+// commonDomain returns the failure domain that has most of the results of some
+// stages, which every piece of the next stage fetches.
+func commonDomain(states []*stageState, stages []int, fallback string) string {
+	count := map[string]int{}
+	best := fallback
+	for _, i := range stages {
+		for _, r := range states[i].results {
+			count[r.GetFailureDomain()]++
+			if count[r.GetFailureDomain()] > count[best] {
+				best = r.GetFailureDomain()
+			}
+		}
+	}
+	return best
+}
+
 // firstEventBy returns when the answer has to begin.
 func (x *exchange) firstEventBy() time.Time {
 	by := x.deadline
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -32,8 +32,9 @@
 	// Rendezvous chooses the target by a hash of the prefix, which is the same at
 	// all entries, in the place of what this entry learned of prompt caches.
 	Rendezvous bool
-	// FailureDomain is preferred to the pool's own when it is set.
-	FailureDomain string
+	// DomainWeights says how much of the prefixes the targets of each failure domain
+	// take, with Rendezvous; all the same when nil.
+	DomainWeights map[string]float64
 	// Exclude names the targets already tried.
 	Exclude []string
 	// MayProbe tells that the call is idempotent and has time for a second
--- a/internal/routing/rendezvous.go
+++ b/internal/routing/rendezvous.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,10 +11,12 @@
 	// rendezvousFactor and rendezvousSpare bound the load of a target that is
 	// chosen by a hash: the factor times the pool's mean and some calls more. A
 	// prefix with much of the traffic spills over to the next target in its order.
-	rendezvousFactor = 1.5
-	rendezvousSpare  = 3.0
+	rendezvousFactor = 2.0
+	rendezvousSpare  = 6.0
 	// rendezvousCost is how much dearer than an ordinary target it may be.
 	rendezvousCost = 2.0
+	// minDomainWeight keeps targets in use whose failure domain has no weight.
+	minDomainWeight = 0.05
 )
 
 // rendezvous returns the first target in the order of the prefix's hash that is
@@ -25,52 +28,60 @@
 		total += t.load(p.meanOthers, now)
 	}
 	bound := rendezvousFactor*total/float64(max(len(from), 1)) + rendezvousSpare
-	var best, fallback *target
-	var bestHash, fallbackHash uint64
+	var first, best candidate
 	for _, t := range from {
 		if excluded(r, t) {
 			continue
 		}
-		h := pairHash(r.Prefix, t.Name)
-		if fallback == nil || h > fallbackHash {
-			fallback, fallbackHash = t, h
-		}
-		if t.load(p.meanOthers, now) > bound || p.cost(t) > rendezvousCost*max(p.median, minSlowness) {
-			continue
-		}
-		if best == nil || h > bestHash {
-			best, bestHash = t, h
+		c := candidate{t, pairScore(r, t)}
+		first = higher(first, c)
+		if t.load(p.meanOthers, now) <= bound && p.cost(t) <= rendezvousCost*max(p.median, minSlowness) {
+			best = higher(best, c)
 		}
 	}
-	if best == nil {
-		return fallback, ""
+	if best.t == nil {
+		return first.t, ""
 	}
-	if best != fallback {
-		alternative = fallback.Name
+	if best.t != first.t {
+		alternative = first.t.Name
 	}
-	return best, alternative
+	return best.t, alternative
 }
 
-// pairHash orders the targets for a prefix.
-func pairHash(prefix, target string) uint64 {
+// higher returns the candidate with the higher score.
+func higher(a, b candidate) candidate {
+	if a.t == nil || b.score > a.score {
+		return b
+	}
+	return a
+}
+
+// pairScore orders the targets for a prefix. With weights, a target is the first of
+// a share of all prefixes that is in proportion to its weight.
+func pairScore(r Request, t *target) float64 {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(prefix)
+	_, _ = d.WriteString(r.Prefix)
 	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(target)
-	return d.Sum64()
+	_, _ = d.WriteString(t.Name)
+	uniform := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+	weight := 1.0
+	if r.DomainWeights != nil {
+		weight = max(r.DomainWeights[t.FailureDomain], minDomainWeight)
+	}
+	return -weight / math.Log(uniform)
 }
 
-// Home returns the failure domain of the target that a request with the prefix
-// would be sent to now.
-func (p *Pool) Home(prefix string, now time.Time) (domain string, ok bool) {
+// Home returns the failure domain of the target that a request would be sent to now
+// by the hash of its prefix.
+func (p *Pool) Home(r Request, now time.Time) (domain string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g, found := p.groups[""]
-	if !found || prefix == "" {
+	if !found || r.Prefix == "" {
 		return "", false
 	}
-	t, _ := p.rendezvous(g.all, Request{Prefix: prefix}, now)
+	t, _ := p.rendezvous(g.all, r, now)
 	if t == nil {
 		return "", false
 	}
