gateway, process: Serve short requests until a stop ends, refuse streams

Cause: with all gateways of a site stopped within 3 s, their listeners were closed while streams ended, and every caller met a closed port for 3 s. Change: after the balancer's notice a stopping gateway refuses streams with a time to come back, serves the rest, and stops when no stream is left.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	freshBound = 1800 * time.Millisecond
 	// poolPeriod is how often targets that fell silent are looked for.
 	poolPeriod = 500 * time.Millisecond
+	// stoppingRetry is the time after which a caller may come back whose stream was
+	// refused by a gateway that stops; its successor starts about then.
+	stoppingRetry = 1500 * time.Millisecond
 	// unsureRetry is the time after which a caller may come back that was refused
 	// because this gateway is not sure of the catalog.
 	unsureRetry = 300 * time.Millisecond
@@ -69,6 +72,8 @@
 	catalog   atomic.Pointer[catalog.Catalog]
 	confirmed atomic.Int64 // boot clock at which the catalog was the newest, ns
 	stopping  atomic.Bool
+	closing   atomic.Bool  // streams are refused
+	streams   atomic.Int64 // being served
 	retries   *budget.Retries
 	stages    *stageClient
 	times     *latencies
@@ -115,9 +120,16 @@
 // Drain makes the gateway report that it isn't ready.
 func (g *Gateway) Drain() { g.stopping.Store(true) }
 
+// RefuseStreams makes the gateway refuse streams, which may outlast its stop. Short
+// requests are still served, because all other gateways may be stopping as well.
+func (g *Gateway) RefuseStreams() { g.closing.Store(true) }
+
 // InFlight returns the number of requests that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// Streams returns the number of streams among them.
+func (g *Gateway) Streams() int64 { return g.streams.Load() }
+
 // Ready reports whether new callers may be sent here, and why not.
 func (g *Gateway) Ready() (ok bool, why string) {
 	switch {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,6 +57,14 @@
 	if !x.decode() || !x.authorize() || !x.readBody() {
 		return
 	}
+	if x.route.Kind() == catalog.Stream {
+		g.streams.Add(1)
+		defer g.streams.Add(-1)
+		if g.closing.Load() {
+			x.refuse("stopping", stoppingRetry)
+			return
+		}
+	}
 	ctx, cancel := context.WithDeadline(in.Context(), x.deadline)
 	defer cancel()
 	x.run(ctx)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -37,6 +37,8 @@
 	// balancerNotice is the time in which the balancer finds out that a gateway
 	// isn't ready: two checks, one a second.
 	balancerNotice = 2200 * time.Millisecond
+	// drainPeriod is how often a gateway that stops looks whether streams are left.
+	drainPeriod = 20 * time.Millisecond
 	// maxCallerConns bounds the connections of callers to one gateway, below its
 	// descriptors.
 	maxCallerConns = 3000
@@ -97,12 +99,22 @@
 	done    chan struct{}
 }
 
-// Stop implements kernel.Stopper.
+// Stop implements kernel.Stopper. It returns when no stream is served any more.
 func (p *drainPart) Stop(ctx context.Context) error {
 	defer close(p.done)
 	klog.InfoS("Gateway leaves the balancer", "in_flight", p.gateway.InFlight())
 	p.gateway.Drain()
-	return p.timers.Sleep(ctx, balancerNotice)
+	if err := p.timers.Sleep(ctx, balancerNotice); err != nil {
+		return err
+	}
+	p.gateway.RefuseStreams()
+	for p.gateway.Streams() > 0 {
+		if err := p.timers.Sleep(ctx, drainPeriod); err != nil {
+			klog.InfoS("Gateway stops with streams under way", "streams", p.gateway.Streams())
+			return err
+		}
+	}
+	return nil
 }
 
 // Done implements kernel.Stopper.
