replica, discovery: Let an empty VM answer a leader that is no seed

Ruled out: a lost transfer (the log is short), a blocked transport. Change: messages carry the sender's address; a control VM without a catalog is no collector, and one that knows no service is passed over. Test: TestNodeWithLostDiskRejoinsLeaderThatIsNoSeed fails with the mechanism taken out.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -109,7 +109,7 @@
 // and the first envelope that has another sender or recipient, or nil. Envelopes
 // to several peers may share their messages, so that e itself isn't changed.
 func joinQueued(e *wire.Envelope, q <-chan *wire.Envelope) (joined, next *wire.Envelope) {
-	joined = &wire.Envelope{ClusterId: e.GetClusterId(), From: e.GetFrom(), To: e.GetTo(), Messages: slices.Clone(e.GetMessages())}
+	joined = &wire.Envelope{ClusterId: e.GetClusterId(), From: e.GetFrom(), To: e.GetTo(), FromAddress: e.GetFromAddress(), Messages: slices.Clone(e.GetMessages())}
 	for {
 		select {
 		case next := <-q:
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -63,6 +63,7 @@
 	answered time.Time // last answer, or the start of the watch
 	named    time.Time // last time that a seed list or a member list named it
 	working  bool
+	catalog  uint64 // version that it holds
 	// until ends when the control VM stops answering.
 	until context.Context
 	lose  context.CancelFunc
@@ -101,14 +102,14 @@
 	f.follow(seeds)
 }
 
-// Working returns the addresses of the control VMs whose last watch was
-// answered, sorted.
+// Working returns the addresses of the control VMs whose last watch was answered
+// and that have a catalog, sorted. One that lost its disk has none for a while.
 func (f *Follower) Working() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []string
 	for address, s := range f.sources {
-		if s.working {
+		if s.working && s.catalog > 0 {
 			list = append(list, address)
 		}
 	}
@@ -186,6 +187,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.answered = f.o.Timers.Now()
+	s.catalog = w.GetCatalogVersion()
 	if !s.working {
 		s.working = true
 		s.until, s.lose = context.WithCancel(f.ctx)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -372,15 +372,19 @@
 			continue
 		case resp.GetOutcome() == wire.StageOutcome_STAGE_OUTCOME_DONE:
 			return resp, nil
-		case resp.GetOutcome() == wire.StageOutcome_STAGE_OUTCOME_FAILED && resp.GetReason() == "collector_stopping":
-			continue
 		}
 		last = &StageError{service: req.GetService(), reason: resp.GetReason(), after: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond}
-		return nil, last
+		if !slices.Contains(otherCollector, resp.GetReason()) {
+			return nil, last
+		}
 	}
 	return nil, last
 }
 
+// otherCollector are the reasons of a collector that can't run any stage, but
+// another one may.
+var otherCollector = []string{"collector_stopping", "unknown_service"}
+
 // runAt runs a stage at one collector, until that no longer answers watches.
 func (c *stageClient) runAt(ctx context.Context, address string, req *wire.RunStageRequest) (*wire.RunStageResponse, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -145,6 +145,7 @@
 	running sync.WaitGroup
 	greets  sync.WaitGroup
 	peers   atomic.Pointer[[]string]
+	senders sync.Map // member id to the address from which it was heard
 	// encoding is set while a snapshot is encoded in one of encodings.
 	encoding  atomic.Bool
 	encodings sync.WaitGroup
@@ -314,6 +315,9 @@
 // Deliver takes an envelope from another member. It doesn't block.
 func (n *Node) Deliver(e *wire.Envelope) {
 	if n.life.Err() == nil && n.inbox.size() < maxQueuedEvents {
+		if e.FromAddress != "" {
+			n.senders.Store(e.From, e.FromAddress)
+		}
 		n.inbox.put(Receive{Envelope: e})
 	}
 }
@@ -406,7 +410,7 @@
 	for _, m := range messages {
 		e := envelopes[m.To]
 		if e == nil {
-			e = &wire.Envelope{ClusterId: n.status.Load().Cluster, From: n.state.Member, To: m.To}
+			e = &wire.Envelope{ClusterId: n.status.Load().Cluster, From: n.state.Member, To: m.To, FromAddress: n.o.Address}
 			envelopes[m.To] = e
 		}
 		e.Messages = append(e.Messages, m.Body)
@@ -420,8 +424,12 @@
 }
 
 // sendEnvelope sends to the address of a member. A replica that doesn't have the
-// member list yet sends to all peers, of which all but the right one drop it.
+// member list yet sends to where it heard the member last, or to all peers, of
+// which all but the right one drop it.
 func (n *Node) sendEnvelope(address string, e *wire.Envelope) {
+	if heard, ok := n.senders.Load(e.To); ok && address == "" {
+		address, _ = heard.(string)
+	}
 	if address != "" {
 		n.o.Transport.Send(address, e)
 		return
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -101,6 +101,10 @@
 	vms             map[string]*vm
 	peers           []string
 	cut             map[string]bool
+	// seeds are the peers that a node is told, when they aren't all.
+	seeds []string
+	// joinOnly keeps nodes that start from forming a cluster.
+	joinOnly bool
 }
 
 func newTestCluster(t testing.TB, size int, seed ...uint64) *testCluster {
@@ -130,7 +134,7 @@
 	l := &lines{}
 	n, err := replica.NewNode(replica.NodeOptions{
 		Timer: timer.NewService(), Journal: j, Transport: sender{c, address}, Greeter: sender{c, address},
-		StateMachine: l, Address: address, Peers: c.peers, FailureDomain: "domain-" + address, Seed: c.seed, SnapshotEntries: c.snapshotEntries, SnapshotBytes: c.snapshotBytes, NewID: v.newID,
+		StateMachine: l, Address: address, Peers: c.told(), JoinOnly: c.joinOnly, FailureDomain: "domain-" + address, Seed: c.seed, SnapshotEntries: c.snapshotEntries, SnapshotBytes: c.snapshotBytes, NewID: v.newID,
 	})
 	require.NoError(c.t, err)
 	require.NoError(c.t, n.Start(c.t.Context()))
@@ -139,6 +143,14 @@
 	v.node, v.journal, v.lines = n, j, l
 }
 
+// told returns the peers that a node is told.
+func (c *testCluster) told() []string {
+	if c.seeds != nil {
+		return c.seeds
+	}
+	return c.peers
+}
+
 func (c *testCluster) stop(address string) {
 	require.NoError(c.t, c.vms[address].node.Stop(context.Background()))
 }
@@ -249,6 +261,51 @@
 	})
 }
 
+// Guards against a VM with a lost disk that never hears the leader's name: with
+// five VMs of which three are named in the settings, the leader may be another one,
+// and the answers of the empty VM reached only the three.
+func TestNodeWithLostDiskRejoinsLeaderThatIsNoSeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &testCluster{t: t, seed: 1, pause: time.Millisecond, snapshotEntries: 50, vms: map[string]*vm{}, cut: map[string]bool{}}
+		c.seeds = []string{"vm-1", "vm-2", "vm-3"}
+		c.add(5, func() afero.Fs { return afero.NewMemMapFs() })
+		time.Sleep(5 * time.Second)
+		for _, p := range c.seeds {
+			if l := c.leader(); l.address == p {
+				c.isolate(p, true)
+				time.Sleep(3 * time.Second)
+				c.isolate(p, false)
+				time.Sleep(3 * time.Second)
+			}
+		}
+		l := c.leader()
+		require.NotContains(t, c.seeds, l.address, "the case needs a leader that is no seed")
+		_, err := l.node.Propose(t.Context(), []byte("line"))
+		require.NoError(t, err)
+		c.stop("vm-1")
+		time.Sleep(time.Second)
+		c.vms["vm-1"].files = afero.NewMemMapFs()
+		c.start("vm-1")
+		time.Sleep(4 * time.Second)
+		require.Equal(t, l.lines.all(), c.vms["vm-1"].lines.all())
+		require.Equal(t, 2, c.leader().node.Status().Losable)
+	})
+}
+
+// Guards against a VM that forms a second cluster after it lost its disk, because
+// all that it can reach are empty as well.
+func TestNodeThatMayOnlyJoinFormsNoCluster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &testCluster{t: t, seed: 1, pause: time.Millisecond, snapshotEntries: 50, vms: map[string]*vm{}, cut: map[string]bool{}, joinOnly: true}
+		c.add(3, func() afero.Fs { return afero.NewMemMapFs() })
+		time.Sleep(10 * time.Second)
+		for _, p := range c.peers {
+			require.True(t, c.vms[p].node.Status().Empty)
+			require.Empty(t, c.vms[p].node.Status().LeaderID)
+		}
+	})
+}
+
 // Guards against an acknowledgement after a failed sync, and against a replica
 // that goes on with a disk whose contents it can't know.
 func TestFailedSyncStopsNode(t *testing.T) {
