batching: Let the least urgent wait at the door while a later stage is behind

Cause: in bursts of drafts, chats (least urgent) passed through the same three stages and were served as often as drafts (most urgent).

--- a/internal/batching/runner.go
+++ b/internal/batching/runner.go
@@ -28,9 +28,6 @@
 	// waitMargin scales the waits that are expected in later stages: they vary, and
 	// a request that misses its objective by little is as late as any other.
 	waitMargin = 1.25
-	// gateBacklog is the backlog of a later stage above which a request that has
-	// missed its objective waits before its first stage. It is half a call.
-	gateBacklog = 180 * time.Millisecond
 	// fetchTime is the time from the beginning of a call to when its target has
 	// fetched the inputs. Those of a full call, 14 MB, take 12 ms at 10 Gbit/s.
 	fetchTime = 100 * time.Millisecond
@@ -197,10 +194,10 @@
 	return d
 }
 
-// congested says whether a service on the path has more to do than it can begin soon.
-func (p path) congested() bool {
+// congested says whether a service on the path has a backlog above a limit.
+func (p path) congested(limit time.Duration) bool {
 	return slices.ContainsFunc(p.services, func(s *serviceRunner) bool {
-		return time.Duration(s.backlog.Load()) > gateBacklog
+		return time.Duration(s.backlog.Load()) > limit
 	})
 }
 
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -45,6 +45,12 @@
 	// inputPatience is how long a job whose objective is missed waits behind others
 	// when its inputs take up room elsewhere.
 	inputPatience = 700 * time.Millisecond
+	// gateBacklog is the backlog of a later stage above which a request that has
+	// missed its objective waits before its first stage; it is half a call.
+	// hopefulBacklog, divided by the rank, is the same for one that hasn't and
+	// isn't of the most urgent rank.
+	gateBacklog    = 180 * time.Millisecond
+	hopefulBacklog = 500 * time.Millisecond
 	// gatePause is how soon jobs are looked at again that wait for later stages.
 	gatePause = 20 * time.Millisecond
 	// waitWeight is the weight of one job in the average wait, and waitMemory how
@@ -99,9 +105,9 @@
 	Pieces    int
 	// ResultBytes is the size of one result.
 	ResultBytes int64
-	// Gated says whether the job, which has missed its objective, would only
-	// lengthen the queues of later stages if it began now; may be nil.
-	Gated func() bool
+	// Gated says whether a later stage has a backlog above a limit, so that the job
+	// would only lengthen the queue there if it began now; may be nil.
+	Gated func(limit time.Duration) bool
 	// Objective and Deadline are when the stage has to be done.
 	Objective time.Time
 	Deadline  time.Time
@@ -303,23 +309,33 @@
 
 // Groups of jobs, in the order in which they are served.
 const (
-	groupHopeful = iota // the objective can be met, or results wait for the job
+	groupHopeful = iota // the objective can be met
 	groupLate           // the objective is missed
-	groupGated          // the same, and later stages are busy with others
+	groupGated          // later stages are busy with what goes first
 )
 
 // rank orders jobs: first those whose objective can still be met, by objective
-// and priority; then the others by deadline. A job with inputs waits only a bounded
-// time behind the others, because its inputs take up room elsewhere.
+// and priority; then the others by deadline. A job that has not begun its first
+// stage waits while a later one has a backlog: the sooner, the less urgent it is,
+// and soonest when its objective is missed. One with inputs doesn't, because its
+// inputs take up room elsewhere.
 func (s *Scheduler) rank(j *Job, now time.Time) (group int, at time.Time) {
 	behind := time.Duration(j.Priority) * priorityDelay
+	hopeful := !now.Add(s.callTime(min(j.pending, s.profile.Size))).After(j.Objective)
+	limit := gateBacklog
+	if hopeful {
+		limit = hopefulBacklog / time.Duration(max(j.Priority, 1))
+	}
+	gated := len(j.Inputs) == 0 && (!hopeful || j.Priority > 0) && j.Gated != nil && j.Gated(limit)
 	switch {
-	case !now.Add(s.callTime(min(j.pending, s.profile.Size))).After(j.Objective):
+	case gated && hopeful:
+		return groupGated, j.Objective.Add(behind)
+	case gated:
+		return groupGated, j.Deadline.Add(behind)
+	case hopeful:
 		return groupHopeful, j.Objective.Add(behind)
 	case len(j.Inputs) > 0:
 		return groupLate, j.added.Add(inputPatience + behind)
-	case j.Gated != nil && j.Gated():
-		return groupGated, j.Deadline.Add(behind)
 	}
 	return groupLate, j.Deadline.Add(behind)
 }
@@ -443,7 +459,7 @@
 	wait := s.wait(j, now)
 	need := s.callTime(min(j.Pieces, s.profile.Size))
 	if over := now.Add(wait + need).Sub(j.Deadline); over > 0 {
-		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: max(over, minRetryAfter), Waited: wait})
+		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: max(over, s.Backlog(now), minRetryAfter), Waited: wait})
 		return
 	}
 	s.noteArrival(j, now)
