--- /dev/null
+++ b/internal/discovery/table_test.go
@@ -0,0 +1,125 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+var epochStart = time.Unix(1000, 0)
+
+func record(id, address string, born int64, sequence uint64, state wire.TargetState) *wire.RegisteredTarget {
+	return &wire.RegisteredTarget{Id: id, Service: "s", Address: address, FailureDomain: "d", Slots: 1, State: state, BornMs: born, Sequence: sequence}
+}
+
+const (
+	ready    = wire.TargetState_TARGET_STATE_READY
+	draining = wire.TargetState_TARGET_STATE_DRAINING
+	gone     = wire.TargetState_TARGET_STATE_GONE
+)
+
+func liveIDs(t *Table, now time.Time) []string {
+	var ids []string
+	for _, l := range t.Live("s", now) {
+		ids = append(ids, l.Record().GetId()+"/"+l.Record().GetState().String())
+	}
+	return ids
+}
+
+// Guards against a late announcement that revives a target which has left, or that
+// hides the one that runs at its address now.
+func TestLateAnnouncementRevivesNothing(t *testing.T) {
+	table := NewTable(Options{Silence: time.Minute})
+	table.Announce(record("a", "x:1", 10, 5, ready), epochStart)
+	table.Leave("a", 0, epochStart)
+	require.Empty(t, liveIDs(table, epochStart))
+	table.Announce(record("a", "x:1", 10, 6, ready), epochStart)
+	require.Empty(t, liveIDs(table, epochStart), "the same process after it left")
+	table.Announce(record("b", "x:1", 20, 1, ready), epochStart)
+	table.Announce(record("c", "x:1", 15, 9, ready), epochStart)
+	require.Equal(t, []string{"b/TARGET_STATE_READY"}, liveIDs(table, epochStart), "an older process at the address")
+	table.Announce(record("a", "y:1", 30, 1, ready), epochStart)
+	require.Len(t, liveIDs(table, epochStart), 2, "the same id, started anew")
+}
+
+// Guards against a sequence that goes back: a target that drains is not ready again.
+func TestOlderSequenceIsIgnored(t *testing.T) {
+	table := NewTable(Options{Silence: time.Minute})
+	table.Announce(record("a", "x:1", 10, 7, draining), epochStart)
+	require.False(t, table.Announce(record("a", "x:1", 10, 6, ready), epochStart))
+	require.Equal(t, []string{"a/TARGET_STATE_DRAINING"}, liveIDs(table, epochStart))
+}
+
+// Guards against watchers that end up with different targets because they heard the
+// same announcements in another order, or some of them twice.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		drawn := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) *wire.RegisteredTarget {
+			return record(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "id"), rapid.SampledFrom([]string{"x:1", "y:1"}).Draw(rt, "address"),
+				rapid.Int64Range(1, 3).Draw(rt, "born"), rapid.Uint64Range(1, 4).Draw(rt, "sequence"), rapid.SampledFrom([]wire.TargetState{ready, draining, gone}).Draw(rt, "state"))
+		}), 1, 12).Draw(rt, "records")
+		// One process says one thing under one sequence, and starts at one address.
+		byKey := map[[3]any]*wire.RegisteredTarget{}
+		var records []*wire.RegisteredTarget
+		for _, r := range drawn {
+			key := [3]any{r.GetId(), r.GetBornMs(), r.GetSequence()}
+			if byKey[key] == nil {
+				byKey[key] = r
+			}
+			records = append(records, byKey[key])
+		}
+		one, other := NewTable(Options{Silence: time.Minute}), NewTable(Options{Silence: time.Minute})
+		for _, r := range records {
+			one.Announce(r, epochStart)
+		}
+		for _, i := range rapid.Permutation(indexes(len(records))).Draw(rt, "order") {
+			other.Merge(&wire.WatchResponse{Targets: []*wire.RegisteredTarget{records[i]}}, epochStart)
+		}
+		for id, e := range one.entries {
+			o := other.entries[id].record
+			require.Equal(rt, e.record.GetBornMs(), o.GetBornMs())
+			require.Equal(rt, isGone(e.record), isGone(o))
+			if !isGone(o) {
+				require.Equal(rt, e.record.GetSequence(), o.GetSequence())
+			}
+		}
+	})
+}
+
+func indexes(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// Guards against watchers that miss a change, or that are sent everything anew.
+func TestSinceSendsOnlyChanges(t *testing.T) {
+	table := NewTable(Options{Silence: time.Minute})
+	table.Announce(record("a", "x:1", 10, 1, ready), epochStart)
+	first := table.Since("", 0, time.Second, epochStart)
+	require.True(t, first.GetFull())
+	require.Len(t, first.GetTargets(), 1)
+	table.Announce(record("a", "x:1", 10, 2, ready), epochStart.Add(time.Second))
+	next := table.Since(first.GetEpoch(), first.GetVersion(), 500*time.Millisecond, epochStart.Add(time.Second))
+	require.Empty(t, next.GetTargets(), "only the sequence changed")
+	require.Equal(t, []string{"a"}, next.GetHeard())
+	table.Announce(record("a", "x:1", 10, 3, draining), epochStart.Add(time.Second))
+	require.Len(t, table.Since(first.GetEpoch(), first.GetVersion(), time.Second, epochStart).GetTargets(), 1)
+	require.True(t, table.Since("another", 99, time.Second, epochStart).GetFull())
+}
+
+// Guards against a crashed target that is used for good.
+func TestSilentTargetIsMarked(t *testing.T) {
+	table := NewTable(Options{Silence: 6 * time.Second})
+	table.Announce(record("a", "x:1", 10, 1, ready), epochStart)
+	require.False(t, table.Live("s", epochStart.Add(5*time.Second))[0].Silent())
+	require.True(t, table.Live("s", epochStart.Add(7*time.Second))[0].Silent())
+	table.Merge(&wire.WatchResponse{Heard: []string{"a"}}, epochStart.Add(7*time.Second))
+	require.False(t, table.Live("s", epochStart.Add(8*time.Second))[0].Silent(), "another control VM hears it")
+}
