--- a/internal/batching/simulation_test.go
+++ b/internal/batching/simulation_test.go
@@ -149,9 +149,9 @@
 }
 
 // arrive adds jobs at random times with a mean rate, for a time.
-func (w *world) arrive(perSecond float64, d time.Duration, make func() *Job) {
+func (w *world) arrive(perSecond float64, d time.Duration, next func() *Job) {
 	for at := time.Duration(0); at < d; at += time.Duration(w.random.ExpFloat64() / perSecond * float64(time.Second)) {
-		w.at(at, func() { w.add(make()) })
+		w.at(at, func() { w.add(next()) })
 	}
 }
 
