--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -86,7 +86,7 @@
 	// fullPause is how long a target rests that refused a call because it is full.
 	fullPause = 60 * time.Millisecond
 	// minRetryAfter is the shortest time told to a refused caller.
-	minRetryAfter = 100 * time.Millisecond
+	minRetryAfter = 1200 * time.Millisecond
 )
 
 // Target is a target that may run calls.
