--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,153 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/timer"
+)
+
+// serve runs act for each connection of a listener on loopback.
+func serve(t *testing.T, act func(n int, c net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go act(n, c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func call(address, id string) Call {
+	return Call{Address: address, Request: &http.Request{
+		Method: http.MethodPost, Host: address, URL: &url.URL{Scheme: "http", Host: address, Path: "/"}, Header: http.Header{"Id": {id}},
+	}, Body: []byte("body"), Answers: func(r *http.Response) bool { return r.Header.Get("Id") == id }}
+}
+
+// answerAll answers each request on a connection as answer says.
+func answerAll(c net.Conn, answer func(id string) string) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, answer(req.Header.Get("Id")))
+	}
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against an answer to an earlier request that is taken for this one's.
+func TestForeignAnswerIsPassedOver(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn) {
+		answerAll(c, func(id string) string { return whole("other", "wrong") + whole(id, "right") })
+	})
+	p := NewPool(Options{Timers: timer.NewService()})
+	resp, err := p.Do(t.Context(), call(address, "a"))
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp)
+	require.NoError(t, err)
+	require.Equal(t, "right", string(body))
+	resp.Close()
+}
+
+// Guards against a connection that is used again although bytes arrived on it while
+// it was idle, or although the target closed it.
+func TestConnectionWithStrayBytesIsNotUsedAgain(t *testing.T) {
+	connections := make(chan int, 10)
+	sent := make(chan struct{}, 10)
+	address := serve(t, func(n int, c net.Conn) {
+		connections <- n
+		answerAll(c, func(id string) string {
+			time.AfterFunc(20*time.Millisecond, func() {
+				_, _ = io.WriteString(c, whole(id, "once more"))
+				sent <- struct{}{}
+			})
+			return whole(id, "x")
+		})
+	})
+	p := NewPool(Options{Timers: timer.NewService()})
+	for i := range 3 {
+		resp, err := p.Do(t.Context(), call(address, fmt.Sprint(i)))
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp)
+		require.NoError(t, err)
+		resp.Close()
+		<-sent
+	}
+	require.Len(t, connections, 3, "each request had a connection of its own")
+}
+
+// Guards against a request that counts as not sent although the target has it, and
+// the other way round.
+func TestErrorTellsWhetherTheRequestWasSent(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_ = c.Close()
+	})
+	p := NewPool(Options{Timers: timer.NewService()})
+	_, err := p.Do(t.Context(), call(address, "a"))
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.True(t, failed.Sent())
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = p.Do(t.Context(), call(closed, "a"))
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent())
+}
+
+// Guards against an answer without a length that breaks off and looks complete, and
+// against a call that goes on after its caller has left.
+func TestBrokenAndCancelledAnswers(t *testing.T) {
+	address := serve(t, func(n int, c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
+		if n > 1 {
+			return // the connection stays open and silent
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		time.AfterFunc(50*time.Millisecond, func() { _ = c.Close() })
+	})
+	p := NewPool(Options{Timers: timer.NewService()})
+	resp, err := p.Do(t.Context(), call(address, "a"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp)
+	require.Error(t, err, "reset before the end")
+	require.False(t, resp.Ended())
+	resp.Close()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err = p.Do(ctx, call(address, "a"))
+	require.NoError(t, err)
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err = io.ReadAll(resp)
+	require.Error(t, err)
+	require.False(t, errors.Is(err, io.EOF))
+	resp.Close()
+}
