--- a/internal/batching/runner.go
+++ b/internal/batching/runner.go
@@ -151,6 +151,12 @@
 	select {
 	case o := <-ended:
 		r.observe(s.name, o)
+		if o.Kind != Done {
+			klog.InfoS("Stage not run", "request", j.RequestID, "stage", j.Stage, "service", s.name, "reason", o.Reason, "pieces", j.Pieces,
+				"waited_ms", r.o.Timers.Since(now).Milliseconds(), "backlog_ms", time.Duration(s.backlog.Load()).Milliseconds(),
+				"objective_in_ms", j.Objective.Sub(r.o.Timers.Now()).Milliseconds(), "deadline_in_ms", j.Deadline.Sub(r.o.Timers.Now()).Milliseconds(),
+				"retry_after_ms", o.RetryAfter.Milliseconds())
+		}
 		return answer(o), nil
 	case <-ctx.Done():
 		s.change(func(sch *Scheduler) { sch.Cancel(j) })
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -107,10 +107,12 @@
 	watchers  map[string]watcher
 	watched   chan struct{} // closed at the next watch
 	silent    map[string]time.Time
-	ctx       context.Context
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
-	done      chan struct{}
+	// leaderSeen is the leader's address when the members were last looked at.
+	leaderSeen string
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+	done       chan struct{}
 }
 
 // New returns a Directory.
@@ -339,6 +341,10 @@
 // replaced by another VM, or a learner that never caught up.
 func (d *Directory) maintainMembers(ctx context.Context) {
 	s := d.o.Node.Status()
+	if s.LeaderAddress != d.leaderSeen {
+		klog.InfoS("Leader changed", "leader", s.LeaderAddress, "before", d.leaderSeen, "term", s.Term, "role", s.Role.String(), "members", len(s.Members))
+		d.leaderSeen = s.LeaderAddress
+	}
 	if s.Role != replica.Leader {
 		clear(d.silent)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	mu        sync.Mutex
 	pools     map[string]*routing.Pool
 	weights   map[string]map[string]float64 // by route and failure domain
+	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -91,7 +92,7 @@
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		o: o, pools: map[string]*routing.Pool{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(),
+		o: o, pools: map[string]*routing.Pool{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(),
 		retries: budget.NewRetries(budget.RetryOptions{Share: o.RetryShare, EntryShare: o.RetryShare, SpareShare: o.RetryShare, Burst: o.RetryBurst}),
 	}
 	g.confirmed.Store(-int64(time.Hour))
@@ -297,11 +298,31 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Timers.Now()
-	for _, p := range g.pools {
+	for service, p := range g.pools {
 		p.Tick(now)
+		g.logStates(service, p.Status(now))
 	}
 }
 
+// logStates writes a line for each target whose state has changed; g.mu is held.
+func (g *Gateway) logStates(service string, targets []routing.TargetStatus) {
+	states := make(map[string]routing.TargetState, len(targets))
+	before := g.states[service]
+	for _, t := range targets {
+		states[t.Name] = t.State
+		if before[t.Name] != t.State {
+			klog.InfoS("Target state", "service", service, "target", t.Name, "state", t.State, "before", before[t.Name], "cause", t.Cause,
+				"slowness", t.Slowness, "failures", t.Failures, "in_flight", t.InFlight)
+		}
+	}
+	for name, state := range before {
+		if _, ok := states[name]; !ok {
+			klog.InfoS("Target state", "service", service, "target", name, "state", "gone", "before", state)
+		}
+	}
+	g.states[service] = states
+}
+
 func (g *Gateway) pool(service string) *routing.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
