--- a/internal/batching/runner.go
+++ b/internal/batching/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -77,6 +78,7 @@
 	// backlog, wait and fullCall are what other services' jobs are planned by, in ns.
 	backlog  atomic.Int64
 	wait     atomic.Int64
+	short    atomic.Pointer[map[string]bool] // targets without much room
 	fullCall atomic.Int64
 }
 
@@ -325,6 +327,8 @@
 func (s *serviceRunner) publish() {
 	now := s.r.o.Timers.Now()
 	s.backlog.Store(int64(s.s.Backlog(now)))
+	short := s.s.ShortOfRoom()
+	s.short.Store(&short)
 	s.wait.Store(int64(s.s.TypicalWait(now)))
 	s.fullCall.Store(int64(s.s.FullCall()))
 }
@@ -396,14 +400,28 @@
 	}
 }
 
-// releaseInputs gives up the inputs of a call once its target has fetched them. If
-// the call fails afterwards, its jobs end for want of their inputs.
+// shortTargets returns the targets of all services that are short of room.
+func (r *Runner) shortTargets() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := map[string]bool{}
+	for _, s := range r.services {
+		if short := s.short.Load(); short != nil {
+			maps.Copy(all, *short)
+		}
+	}
+	return all
+}
+
+// releaseInputs gives up the inputs of a call once its target has fetched them, where
+// room is short. If the call fails afterwards, its jobs end for want of their inputs.
 func (s *serviceRunner) releaseInputs(c *Call) {
 	if err := s.r.o.Timers.Sleep(s.r.ctx, fetchTime); err != nil {
 		return // the runner stops
 	}
+	short := s.r.shortTargets()
 	var results []Result
-	s.change(func(sch *Scheduler) { results = sch.Fetched(c) })
+	s.change(func(sch *Scheduler) { results = sch.Fetched(c, func(target string) bool { return short[target] }) })
 	s.r.release(results)
 }
 
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -57,6 +57,9 @@
 	// fast the average falls while no job comes.
 	waitWeight = 0.1
 	waitMemory = 2 * time.Second
+	// shortShare is the part of a target's memory for results above which it counts
+	// as short of room: a full call takes nearly half of what is there.
+	shortShare = 0.6
 	// checkPeriod is how often jobs are looked for that wait in vain.
 	checkPeriod = 50 * time.Millisecond
 	// pieceWeight is the weight of one call in the average time for a piece.
@@ -242,7 +245,7 @@
 	calls     map[uint64]*Call
 	results   map[string]held
 	nextID    uint64
-	orphans   []Result // of jobs that ended without all results
+	orphans   []Result // results that no job needs any more
 	pieceTime float64  // average time of a call for each of its pieces, seconds
 	arrivals  float64  // pieces a second that can meet their objective
 	arrivedAt time.Time
@@ -494,6 +497,7 @@
 	if o.Kind == Done {
 		o.Results = j.results
 		j.results = nil
+		s.orphans = append(s.orphans, j.Release...)
 	}
 	s.Cancel(j)
 	j.end(o)
@@ -872,15 +876,40 @@
 	s.waiting++
 }
 
-// Fetched returns the results that nobody needs any more because the last pieces
-// of jobs in a call have fetched them.
-func (s *Scheduler) Fetched(c *Call) []Result {
+// Fetched returns the inputs that may be given up because the last pieces of jobs
+// in a call have fetched them, at targets that are short of room. Others are kept
+// until the job is done, as a piece that fails has to fetch its inputs again. A job
+// whose last pieces began with a later call is left to that one.
+func (s *Scheduler) Fetched(c *Call, short func(target string) bool) []Result {
 	var list []Result
 	for _, p := range c.Pieces {
-		if len(p.Job.queue) == 0 && !p.Job.ended {
-			list = append(list, p.Job.Release...)
-			p.Job.Release = nil
+		j := p.Job
+		if len(j.queue) > 0 || j.ended || j.began.After(c.Began) {
+			continue
+		}
+		j.Release = slices.DeleteFunc(j.Release, func(r Result) bool {
+			if short(r.Target) {
+				list = append(list, r)
+				return true
+			}
+			return false
+		})
+	}
+	return list
+}
+
+// ShortOfRoom returns the targets of which more than a part of the memory for
+// results is taken; nil when there is none.
+func (s *Scheduler) ShortOfRoom() map[string]bool {
+	var list map[string]bool
+	for id, w := range s.workers {
+		if s.profile.ResultBytes <= 0 || float64(w.room) < shortShare*float64(s.profile.ResultBytes) {
+			continue
+		}
+		if list == nil {
+			list = map[string]bool{}
 		}
+		list[id] = true
 	}
 	return list
 }
--- a/internal/batching/simulation_test.go
+++ b/internal/batching/simulation_test.go
@@ -251,3 +251,41 @@
 	require.Equal(t, Done, got[0].Kind)
 	require.Equal(t, "x", got[0].Results[0].Handle)
 }
+
+// Guards against inputs that are given up while a call fetches them: a job was split
+// over two calls, and the first one's time was over just after the second began.
+func TestInputsOfASplitJobOutliveItsLastCall(t *testing.T) {
+	s := NewScheduler(invoicing)
+	now := time.Unix(1000, 0)
+	s.SetTargets([]Target{{ID: "a"}, {ID: "b"}})
+	j := &Job{RequestID: "r", Pieces: 10, Inputs: []string{"x"}, Release: []Result{{Handle: "x", Target: "z"}}, Objective: now.Add(time.Second), Deadline: now.Add(5 * time.Second)}
+	s.Add(j, func(Outcome) {}, now)
+	first, _ := s.Next(now)
+	require.NotNil(t, first)
+	now = now.Add(maxLinger)
+	second, _ := s.Next(now)
+	require.NotNil(t, second)
+	require.Len(t, append(first.Pieces, second.Pieces...), 10)
+	short := func(string) bool { return true }
+	require.Empty(t, s.Fetched(first, short), "the second call has just begun")
+	require.Len(t, s.Fetched(second, short), 1)
+	require.Empty(t, s.Fetched(second, short), "once")
+}
+
+// Guards against a request that begins anew because one of its pieces failed, after
+// its inputs had been given up early: they are kept while there is room, and given
+// up when the job is done.
+func TestInputsAreKeptWhileThereIsRoom(t *testing.T) {
+	s := NewScheduler(invoicing)
+	now := time.Unix(1000, 0)
+	s.SetTargets([]Target{{ID: "a"}})
+	input := Result{Handle: "x", Target: "z"}
+	j := &Job{RequestID: "r", Pieces: 1, Inputs: []string{"x"}, Release: []Result{input}, Objective: now.Add(time.Second), Deadline: now.Add(5 * time.Second)}
+	s.Add(j, func(Outcome) {}, now)
+	now = now.Add(maxLinger)
+	c, _ := s.Next(now)
+	require.NotNil(t, c)
+	require.Empty(t, s.Fetched(c, func(string) bool { return false }))
+	s.Finish(c, Answered{Pieces: []PieceOutcome{PieceDone}, Handles: []string{"y"}}, now.Add(300*time.Millisecond))
+	require.Equal(t, []Result{input}, s.Orphans())
+}
