gateway: Eject engines for their latency later

Cause: in a burst of long prompts up to half of the engines were ejected as slow, in turn, at single gateways (incident inc-5b02).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	freshBound = 1800 * time.Millisecond
 	// poolPeriod is how often targets that fell silent are looked for.
 	poolPeriod = 500 * time.Millisecond
+	// engineOutlier is the multiple of the median latency above which an engine is
+	// ejected. At 3, bursts of long prompts ejected half of the engines.
+	engineOutlier = 6
 	// stoppingRetry is the time after which a caller may come back whose stream was
 	// refused by a gateway that stops; its successor starts about then.
 	stoppingRetry = 1500 * time.Millisecond
@@ -219,7 +222,7 @@
 		}
 		p := g.pools[name]
 		if p == nil {
-			p = routing.NewPool(routing.Options{Service: name, FailureDomain: g.o.Domain, Seed: g.o.Seed})
+			p = routing.NewPool(routing.Options{Service: name, FailureDomain: g.o.Domain, Seed: g.o.Seed, Health: health(service)})
 			g.pools[name] = p
 		}
 		p.Sync(g.targets(name, now), now)
@@ -271,6 +274,16 @@
 	return nil
 }
 
+// health returns the bounds by which targets of a service are ejected. The first
+// event of an engine waits behind the prompts of others, so that its latency varies
+// several times over without a fault.
+func health(s *catalog.Service) routing.HealthOptions {
+	if s.Engine() == nil {
+		return routing.HealthOptions{}
+	}
+	return routing.HealthOptions{Outlier: engineOutlier}
+}
+
 // targets returns the members of a service. When all of them are silent, the
 // news of them is what is missing, and they count as present.
 func (g *Gateway) targets(service string, now time.Time) []routing.Target {
