batching: Count on 0.05 of the rate for late requests

Cause: requests that had missed their objective were let in on the hope of more of the targets' work than they got, and were held in vain.

--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -68,7 +68,7 @@
 	arrivalWindow = 2 * time.Second
 	// lateRate is the least share of the targets' work that requests get which
 	// have missed their objective.
-	lateRate = 0.15
+	lateRate = 0.05
 	// maxLinger is how long pieces wait for others when every target but one is
 	// busy. It is a tenth of a full call.
 	maxLinger = 40 * time.Millisecond
