--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -20,7 +20,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -33,8 +32,8 @@
 	// objectives can be met; a request passes through two or three calls.
 	priorityDelay = 1500 * time.Millisecond
 	// foreignDelay is the same for a request whose results would cross to another
-	// failure domain at the target that is free. It is half a call: a target of
-	// the own domain becomes free about then.
+	// failure domain at the target that is free. A call takes about as long, after
+	// which a target of the own domain is free.
 	foreignDelay = 400 * time.Millisecond
 	// foreignWait is how long a request waits for a target of its own failure
 	// domain while only others are free.
@@ -88,153 +87,11 @@
 	maxPause   = 4 * time.Second
 	// fullPause is how long a target rests that refused a call because it is full.
 	fullPause = 60 * time.Millisecond
-	// minRetryAfter is the shortest time told to a refused caller.
+	// minRetryAfter is the shortest time told to a refused caller. One that comes
+	// back sooner meets the same burst and is refused again.
 	minRetryAfter = 1200 * time.Millisecond
 )
 
-// Target is a target that may run calls.
-type Target struct {
-	ID      string
-	Address string
-	Domain  string
-}
-
-// Job is one stage of one request.
-type Job struct {
-	RequestID string
-	Stage     int
-	Key       string
-	Inputs    []string
-	Pieces    int
-	// ResultBytes is the size of one result.
-	ResultBytes int64
-	// Gated says whether a later stage has a backlog above a limit, so that the job
-	// would only lengthen the queue there if it began now; may be nil.
-	Gated func(limit time.Duration) bool
-	// Objective and Deadline are when the stage has to be done.
-	Objective time.Time
-	Deadline  time.Time
-	Priority  int
-	Domain    string // in which the results are fetched, most likely
-	// Release are results that nobody needs once the pieces have fetched them.
-	Release []Result
-
-	added   time.Time
-	began   time.Time // of the last call
-	pending int       // pieces without a result
-	results []Result
-	ended   bool
-	queue   []int // segments that are in no call, in order
-	group   int   // see rank; as of the last sort
-	rankAt  time.Time
-	tries   int // calls that failed with a piece of this job
-	end     func(Outcome)
-}
-
-// Result is the result of one piece.
-type Result struct {
-	Handle string
-	Target string
-	Domain string
-}
-
-// OutcomeKind is how a job ended.
-type OutcomeKind int
-
-// Kinds of outcomes.
-const (
-	Done OutcomeKind = iota
-	Refused
-	InputGone
-	Failed
-	Late
-)
-
-// Outcome is how a job ended.
-type Outcome struct {
-	Kind       OutcomeKind
-	Results    []Result
-	RetryAfter time.Duration
-	Reason     string
-	Waited     time.Duration
-	Worked     time.Duration
-}
-
-// Piece is one piece of a job in a call.
-type Piece struct {
-	Job     *Job
-	Segment int
-}
-
-// Call is a set of pieces for one target.
-type Call struct {
-	ID       uint64
-	Target   Target
-	Pieces   []Piece
-	Began    time.Time
-	Expected time.Duration // by the profile and what is known of the target
-	// Queued is the number of pieces left in the queue, and Room the bytes of
-	// results at the target with those of this call.
-	Queued int
-	Room   int64
-}
-
-// PieceOutcome is what became of one piece of a call.
-type PieceOutcome int
-
-// Outcomes of a piece.
-const (
-	PieceDone  PieceOutcome = iota
-	PieceGone               // an input no longer exists
-	PieceLate               // its time was over at its turn
-	PieceRetry              // no room, or an error of the target
-)
-
-// CallOutcome is what became of a call. It is sealed.
-type CallOutcome interface{ isCallOutcome() }
-
-// Answered reports the outcome and handle of each piece, in order.
-type Answered struct {
-	Pieces  []PieceOutcome
-	Handles []string
-}
-
-// Full reports that the target refused the call, which did not run.
-type Full struct{}
-
-// Broken reports a call without a usable answer.
-type Broken struct{ Reason string }
-
-func (Answered) isCallOutcome() {}
-func (Full) isCallOutcome()     {}
-func (Broken) isCallOutcome()   {}
-
-// worker is what the Scheduler knows of a target.
-type worker struct {
-	Target
-	calls    int
-	room     int64 // bytes of results that it holds
-	slowness float64
-	judged   time.Time // last change of slowness
-	failures int
-	pause    time.Time
-	present  bool
-}
-
-// ratio returns how long calls take there, relative to the profile. What was seen
-// counts less as it grows older: a target that is avoided gives no newer figure, and
-// this process may have been what was slow.
-func (w *worker) ratio(now time.Time) float64 {
-	return 1 + (w.slowness-1)*math.Exp(-now.Sub(w.judged).Seconds()/ratioMemory.Seconds())
-}
-
-// held is a result that takes up room at a target.
-type held struct {
-	target  string
-	bytes   int64
-	expires time.Time
-}
-
 // Scheduler holds the queue of one service. It isn't safe for concurrent use.
 type Scheduler struct {
 	profile   catalog.BatchProfile
@@ -266,50 +123,6 @@
 // SetProfile replaces the service's profile.
 func (s *Scheduler) SetProfile(p catalog.BatchProfile) { s.profile = p }
 
-// SetTargets replaces the targets. Calls at targets that are missing go on.
-func (s *Scheduler) SetTargets(targets []Target) {
-	for _, w := range s.workers {
-		w.present = false
-	}
-	for _, t := range targets {
-		w := s.workers[t.ID]
-		if w == nil {
-			w = &worker{Target: t, slowness: 1}
-			s.workers[t.ID] = w
-		}
-		w.Target = t
-		w.present = true
-	}
-	s.order = s.order[:0]
-	for id, w := range s.workers {
-		switch {
-		case w.present:
-			s.order = append(s.order, w)
-		case w.calls == 0:
-			delete(s.workers, id)
-		}
-	}
-	slices.SortFunc(s.order, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
-}
-
-// callTime returns how long a call of n pieces takes at an ordinary target.
-func (s *Scheduler) callTime(n int) time.Duration {
-	return s.profile.CallTime + time.Duration(float64(n)*s.pieceTime*float64(time.Second))
-}
-
-// rate returns the pieces a second that all targets run in full calls.
-func (s *Scheduler) rate(now time.Time) float64 {
-	full := s.callTime(s.profile.Size).Seconds()
-	total := 0.0
-	for _, w := range s.order {
-		if now.Before(w.pause) {
-			continue
-		}
-		total += float64(s.profile.Concurrency*s.profile.Size) / (full * max(w.ratio(now), 1))
-	}
-	return total
-}
-
 // Groups of jobs, in the order in which they are served.
 const (
 	groupHopeful = iota // the objective can be met
@@ -343,111 +156,6 @@
 	return groupLate, j.Deadline.Add(behind)
 }
 
-// before orders two jobs whose ranks are up to date. A job some of whose pieces
-// have begun goes first: their results take up room and are of no use until the
-// rest is done.
-func before(a, b *Job) bool { return compareJobs(a, b) < 0 }
-
-func compareJobs(a, b *Job) int {
-	return cmp.Or(cmp.Compare(a.startedRank(), b.startedRank()), cmp.Compare(a.group, b.group), a.rankAt.Compare(b.rankAt), cmp.Compare(a.RequestID, b.RequestID), cmp.Compare(a.Stage, b.Stage))
-}
-
-func (j *Job) startedRank() int {
-	if j.began.IsZero() {
-		return 1
-	}
-	return 0
-}
-
-// outlook is what the targets can do from now on.
-type outlook struct {
-	rate float64       // pieces a second
-	late float64       // those of them for jobs that have missed their objective
-	free time.Duration // until a target can begin a call
-}
-
-func (s *Scheduler) outlook(now time.Time) outlook {
-	rate := s.rate(now)
-	return outlook{rate: rate, late: max(rate-s.arrivalRate(now), lateRate*rate), free: s.nextFree(now)}
-}
-
-// wait estimates when a job that is added now would begin: when the pieces before
-// it have been run and a target is free.
-func (s *Scheduler) wait(j *Job, now time.Time) time.Duration {
-	j.group, j.rankAt = s.rank(j, now)
-	ahead := 0
-	for _, other := range s.jobs {
-		other.group, other.rankAt = s.rank(other, now)
-		if before(other, j) {
-			ahead += len(other.queue)
-		}
-	}
-	return s.waitBehind(j, ahead, s.outlook(now))
-}
-
-// waitBehind estimates when a job begins that has a number of pieces before it. A
-// job that has missed its objective is overtaken by those that come later and
-// haven't.
-func (s *Scheduler) waitBehind(j *Job, ahead int, o outlook) time.Duration {
-	if o.rate <= 0 {
-		return s.profile.CallTime
-	}
-	if ahead+j.Pieces <= s.profile.Size {
-		return o.free
-	}
-	rate := o.rate
-	if j.group > 0 {
-		rate = o.late
-	}
-	over := max(ahead+j.Pieces-s.profile.Size, 0)
-	return o.free + time.Duration(float64(over)/rate*float64(time.Second))
-}
-
-// arrivalRate returns the pieces a second that came lately and can meet their
-// objective.
-func (s *Scheduler) arrivalRate(now time.Time) float64 {
-	return s.arrivals * math.Exp(-now.Sub(s.arrivedAt).Seconds()/arrivalWindow.Seconds())
-}
-
-func (s *Scheduler) noteArrival(j *Job, now time.Time) {
-	if group, _ := s.rank(j, now); group > 0 {
-		return
-	}
-	s.arrivals = s.arrivalRate(now) + float64(j.Pieces)/arrivalWindow.Seconds()
-	s.arrivedAt = now
-}
-
-// nextFree returns the time until a target can begin a call.
-func (s *Scheduler) nextFree(now time.Time) time.Duration {
-	best := time.Duration(-1)
-	for _, w := range s.order {
-		left := w.pause.Sub(now)
-		if w.calls >= s.profile.Concurrency {
-			left = max(left, s.callLeft(w.ID, now))
-		}
-		left = max(left, 0)
-		if best < 0 || left < best {
-			best = left
-		}
-	}
-	return max(best, 0)
-}
-
-// callLeft returns the time until the first call at a target ends.
-func (s *Scheduler) callLeft(id string, now time.Time) time.Duration {
-	best := time.Duration(-1)
-	for _, c := range s.calls {
-		if c.Target.ID != id {
-			continue
-		}
-		left := max(c.Began.Add(c.Expected).Sub(now), 0)
-		if best < 0 || left < best {
-			best = left
-		}
-	}
-	return max(best, 0)
-}
-
 // Add queues a job; end is called once with its outcome, from Add, Next or Finish.
 // A job that can't be done by its deadline is refused at once.
 func (s *Scheduler) Add(j *Job, end func(Outcome), now time.Time) {
@@ -503,13 +211,6 @@
 	j.end(o)
 }
 
-// Orphans returns the results that no job needs, for the runner to give up.
-func (s *Scheduler) Orphans() []Result {
-	o := s.orphans
-	s.orphans = nil
-	return o
-}
-
 // Next returns a call to begin now. The time after which to ask again, when
 // nothing else happens, is 0 if that isn't needed.
 func (s *Scheduler) Next(now time.Time) (call *Call, again time.Duration) {
@@ -567,135 +268,6 @@
 	}
 }
 
-// linger returns how long to wait for more pieces before the next call. The fewer
-// targets are free, the more a call that isn't full costs those who come next.
-func (s *Scheduler) linger(free int, now time.Time) time.Duration {
-	if s.waiting >= s.profile.Size {
-		return 0
-	}
-	oldest := s.jobs[0].added
-	for _, j := range s.jobs {
-		if j.added.Before(oldest) {
-			oldest = j.added
-		}
-	}
-	limit := maxLinger / time.Duration(free)
-	return max(limit-now.Sub(oldest), 0)
-}
-
-func (s *Scheduler) freeTargets(now time.Time) int {
-	free := 0
-	for _, w := range s.order {
-		if s.isFree(w, now) {
-			free++
-		}
-	}
-	return free
-}
-
-func (s *Scheduler) isFree(w *worker, now time.Time) bool {
-	return w.calls < s.profile.Concurrency && !now.Before(w.pause)
-}
-
-// choose returns the free target for the first job of the queue, or the time after
-// which to look again. A target of the job's failure domain goes first, as the
-// results cross to another one otherwise.
-func (s *Scheduler) choose(now time.Time) (best *worker, again time.Duration) {
-	j := s.jobs[0]
-	bestScore := 0.0
-	full := false
-	for _, w := range s.order {
-		if !s.isFree(w, now) {
-			continue
-		}
-		if !s.worthwhile(w, j) {
-			full = true
-			continue
-		}
-		score := 1.0
-		if w.ratio(now) >= slowRatio {
-			score = w.ratio(now)
-		}
-		if w.Domain != j.Domain {
-			score += 0.5
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
-		}
-	}
-	if best == nil {
-		if full {
-			again = roomPause
-		}
-		return nil, again
-	}
-	if best.ratio(now) >= slowRatio && s.fasterSoon(best, now) {
-		return nil, 0
-	}
-	if wait := foreignWait - now.Sub(j.added); best.Domain != j.Domain && wait > 0 && s.waiting < s.profile.Size && s.hasDomain(j.Domain, now) {
-		return nil, wait
-	}
-	return best, 0
-}
-
-// worthwhile says whether a target has room for the queue's first job, and for
-// half a call when more than that waits. A smaller call would spend the call's own
-// time on few pieces just when there is the most to do.
-func (s *Scheduler) worthwhile(w *worker, first *Job) bool {
-	if s.profile.ResultBytes <= 0 {
-		return true
-	}
-	room := s.profile.ResultBytes - w.room
-	need := int64(len(first.queue)) * first.ResultBytes
-	pieces := len(first.queue)
-	for _, j := range s.jobs {
-		if pieces >= s.profile.Size/2 {
-			break
-		}
-		if j != first {
-			need += int64(len(j.queue)) * j.ResultBytes
-			pieces += len(j.queue)
-		}
-	}
-	// A job that is larger than a target's memory takes what there is.
-	return room >= min(need, s.profile.ResultBytes/2)
-}
-
-// hasDomain says whether an ordinary target is in a failure domain.
-func (s *Scheduler) hasDomain(domain string, now time.Time) bool {
-	return slices.ContainsFunc(s.order, func(w *worker) bool { return w.Domain == domain && w.failures == 0 && w.ratio(now) < slowRatio })
-}
-
-// fasterSoon says whether waiting for an ordinary target ends a call earlier than
-// beginning it at a slow one.
-func (s *Scheduler) fasterSoon(slow *worker, now time.Time) bool {
-	n := min(s.waiting, s.profile.Size)
-	there := time.Duration(float64(s.callTime(n)) * slow.ratio(now))
-	for _, w := range s.order {
-		if w == slow || w.ratio(now) >= slowRatio || w.failures > 0 {
-			continue
-		}
-		if s.callLeft(w.ID, now)+s.callTime(n) < there {
-			return true
-		}
-	}
-	return false
-}
-
-// nextPause returns the time until the first pause ends, or 0.
-func (s *Scheduler) nextPause(now time.Time) time.Duration {
-	best := time.Duration(0)
-	for _, w := range s.order {
-		if left := w.pause.Sub(now); left > 0 && (best == 0 || left < best) {
-			best = left
-		}
-	}
-	if best == 0 && len(s.results) > 0 {
-		best = fullPause // room may become free
-	}
-	return best
-}
-
 // begin takes the first jobs that the target has room for into a call. Jobs of the
 // target's failure domain go before others that are about as urgent. A job is
 // split only when it is the first or larger than a call.
@@ -732,33 +304,6 @@
 	return c
 }
 
-// noteWait averages the time that jobs wait which are not put back.
-func (s *Scheduler) noteWait(j *Job, now time.Time) {
-	if j.group != groupHopeful || !j.began.IsZero() {
-		return
-	}
-	before := s.TypicalWait(now)
-	s.waitAverage, s.waitAt = before+time.Duration(waitWeight*float64(now.Sub(j.added)-before)), now
-}
-
-// TypicalWait returns how long a job waits that is not put back. It falls while
-// none comes.
-func (s *Scheduler) TypicalWait(now time.Time) time.Duration {
-	return time.Duration(float64(s.waitAverage) * math.Exp(-now.Sub(s.waitAt).Seconds()/waitMemory.Seconds()))
-}
-
-// Backlog returns how long the targets need for what waits.
-func (s *Scheduler) Backlog(now time.Time) time.Duration {
-	rate := s.rate(now)
-	if rate <= 0 {
-		return s.callTime(s.profile.Size)
-	}
-	return time.Duration(float64(s.waiting) / rate * float64(time.Second))
-}
-
-// FullCall returns how long a full call takes.
-func (s *Scheduler) FullCall() time.Duration { return s.callTime(s.profile.Size) }
-
 // jobsFor returns the jobs in the order in which a target takes them.
 func (s *Scheduler) jobsFor(w *worker) []*Job {
 	at := func(j *Job) time.Time {
@@ -774,11 +319,6 @@
 	return jobs
 }
 
-// mayWait says whether a job still waits for a target of its failure domain.
-func (s *Scheduler) mayWait(j *Job, now time.Time) bool {
-	return now.Sub(j.added) < foreignWait && s.hasDomain(j.Domain, now)
-}
-
 // Finish takes the outcome of a call.
 func (s *Scheduler) Finish(c *Call, o CallOutcome, now time.Time) {
 	delete(s.calls, c.ID)
@@ -796,7 +336,7 @@
 		}
 	case Full:
 		w.pause = now.Add(fullPause)
-		s.requeue(w, c, now, false)
+		s.requeue(w, c, false)
 	case Broken:
 		pause := firstPause
 		for range min(w.failures, 10) {
@@ -804,23 +344,7 @@
 		}
 		w.failures++
 		w.pause = now.Add(pause)
-		s.requeue(w, c, now, true)
-	}
-}
-
-// learn updates the averages by a call that ran whole.
-func (s *Scheduler) learn(w *worker, c *Call, o Answered, now time.Time) {
-	if slices.ContainsFunc(o.Pieces, func(p PieceOutcome) bool { return p == PieceRetry }) {
-		w.pause = now.Add(fullPause)
-		return
-	}
-	took := now.Sub(c.Began).Seconds()
-	seen := min(took/s.callTime(len(c.Pieces)).Seconds(), maxRatio)
-	before := w.ratio(now)
-	w.slowness, w.judged = before+ratioWeight*(seen-before), now
-	if w.ratio(now) < slowRatio {
-		each := max(took-s.profile.CallTime.Seconds(), 0) / float64(len(c.Pieces))
-		s.pieceTime += pieceWeight * (min(each, 2*s.profile.PieceTime.Seconds()) - s.pieceTime)
+		s.requeue(w, c, true)
 	}
 }
 
@@ -851,7 +375,7 @@
 }
 
 // requeue returns the pieces of a call that didn't run, or may not have.
-func (s *Scheduler) requeue(w *worker, c *Call, _ time.Time, counts bool) {
+func (s *Scheduler) requeue(w *worker, c *Call, counts bool) {
 	for _, p := range c.Pieces {
 		w.room -= p.Job.ResultBytes
 		s.again(p, counts)
@@ -875,72 +399,3 @@
 	p.Job.queue = append(p.Job.queue, p.Segment)
 	s.waiting++
 }
-
-// Fetched returns the inputs that may be given up because the last pieces of jobs
-// in a call have fetched them, at targets that are short of room. Others are kept
-// until the job is done, as a piece that fails has to fetch its inputs again. A job
-// whose last pieces began with a later call is left to that one.
-func (s *Scheduler) Fetched(c *Call, short func(target string) bool) []Result {
-	var list []Result
-	for _, p := range c.Pieces {
-		j := p.Job
-		if len(j.queue) > 0 || j.ended || j.began.After(c.Began) {
-			continue
-		}
-		j.Release = slices.DeleteFunc(j.Release, func(r Result) bool {
-			if short(r.Target) {
-				list = append(list, r)
-				return true
-			}
-			return false
-		})
-	}
-	return list
-}
-
-// ShortOfRoom returns the targets of which more than a part of the memory for
-// results is taken; nil when there is none.
-func (s *Scheduler) ShortOfRoom() map[string]bool {
-	var list map[string]bool
-	for id, w := range s.workers {
-		if s.profile.ResultBytes <= 0 || float64(w.room) < shortShare*float64(s.profile.ResultBytes) {
-			continue
-		}
-		if list == nil {
-			list = map[string]bool{}
-		}
-		list[id] = true
-	}
-	return list
-}
-
-// Free takes the handles of results that are no longer needed and returns the
-// target of each that is known.
-func (s *Scheduler) Free(handles []string) map[string][]string {
-	byTarget := map[string][]string{}
-	for _, h := range handles {
-		r, ok := s.results[h]
-		if !ok {
-			continue
-		}
-		delete(s.results, h)
-		byTarget[r.target] = append(byTarget[r.target], h)
-		if w := s.workers[r.target]; w != nil {
-			w.room -= r.bytes
-		}
-	}
-	return byTarget
-}
-
-// expire releases the room of results whose lifetime is over.
-func (s *Scheduler) expire(now time.Time) {
-	for h, r := range s.results {
-		if now.Before(r.expires) {
-			continue
-		}
-		delete(s.results, h)
-		if w := s.workers[r.target]; w != nil {
-			w.room -= r.bytes
-		}
-	}
-}
--- /dev/null
+++ b/internal/batching/worker.go
@@ -0,0 +1,187 @@
+package batching
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// worker is what the Scheduler knows of a target.
+type worker struct {
+	Target
+	calls    int
+	room     int64 // bytes of results that it holds
+	slowness float64
+	judged   time.Time // last change of slowness
+	failures int
+	pause    time.Time
+	present  bool
+}
+
+// ratio returns how long calls take there, relative to the profile. What was seen
+// counts less as it grows older: a target that is avoided gives no newer figure, and
+// this process may have been what was slow.
+func (w *worker) ratio(now time.Time) float64 {
+	return 1 + (w.slowness-1)*math.Exp(-now.Sub(w.judged).Seconds()/ratioMemory.Seconds())
+}
+
+// SetTargets replaces the targets. Calls at targets that are missing go on.
+func (s *Scheduler) SetTargets(targets []Target) {
+	for _, w := range s.workers {
+		w.present = false
+	}
+	for _, t := range targets {
+		w := s.workers[t.ID]
+		if w == nil {
+			w = &worker{Target: t, slowness: 1}
+			s.workers[t.ID] = w
+		}
+		w.Target = t
+		w.present = true
+	}
+	s.order = s.order[:0]
+	for id, w := range s.workers {
+		switch {
+		case w.present:
+			s.order = append(s.order, w)
+		case w.calls == 0:
+			delete(s.workers, id)
+		}
+	}
+	slices.SortFunc(s.order, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (s *Scheduler) freeTargets(now time.Time) int {
+	free := 0
+	for _, w := range s.order {
+		if s.isFree(w, now) {
+			free++
+		}
+	}
+	return free
+}
+
+func (s *Scheduler) isFree(w *worker, now time.Time) bool {
+	return w.calls < s.profile.Concurrency && !now.Before(w.pause)
+}
+
+// choose returns the free target for the first job of the queue, or the time after
+// which to look again. A target of the job's failure domain goes first, as the
+// results cross to another one otherwise.
+func (s *Scheduler) choose(now time.Time) (best *worker, again time.Duration) {
+	j := s.jobs[0]
+	bestScore := 0.0
+	full := false
+	for _, w := range s.order {
+		if !s.isFree(w, now) {
+			continue
+		}
+		if !s.worthwhile(w, j) {
+			full = true
+			continue
+		}
+		score := 1.0
+		if w.ratio(now) >= slowRatio {
+			score = w.ratio(now)
+		}
+		if w.Domain != j.Domain {
+			score += 0.5
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best == nil {
+		if full {
+			again = roomPause
+		}
+		return nil, again
+	}
+	if best.ratio(now) >= slowRatio && s.fasterSoon(best, now) {
+		return nil, 0
+	}
+	if wait := foreignWait - now.Sub(j.added); best.Domain != j.Domain && wait > 0 && s.waiting < s.profile.Size && s.hasDomain(j.Domain, now) {
+		return nil, wait
+	}
+	return best, 0
+}
+
+// worthwhile says whether a target has room for the queue's first job, and for
+// half a call when more than that waits. A smaller call would spend the call's own
+// time on few pieces just when there is the most to do.
+func (s *Scheduler) worthwhile(w *worker, first *Job) bool {
+	if s.profile.ResultBytes <= 0 {
+		return true
+	}
+	room := s.profile.ResultBytes - w.room
+	need := int64(len(first.queue)) * first.ResultBytes
+	pieces := len(first.queue)
+	for _, j := range s.jobs {
+		if pieces >= s.profile.Size/2 {
+			break
+		}
+		if j != first {
+			need += int64(len(j.queue)) * j.ResultBytes
+			pieces += len(j.queue)
+		}
+	}
+	// A job that is larger than a target's memory takes what there is.
+	return room >= min(need, s.profile.ResultBytes/2)
+}
+
+// hasDomain says whether an ordinary target is in a failure domain.
+func (s *Scheduler) hasDomain(domain string, now time.Time) bool {
+	return slices.ContainsFunc(s.order, func(w *worker) bool { return w.Domain == domain && w.failures == 0 && w.ratio(now) < slowRatio })
+}
+
+// fasterSoon says whether waiting for an ordinary target ends a call earlier than
+// beginning it at a slow one.
+func (s *Scheduler) fasterSoon(slow *worker, now time.Time) bool {
+	n := min(s.waiting, s.profile.Size)
+	there := time.Duration(float64(s.callTime(n)) * slow.ratio(now))
+	for _, w := range s.order {
+		if w == slow || w.ratio(now) >= slowRatio || w.failures > 0 {
+			continue
+		}
+		if s.callLeft(w.ID, now)+s.callTime(n) < there {
+			return true
+		}
+	}
+	return false
+}
+
+// nextPause returns the time until the first pause ends, or 0.
+func (s *Scheduler) nextPause(now time.Time) time.Duration {
+	best := time.Duration(0)
+	for _, w := range s.order {
+		if left := w.pause.Sub(now); left > 0 && (best == 0 || left < best) {
+			best = left
+		}
+	}
+	if best == 0 && len(s.results) > 0 {
+		best = fullPause // room may become free
+	}
+	return best
+}
+
+// mayWait says whether a job still waits for a target of its failure domain.
+func (s *Scheduler) mayWait(j *Job, now time.Time) bool {
+	return now.Sub(j.added) < foreignWait && s.hasDomain(j.Domain, now)
+}
+
+// learn updates the averages by a call that ran whole.
+func (s *Scheduler) learn(w *worker, c *Call, o Answered, now time.Time) {
+	if slices.ContainsFunc(o.Pieces, func(p PieceOutcome) bool { return p == PieceRetry }) {
+		w.pause = now.Add(fullPause)
+		return
+	}
+	took := now.Sub(c.Began).Seconds()
+	seen := min(took/s.callTime(len(c.Pieces)).Seconds(), maxRatio)
+	before := w.ratio(now)
+	w.slowness, w.judged = before+ratioWeight*(seen-before), now
+	if w.ratio(now) < slowRatio {
+		each := max(took-s.profile.CallTime.Seconds(), 0) / float64(len(c.Pieces))
+		s.pieceTime += pieceWeight * (min(each, 2*s.profile.PieceTime.Seconds()) - s.pieceTime)
+	}
+}
