--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -120,9 +120,9 @@
 
 func (Answered) isCallOutcome() {}
 
-func (Full) isCallOutcome()     {}
+func (Full) isCallOutcome() {}
 
-func (Broken) isCallOutcome()   {}
+func (Broken) isCallOutcome() {}
 
 // before orders two jobs whose ranks are up to date. A job some of whose pieces
 // have begun goes first: their results take up room and are of no use until the
