batching, gateway: Plan the whole path of a request, and tell who goes first

Ruled out: capacity (the third stage does 137 requests a second, a burst of drafts needs 120), an estimate of the service rate that is too low. Change: the customer's rank goes first and the route's decides among equals; the patience that a caller states tells who has waited before; a Load for each service counts what waits and what is on its way, by rank, and the path is planned by it; 200 ms are kept at the door; side stages begin after the head of the path; room that others take is learned from refusals, and broken calls keep theirs until it ends; gateways stay with the collector that has collected longest; callers are told to come back when what is ahead of them is done; inputs are given up after 50 ms. Lines of calls tell the outcomes of their pieces, those of requests the rank, the first event and the time waited before.

--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -10,6 +10,8 @@
 	ID      string
 	Address string
 	Domain  string
+	// Started tells the lives of a target apart that starts again under its id.
+	Started time.Time
 }
 
 // Job is one stage of one request.
@@ -21,10 +23,10 @@
 	Pieces    int
 	// ResultBytes is the size of one result.
 	ResultBytes int64
-	// Gated says whether a later stage has a backlog above a limit, so that the job
-	// would only lengthen the queue there if it began now; may be nil.
-	Gated func(limit time.Duration) bool
-	// Objective and Deadline are when the stage has to be done.
+	// Path is what follows the stage.
+	Path Path
+	// Objective is when the answer has to begin to be in time, and Deadline when the
+	// stage has to be done for any answer.
 	Objective time.Time
 	Deadline  time.Time
 	Priority  int
@@ -33,6 +35,8 @@
 	Release []Result
 
 	added   time.Time
+	doneBy  time.Time // latest end of the stage at which the objective can be met
+	onPath  bool      // the services of the path count its pieces
 	began   time.Time // of the last call
 	pending int       // pieces without a result
 	results []Result
@@ -40,7 +44,8 @@
 	queue   []int // segments that are in no call, in order
 	group   int   // see rank; as of the last sort
 	rankAt  time.Time
-	tries   int // calls that failed with a piece of this job
+	wait    time.Duration // expected, as of the last check
+	tries   int           // calls that failed with a piece of this job
 	end     func(Outcome)
 }
 
@@ -90,17 +95,23 @@
 	// results at the target with those of this call.
 	Queued int
 	Room   int64
+
+	worker *worker
 }
 
+// Limit returns the time after which the call is given up.
+func (c *Call) Limit() time.Duration { return c.Expected*callFactor + callSlack }
+
 // PieceOutcome is what became of one piece of a call.
 type PieceOutcome int
 
 // Outcomes of a piece.
 const (
-	PieceDone  PieceOutcome = iota
-	PieceGone               // an input no longer exists
-	PieceLate               // its time was over at its turn
-	PieceRetry              // no room, or an error of the target
+	PieceDone   PieceOutcome = iota
+	PieceGone                // an input no longer exists
+	PieceLate                // its time was over at its turn
+	PieceNoRoom              // the target's memory for results is full
+	PieceRetry               // an error of the target
 )
 
 // CallOutcome is what became of a call. It is sealed.
@@ -112,6 +123,17 @@
 	Handles []string
 }
 
+// count returns the number of pieces with an outcome.
+func (a Answered) count(o PieceOutcome) int {
+	n := 0
+	for _, p := range a.Pieces {
+		if p == o {
+			n++
+		}
+	}
+	return n
+}
+
 // Full reports that the target refused the call, which did not run.
 type Full struct{}
 
@@ -133,6 +155,28 @@
 	return cmp.Or(cmp.Compare(a.startedRank(), b.startedRank()), cmp.Compare(a.group, b.group), a.rankAt.Compare(b.rankAt), cmp.Compare(a.RequestID, b.RequestID), cmp.Compare(a.Stage, b.Stage))
 }
 
+// rank returns the job's rank among those that a Load tells apart.
+func (j *Job) rank() int { return min(max(j.Priority, 0), ranks-1) }
+
+// isAtDoor says whether the request has begun no stage: nothing is lost if it waits.
+func (j *Job) isAtDoor() bool { return len(j.Inputs) == 0 && j.began.IsZero() }
+
+// join counts the job's later pieces at their services, once.
+func (j *Job) join() {
+	if !j.onPath {
+		j.onPath = true
+		j.Path.begin(j.rank())
+	}
+}
+
+// leave takes them back.
+func (j *Job) leave() {
+	if j.onPath {
+		j.onPath = false
+		j.Path.end(j.rank())
+	}
+}
+
 func (j *Job) startedRank() int {
 	if j.began.IsZero() {
 		return 1
--- a/internal/batching/outlook.go
+++ b/internal/batching/outlook.go
@@ -35,36 +35,65 @@
 	return outlook{rate: rate, late: max(rate-s.arrivalRate(now), lateRate*rate), free: s.nextFree(now)}
 }
 
+// queueAhead is what is before a job in the order of the queue.
+type queueAhead struct {
+	pieces int
+	// later counts the pieces of later stages of jobs that have missed their
+	// objective and have not begun, by service.
+	later map[*Load]int
+}
+
+func (q *queueAhead) add(j *Job) {
+	q.pieces += len(j.queue)
+	if j.group == groupHopeful || !j.isAtDoor() {
+		return
+	}
+	if q.later == nil {
+		q.later = map[*Load]int{}
+	}
+	for _, st := range j.Path.stages {
+		q.later[st.Load] += st.Pieces
+	}
+}
+
 // wait estimates when a job that is added now would begin: when the pieces before
 // it have been run and a target is free.
 func (s *Scheduler) wait(j *Job, now time.Time) time.Duration {
 	j.group, j.rankAt = s.rank(j, now)
-	ahead := 0
+	q := queueAhead{}
 	for _, other := range s.jobs {
 		other.group, other.rankAt = s.rank(other, now)
 		if before(other, j) {
-			ahead += len(other.queue)
+			q.add(other)
 		}
 	}
-	return s.waitBehind(j, ahead, s.outlook(now))
+	return s.waitBehind(j, q, s.outlook(now))
 }
 
-// waitBehind estimates when a job begins that has a number of pieces before it. A
-// job that has missed its objective is overtaken by those that come later and
-// haven't.
-func (s *Scheduler) waitBehind(j *Job, ahead int, o outlook) time.Duration {
+// waitBehind estimates when a job begins that has others before it. A job that has
+// missed its objective is overtaken by those that come later and haven't, here and
+// in the stages that follow.
+func (s *Scheduler) waitBehind(j *Job, q queueAhead, o outlook) time.Duration {
 	if o.rate <= 0 {
 		return s.profile.CallTime
 	}
-	if ahead+j.Pieces <= s.profile.Size {
-		return o.free
+	wait := o.free
+	if over := q.pieces + j.Pieces - s.profile.Size; over > 0 {
+		rate := o.rate
+		if j.group != groupHopeful {
+			rate = o.late
+		}
+		wait += time.Duration(float64(over) / rate * float64(time.Second))
+	}
+	if j.group != groupHopeful && j.isAtDoor() {
+		for _, st := range j.Path.stages {
+			wait = max(wait, st.Load.lateWait(q.later[st.Load]+st.Pieces))
+		}
 	}
-	rate := o.rate
-	if j.group > 0 {
-		rate = o.late
+	if j.group == groupGated {
+		wait = time.Duration(gatedFactor * float64(wait))
 	}
-	over := max(ahead+j.Pieces-s.profile.Size, 0)
-	return o.free + time.Duration(float64(over)/rate*float64(time.Second))
+	return wait
 }
 
 // arrivalRate returns the pieces a second that came lately and can meet their
@@ -128,21 +157,6 @@
 	return max(limit-now.Sub(oldest), 0)
 }
 
-// noteWait averages the time that jobs wait which are not put back.
-func (s *Scheduler) noteWait(j *Job, now time.Time) {
-	if j.group != groupHopeful || !j.began.IsZero() {
-		return
-	}
-	before := s.TypicalWait(now)
-	s.waitAverage, s.waitAt = before+time.Duration(waitWeight*float64(now.Sub(j.added)-before)), now
-}
-
-// TypicalWait returns how long a job waits that is not put back. It falls while
-// none comes.
-func (s *Scheduler) TypicalWait(now time.Time) time.Duration {
-	return time.Duration(float64(s.waitAverage) * math.Exp(-now.Sub(s.waitAt).Seconds()/waitMemory.Seconds()))
-}
-
 // Backlog returns how long the targets need for what waits.
 func (s *Scheduler) Backlog(now time.Time) time.Duration {
 	rate := s.rate(now)
@@ -152,5 +166,18 @@
 	return time.Duration(float64(s.waiting) / rate * float64(time.Second))
 }
 
-// FullCall returns how long a full call takes.
-func (s *Scheduler) FullCall() time.Duration { return s.callTime(s.profile.Size) }
+// Publish brings the service's Load up to date.
+func (s *Scheduler) Publish(now time.Time) {
+	o := s.outlook(now)
+	l := s.load
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate, l.spare = o.rate, o.late
+	l.fullCall, l.backlog = s.callTime(s.profile.Size), s.Backlog(now)
+	l.waiting = [ranks]int{}
+	for _, j := range s.jobs {
+		if j.group == groupHopeful {
+			l.waiting[j.rank()] += len(j.queue)
+		}
+	}
+}
--- a/internal/batching/results.go
+++ b/internal/batching/results.go
@@ -7,7 +7,7 @@
 
 // held is a result that takes up room at a target.
 type held struct {
-	target  string
+	worker  *worker
 	bytes   int64
 	expires time.Time
 }
@@ -67,10 +67,8 @@
 			continue
 		}
 		delete(s.results, h)
-		byTarget[r.target] = append(byTarget[r.target], h)
-		if w := s.workers[r.target]; w != nil {
-			w.room -= r.bytes
-		}
+		byTarget[r.worker.ID] = append(byTarget[r.worker.ID], h)
+		r.worker.room -= r.bytes
 	}
 	return byTarget
 }
@@ -82,8 +80,6 @@
 			continue
 		}
 		delete(s.results, h)
-		if w := s.workers[r.target]; w != nil {
-			w.room -= r.bytes
-		}
+		r.worker.room -= r.bytes
 	}
 }
--- a/internal/batching/runner.go
+++ b/internal/batching/runner.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,16 +21,12 @@
 	// targetPeriod is how often the targets of each service are looked up again
 	// when nothing changes, which finds those that fell silent.
 	targetPeriod = time.Second
-	// callSlack and callFactor bound a call: a target that takes longer than both
-	// together is given up, and its pieces are run elsewhere.
-	callSlack  = 400 * time.Millisecond
-	callFactor = 3
-	// waitMargin scales the waits that are expected in later stages: they vary, and
-	// a request that misses its objective by little is as late as any other.
-	waitMargin = 1.25
+	// collectingFor is how long after the last stage a collector counts as in use.
+	// Gateways hear of it within half a second.
+	collectingFor = 2 * time.Second
 	// fetchTime is the time from the beginning of a call to when its target has
 	// fetched the inputs. Those of a full call, 14 MB, take 12 ms at 10 Gbit/s.
-	fetchTime = 100 * time.Millisecond
+	fetchTime = 50 * time.Millisecond
 	// freePeriod is how long results to give up at one target are collected.
 	freePeriod = 10 * time.Millisecond
 	// freeTimeout bounds a call that gives up results.
@@ -62,6 +57,8 @@
 	mu       sync.Mutex
 	services map[string]*serviceRunner
 	given    map[Target]*givenUp
+	asked    time.Duration // boot clock of the last stage that came; 0 before
+	collects time.Duration // boot clock of the first one since a break
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -70,16 +67,12 @@
 
 // serviceRunner runs the calls of one service.
 type serviceRunner struct {
-	r    *Runner
-	name string
-	mu   sync.Mutex
-	s    *Scheduler
-	wake chan struct{}
-	// backlog, wait and fullCall are what other services' jobs are planned by, in ns.
-	backlog  atomic.Int64
-	wait     atomic.Int64
-	short    atomic.Pointer[map[string]bool] // targets without much room
-	fullCall atomic.Int64
+	r     *Runner
+	name  string
+	mu    sync.Mutex
+	s     *Scheduler
+	wake  chan struct{}
+	short atomic.Pointer[map[string]bool] // targets without much room
 }
 
 // NewRunner returns a Runner.
@@ -88,6 +81,32 @@
 	return &Runner{o: o, services: map[string]*serviceRunner{}, given: map[Target]*givenUp{}, ctx: ctx, cancel: cancel, done: make(chan struct{})}
 }
 
+// Collecting returns for how long gateways have sent stages here without a break; 0
+// when they have not lately. They stay with the collector that does so longest, as
+// another one doesn't know which targets have room. The boot clock counts the time
+// for which this VM was suspended.
+func (r *Runner) Collecting() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := timer.Boot()
+	if r.asked == 0 || now-r.asked > collectingFor {
+		return 0
+	}
+	return max(now-r.collects, time.Millisecond)
+}
+
+// noteAsked notes that a gateway has sent a stage.
+func (r *Runner) noteAsked() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := timer.Boot()
+	if r.asked == 0 || now-r.asked > collectingFor {
+		r.collects = now
+		klog.InfoS("Collects the pieces of stages")
+	}
+	r.asked = now
+}
+
 // Start implements kernel.Starter.
 func (r *Runner) Start(context.Context) error { return nil }
 
@@ -136,14 +155,15 @@
 	if s == nil {
 		return &wire.RunStageResponse{Outcome: wire.StageOutcome_STAGE_OUTCOME_REFUSED, Reason: "unknown_service", RetryAfterMs: uint32(minRetryAfter.Milliseconds())}, nil
 	}
+	r.noteAsked()
 	now := r.o.Timers.Now()
 	path := r.path(req)
 	j := &Job{
 		RequestID: req.GetRequestId(), Stage: int(req.GetStage()), Key: req.GetKey(), Inputs: req.GetInputs(),
 		Pieces: int(req.GetPieces()), ResultBytes: int64(req.GetResultBytes()), Priority: int(req.GetPriority()), Domain: req.GetFailureDomain(),
-		Objective: now.Add(time.Duration(req.GetObjectiveLeftMs())*time.Millisecond - path.expected()),
-		Deadline:  now.Add(time.Duration(req.GetDeadlineLeftMs())*time.Millisecond - path.least()),
-		Gated:     path.congested,
+		Objective: now.Add(time.Duration(req.GetObjectiveLeftMs()) * time.Millisecond),
+		Deadline:  now.Add(time.Duration(req.GetDeadlineLeftMs())*time.Millisecond - path.Least()),
+		Path:      path,
 	}
 	for _, p := range req.GetRelease() {
 		j.Release = append(j.Release, Result{Handle: p.GetHandle(), Target: p.GetTarget(), Domain: p.GetFailureDomain()})
@@ -155,9 +175,9 @@
 		r.observe(s.name, o)
 		if o.Kind != Done {
 			klog.InfoS("Stage not run", "request", j.RequestID, "stage", j.Stage, "service", s.name, "reason", o.Reason, "pieces", j.Pieces,
-				"waited_ms", r.o.Timers.Since(now).Milliseconds(), "backlog_ms", time.Duration(s.backlog.Load()).Milliseconds(),
+				"waited_ms", r.o.Timers.Since(now).Milliseconds(), "backlog_ms", s.s.Load().Backlog().Milliseconds(),
 				"objective_in_ms", j.Objective.Sub(r.o.Timers.Now()).Milliseconds(), "deadline_in_ms", j.Deadline.Sub(r.o.Timers.Now()).Milliseconds(),
-				"retry_after_ms", o.RetryAfter.Milliseconds())
+				"expected_ms", path.expected(0, j.rank()).Milliseconds(), "least_ms", path.Least().Milliseconds(), "group", j.group, "rank", j.rank(), "retry_after_ms", o.RetryAfter.Milliseconds())
 		}
 		return answer(o), nil
 	case <-ctx.Done():
@@ -168,45 +188,15 @@
 	}
 }
 
-// path is what follows a stage on the longest path of its request.
-type path struct {
-	services []*serviceRunner
-	after    time.Duration // from the last stage to the beginning of the answer
-}
-
-func (r *Runner) path(req *wire.RunStageRequest) path {
-	p := path{after: time.Duration(req.GetAfterMs()) * time.Millisecond}
-	for _, name := range req.GetFollowing() {
-		if s := r.service(name); s != nil {
-			p.services = append(p.services, s)
+// path returns what follows a stage; services that the catalog lacks are left out.
+func (r *Runner) path(req *wire.RunStageRequest) Path {
+	var stages []PathStage
+	for i, name := range req.GetFollowing() {
+		if s := r.service(name); s != nil && i < len(req.GetFollowingPieces()) {
+			stages = append(stages, PathStage{Load: s.s.Load(), Pieces: int(req.GetFollowingPieces()[i])})
 		}
 	}
-	return p
-}
-
-// least returns how long the path takes without any wait.
-func (p path) least() time.Duration {
-	d := p.after
-	for _, s := range p.services {
-		d += time.Duration(s.fullCall.Load())
-	}
-	return d
-}
-
-// expected returns how long the path takes as the queues are.
-func (p path) expected() time.Duration {
-	d := p.least()
-	for _, s := range p.services {
-		d += time.Duration(waitMargin * float64(s.wait.Load()))
-	}
-	return d
-}
-
-// congested says whether a service on the path has a backlog above a limit.
-func (p path) congested(limit time.Duration) bool {
-	return slices.ContainsFunc(p.services, func(s *serviceRunner) bool {
-		return time.Duration(s.backlog.Load()) > limit
-	})
+	return NewPath(stages, time.Duration(req.GetAfterMs())*time.Millisecond)
 }
 
 func (r *Runner) observe(service string, o Outcome) {
@@ -325,12 +315,9 @@
 
 // publish tells the other services how this one stands; s.mu is held.
 func (s *serviceRunner) publish() {
-	now := s.r.o.Timers.Now()
-	s.backlog.Store(int64(s.s.Backlog(now)))
+	s.s.Publish(s.r.o.Timers.Now())
 	short := s.s.ShortOfRoom()
 	s.short.Store(&short)
-	s.wait.Store(int64(s.s.TypicalWait(now)))
-	s.fullCall.Store(int64(s.s.FullCall()))
 }
 
 // refresh brings targets and profile up to date.
@@ -342,7 +329,7 @@
 		if rec.GetState() != wire.TargetState_TARGET_STATE_READY {
 			continue
 		}
-		t := Target{ID: rec.GetId(), Address: rec.GetAddress(), Domain: rec.GetFailureDomain()}
+		t := Target{ID: rec.GetId(), Address: rec.GetAddress(), Domain: rec.GetFailureDomain(), Started: time.UnixMilli(rec.GetBornMs())}
 		if l.Silent() {
 			silent = append(silent, t)
 		} else {
@@ -390,6 +377,7 @@
 func (s *serviceRunner) begin() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.publish()
 	for {
 		c, again := s.s.Next(s.r.o.Timers.Now())
 		if c == nil {
@@ -427,12 +415,16 @@
 
 // call runs one call and takes its outcome.
 func (s *serviceRunner) call(c *Call) {
-	ctx, cancel := context.WithTimeout(s.r.ctx, c.Expected*callFactor+callSlack)
+	ctx, cancel := context.WithTimeout(s.r.ctx, c.Limit())
 	defer cancel()
 	o := s.r.o.Target.Run(ctx, c, c.Began)
 	took := s.r.o.Timers.Since(c.Began)
 	outcome := "answered"
+	var made, gone, late, noRoom, failed int
 	switch o := o.(type) {
+	case Answered:
+		made, gone, late = o.count(PieceDone), o.count(PieceGone), o.count(PieceLate)
+		noRoom, failed = o.count(PieceNoRoom), o.count(PieceRetry)
 	case Full:
 		outcome = "full"
 	case Broken:
@@ -440,7 +432,8 @@
 	}
 	klog.InfoS("Stage call", "service", s.name, "target", c.Target.ID, "pieces", len(c.Pieces), "first_request", c.Pieces[0].Job.RequestID,
 		"queued", c.Queued, "room_bytes", c.Room,
-		"expected_ms", c.Expected.Milliseconds(), "took_ms", took.Milliseconds(), "outcome", outcome)
+		"expected_ms", c.Expected.Milliseconds(), "took_ms", took.Milliseconds(), "outcome", outcome,
+		"made", made, "input_gone", gone, "late", late, "no_room", noRoom, "failed", failed)
 	s.r.o.Metrics.ObserveStage("stage_call_seconds", s.name, "call", took)
 	s.r.o.Metrics.CountReason("stage_calls", s.name)
 	s.change(func(sch *Scheduler) { sch.Finish(c, o, s.r.o.Timers.Now()) })
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -29,8 +29,8 @@
 const (
 	// priorityDelay is how much later than its objective says a request is ordered
 	// for each rank below the most urgent. It decides who waits when not all
-	// objectives can be met; a request passes through two or three calls.
-	priorityDelay = 1500 * time.Millisecond
+	// objectives can be met: a stage's objectives differ by less.
+	priorityDelay = time.Second
 	// foreignDelay is the same for a request whose results would cross to another
 	// failure domain at the target that is free. A call takes about as long, after
 	// which a target of the own domain is free.
@@ -46,16 +46,16 @@
 	inputPatience = 700 * time.Millisecond
 	// gateBacklog is the backlog of a later stage above which a request that has
 	// missed its objective waits before its first stage; it is half a call.
-	// hopefulBacklog, divided by the rank, is the same for one that hasn't and
-	// isn't of the most urgent rank.
-	gateBacklog    = 180 * time.Millisecond
-	hopefulBacklog = 500 * time.Millisecond
+	gateBacklog = 180 * time.Millisecond
 	// gatePause is how soon jobs are looked at again that wait for later stages.
 	gatePause = 20 * time.Millisecond
-	// waitWeight is the weight of one job in the average wait, and waitMemory how
-	// fast the average falls while no job comes.
-	waitWeight = 0.1
-	waitMemory = 2 * time.Second
+	// gatedFactor scales the wait that is expected of a request at such a gate, which
+	// opens later than the mean load says.
+	gatedFactor = 1.25
+	// doorMargin is the time that a request must have left over, by what is expected
+	// of its path, to begin its first stage among those that are in time. Calls and
+	// waits vary by about as much.
+	doorMargin = 200 * time.Millisecond
 	// shortShare is the part of a target's memory for results above which it counts
 	// as short of room: a full call takes nearly half of what is there.
 	shortShare = 0.6
@@ -63,8 +63,9 @@
 	checkPeriod = 50 * time.Millisecond
 	// pieceWeight is the weight of one call in the average time for a piece.
 	pieceWeight = 0.1
-	// arrivalWindow is the time over which arrivals are averaged.
-	arrivalWindow = 2 * time.Second
+	// arrivalWindow is the time over which arrivals are averaged: longer than a
+	// burst, after which those are served that have missed their objective.
+	arrivalWindow = 12 * time.Second
 	// lateRate is the least share of the targets' work that requests get which
 	// have missed their objective.
 	lateRate = 0.05
@@ -87,9 +88,18 @@
 	maxPause   = 4 * time.Second
 	// fullPause is how long a target rests that refused a call because it is full.
 	fullPause = 60 * time.Millisecond
+	// callSlack and callFactor bound a call: one that takes longer than both together
+	// is given up, and its pieces are run elsewhere.
+	callSlack  = 400 * time.Millisecond
+	callFactor = 3
+	// unknownMemory is how fast results fade that others hold at a target. Requests
+	// give theirs up within a second or so.
+	unknownMemory = 500 * time.Millisecond
 	// minRetryAfter is the shortest time told to a refused caller. One that comes
 	// back sooner meets the same burst and is refused again.
 	minRetryAfter = 1200 * time.Millisecond
+	// maxRetryAfter is the longest: a burst is over by then.
+	maxRetryAfter = 6 * time.Second
 )
 
 // Scheduler holds the queue of one service. It isn't safe for concurrent use.
@@ -106,20 +116,21 @@
 	pieceTime float64  // average time of a call for each of its pieces, seconds
 	arrivals  float64  // pieces a second that can meet their objective
 	arrivedAt time.Time
-	// waitAverage is the average wait of jobs that are not put back.
-	waitAverage time.Duration
-	waitAt      time.Time
-	checked     time.Time // when hopeless jobs were last looked for
+	checked   time.Time // when hopeless jobs were last looked for
+	load      *Load
 }
 
 // NewScheduler returns a Scheduler without targets.
 func NewScheduler(p catalog.BatchProfile) *Scheduler {
 	return &Scheduler{
 		profile: p, workers: map[string]*worker{}, calls: map[uint64]*Call{}, results: map[string]held{},
-		pieceTime: p.PieceTime.Seconds(),
+		pieceTime: p.PieceTime.Seconds(), load: NewLoad(),
 	}
 }
 
+// Load returns how the service stands, as of the last call of Publish.
+func (s *Scheduler) Load() *Load { return s.load }
+
 // SetProfile replaces the service's profile.
 func (s *Scheduler) SetProfile(p catalog.BatchProfile) { s.profile = p }
 
@@ -131,27 +142,23 @@
 )
 
 // rank orders jobs: first those whose objective can still be met, by objective
-// and priority; then the others by deadline. A job that has not begun its first
-// stage waits while a later one has a backlog: the sooner, the less urgent it is,
-// and soonest when its objective is missed. One with inputs doesn't, because its
-// inputs take up room elsewhere.
+// and priority; then the others by deadline. A job that has missed its objective
+// and has not begun its first stage waits while a later one has a backlog. One with
+// inputs doesn't, because its inputs take up room elsewhere.
 func (s *Scheduler) rank(j *Job, now time.Time) (group int, at time.Time) {
 	behind := time.Duration(j.Priority) * priorityDelay
-	hopeful := !now.Add(s.callTime(min(j.pending, s.profile.Size))).After(j.Objective)
-	limit := gateBacklog
-	if hopeful {
-		limit = hopefulBacklog / time.Duration(max(j.Priority, 1))
+	need := s.callTime(min(j.pending, s.profile.Size))
+	expected := need + j.Path.expected(need, j.rank())
+	if j.isAtDoor() {
+		expected += doorMargin
 	}
-	gated := len(j.Inputs) == 0 && (!hopeful || j.Priority > 0) && j.Gated != nil && j.Gated(limit)
 	switch {
-	case gated && hopeful:
-		return groupGated, j.Objective.Add(behind)
-	case gated:
-		return groupGated, j.Deadline.Add(behind)
-	case hopeful:
-		return groupHopeful, j.Objective.Add(behind)
+	case !now.Add(expected).After(j.Objective):
+		return groupHopeful, j.doneBy.Add(behind)
 	case len(j.Inputs) > 0:
 		return groupLate, j.added.Add(inputPatience + behind)
+	case j.Path.congested(gateBacklog):
+		return groupGated, j.Deadline.Add(behind)
 	}
 	return groupLate, j.Deadline.Add(behind)
 }
@@ -163,17 +170,21 @@
 	j.end = end
 	j.pending = j.Pieces
 	j.results = make([]Result, j.Pieces)
+	j.doneBy = j.Objective.Add(-j.Path.Least())
 	if len(s.order) == 0 {
 		s.finish(j, Outcome{Kind: Refused, Reason: "no_target", RetryAfter: s.callTime(s.profile.Size)})
 		return
 	}
 	wait := s.wait(j, now)
 	need := s.callTime(min(j.Pieces, s.profile.Size))
-	if over := now.Add(wait + need).Sub(j.Deadline); over > 0 {
-		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: max(over, s.Backlog(now), minRetryAfter), Waited: wait})
+	if now.Add(wait + need).After(j.Deadline) {
+		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: retryAfter(wait)})
 		return
 	}
 	s.noteArrival(j, now)
+	if len(j.Inputs) > 0 {
+		j.join()
+	}
 	for i := range j.Pieces {
 		j.queue = append(j.queue, i)
 	}
@@ -185,6 +196,7 @@
 // given up.
 func (s *Scheduler) Cancel(j *Job) {
 	j.ended = true
+	j.leave()
 	for _, r := range j.results {
 		if r.Handle != "" {
 			s.orphans = append(s.orphans, r)
@@ -254,43 +266,50 @@
 	s.checked = now
 	o := s.outlook(now)
 	var hopeless []*Job
-	ahead := 0
+	q := queueAhead{}
 	for _, j := range s.jobs {
 		need := s.callTime(min(j.pending, s.profile.Size))
-		if now.Add(s.waitBehind(j, ahead, o) + need).After(j.Deadline) {
+		j.wait = s.waitBehind(j, q, o)
+		if now.Add(j.wait + need).After(j.Deadline) {
 			hopeless = append(hopeless, j)
 			continue
 		}
-		ahead += len(j.queue)
+		q.add(j)
 	}
 	for _, j := range hopeless {
-		s.finish(j, Outcome{Kind: Late, Reason: "queue_too_long", Waited: now.Sub(j.added), RetryAfter: max(s.Backlog(now), minRetryAfter)})
+		s.finish(j, Outcome{Kind: Late, Reason: "queue_too_long", Waited: now.Sub(j.added), RetryAfter: retryAfter(j.wait)})
 	}
 }
 
+// retryAfter returns when a caller may come back that would have to wait too long:
+// when what is ahead has been done.
+func retryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
 // begin takes the first jobs that the target has room for into a call. Jobs of the
 // target's failure domain go before others that are about as urgent. A job is
 // split only when it is the first or larger than a call.
 func (s *Scheduler) begin(w *worker, now time.Time) *Call {
-	c := &Call{Target: w.Target, Began: now}
+	c := &Call{Target: w.Target, Began: now, worker: w}
 	first := s.jobs[0]
 	for _, j := range s.jobsFor(w) {
 		space := s.profile.Size - len(c.Pieces)
 		if s.profile.ResultBytes > 0 && j.ResultBytes > 0 {
-			space = min(space, int((s.profile.ResultBytes-w.room)/j.ResultBytes))
+			space = min(space, int(s.roomLeft(w, now)/j.ResultBytes))
 		}
-		foreign := j.Domain != w.Domain && j != first && s.mayWait(j, now)
+		foreign := j.Domain != w.Domain && j != first && s.waiting < s.profile.Size*len(s.order) && s.mayWait(j, now)
 		whole := len(j.queue) <= space || j == first || len(j.queue) > s.profile.Size
 		if space <= 0 || foreign || !whole || j.group == groupGated {
 			continue
 		}
-		s.noteWait(j, now)
 		n := min(space, len(j.queue))
 		for _, segment := range j.queue[:n] {
 			c.Pieces = append(c.Pieces, Piece{Job: j, Segment: segment})
 		}
 		j.queue = j.queue[n:]
 		j.began = now
+		j.join()
 		s.waiting -= n
 		w.room += int64(n) * j.ResultBytes
 	}
@@ -322,18 +341,15 @@
 // Finish takes the outcome of a call.
 func (s *Scheduler) Finish(c *Call, o CallOutcome, now time.Time) {
 	delete(s.calls, c.ID)
-	w := s.workers[c.Target.ID]
-	if w == nil {
-		w = &worker{Target: c.Target, slowness: 1, calls: 1}
-	}
+	w := c.worker
 	w.calls--
 	switch o := o.(type) {
 	case Answered:
 		w.failures = 0
-		s.learn(w, c, o, now)
 		for i, p := range c.Pieces {
 			s.finishPiece(w, p, o.Pieces[i], o.Handles[i], now)
 		}
+		s.learn(w, c, o, now)
 	case Full:
 		w.pause = now.Add(fullPause)
 		s.requeue(w, c, false)
@@ -344,6 +360,7 @@
 		}
 		w.failures++
 		w.pause = now.Add(pause)
+		s.keepRoom(w, c, now)
 		s.requeue(w, c, true)
 	}
 }
@@ -354,7 +371,7 @@
 	}
 	switch o {
 	case PieceDone:
-		s.results[handle] = held{target: w.ID, bytes: p.Job.ResultBytes, expires: now.Add(s.profile.ResultTTL)}
+		s.results[handle] = held{worker: w, bytes: p.Job.ResultBytes, expires: now.Add(s.profile.ResultTTL)}
 		r := Result{Handle: handle, Target: w.ID, Domain: w.Domain}
 		if p.Job.ended {
 			s.orphans = append(s.orphans, r)
@@ -369,6 +386,8 @@
 		s.finish(p.Job, Outcome{Kind: InputGone, Reason: "input_gone"})
 	case PieceLate:
 		s.finish(p.Job, Outcome{Kind: Late, Reason: "late_at_target", Waited: now.Sub(p.Job.added)})
+	case PieceNoRoom:
+		s.again(p, false)
 	case PieceRetry:
 		s.again(p, true)
 	}
--- a/internal/batching/simulation_test.go
+++ b/internal/batching/simulation_test.go
@@ -35,15 +35,41 @@
 func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
 func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
 
+// clock plays events in order, and lets all services begin calls after each.
+type clock struct {
+	now    time.Time
+	events events
+	n      int
+	worlds []*world
+}
+
+func (c *clock) at(d time.Duration, do func()) {
+	c.n++
+	heap.Push(&c.events, event{at: c.now.Add(d), n: c.n, do: do})
+}
+
+// run plays all events up to a time from now.
+func (c *clock) run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.do()
+		for _, w := range c.worlds {
+			w.begin()
+		}
+	}
+	c.now = end
+}
+
 // world drives a Scheduler against targets that behave as the sheets say.
 type world struct {
+	*clock
 	t       *testing.T
 	s       *Scheduler
 	profile catalog.BatchProfile
-	now     time.Time
-	events  events
-	n       int
 	random  *rand.Rand
+	wake    time.Time // when the next call is looked for, if nothing else happens
 	// slow is how much longer calls take at a target.
 	slow map[string]float64
 	// hold is how long a result is needed after its job is done.
@@ -58,10 +84,15 @@
 }
 
 func newWorld(t *testing.T, p catalog.BatchProfile, targets int) *world {
+	return newWorldAt(t, &clock{now: time.Unix(1000, 0)}, p, targets)
+}
+
+func newWorldAt(t *testing.T, c *clock, p catalog.BatchProfile, targets int) *world {
 	w := &world{
-		t: t, s: NewScheduler(p), profile: p, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), slow: map[string]float64{},
+		clock: c, t: t, s: NewScheduler(p), profile: p, random: rand.New(rand.NewPCG(1, 2)), slow: map[string]float64{},
 		room: map[string]int64{}, calls: map[string]int{}, outcomes: map[OutcomeKind]int{},
 	}
+	c.worlds = append(c.worlds, w)
 	var list []Target
 	for i := range targets {
 		list = append(list, Target{ID: fmt.Sprint("t", i), Domain: fmt.Sprint("d", i%3)})
@@ -70,28 +101,13 @@
 	return w
 }
 
-func (w *world) at(d time.Duration, do func()) {
-	w.n++
-	heap.Push(&w.events, event{at: w.now.Add(d), n: w.n, do: do})
-}
-
-// run plays all events up to a time from now, and begins calls after each.
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
-		w.begin()
-	}
-	w.now = end
-}
-
 func (w *world) begin() {
+	defer func() { w.s.Publish(w.now) }()
 	for {
 		c, again := w.s.Next(w.now)
 		if c == nil {
-			if again > 0 {
+			if due := w.now.Add(again); again > 0 && (w.wake.IsZero() || !w.wake.After(w.now) || due.Before(w.wake)) {
+				w.wake = due
 				w.at(again, func() {})
 			}
 			return
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -10,8 +11,12 @@
 // worker is what the Scheduler knows of a target.
 type worker struct {
 	Target
-	calls    int
-	room     int64 // bytes of results that it holds
+	calls int
+	room  int64 // bytes of results that it holds, as far as this process knows
+	// unknown are the bytes of results that others have there, as of fullAt, when it
+	// refused pieces although it should have had room.
+	unknown  int64
+	fullAt   time.Time
 	slowness float64
 	judged   time.Time // last change of slowness
 	failures int
@@ -33,7 +38,7 @@
 	}
 	for _, t := range targets {
 		w := s.workers[t.ID]
-		if w == nil {
+		if w == nil || !w.Started.Equal(t.Started) {
 			w = &worker{Target: t, slowness: 1}
 			s.workers[t.ID] = w
 		}
@@ -52,6 +57,30 @@
 	slices.SortFunc(s.order, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// roomLeft returns the bytes of results that a target has room for. What others hold
+// there fades: its lifetime is not known.
+func (s *Scheduler) roomLeft(w *worker, now time.Time) int64 {
+	others := float64(w.unknown) * math.Exp(-now.Sub(w.fullAt).Seconds()/unknownMemory.Seconds())
+	return s.profile.ResultBytes - w.room - int64(others)
+}
+
+// noteFull takes it that a target is full which has refused pieces for want of room:
+// another collector's results are there, or results are larger than stated.
+func (s *Scheduler) noteFull(w *worker, now time.Time) {
+	if s.profile.ResultBytes > 0 {
+		w.unknown, w.fullAt = max(s.profile.ResultBytes-w.room, 0), now
+	}
+}
+
+// keepRoom counts the results of a broken call, which the target may have made, until
+// their lifetime is over.
+func (s *Scheduler) keepRoom(w *worker, c *Call, now time.Time) {
+	for i, p := range c.Pieces {
+		w.room += p.Job.ResultBytes
+		s.results[fmt.Sprintf("broken call %d, piece %d", c.ID, i)] = held{worker: w, bytes: p.Job.ResultBytes, expires: now.Add(s.profile.ResultTTL)}
+	}
+}
+
 func (s *Scheduler) freeTargets(now time.Time) int {
 	free := 0
 	for _, w := range s.order {
@@ -77,7 +106,7 @@
 		if !s.isFree(w, now) {
 			continue
 		}
-		if !s.worthwhile(w, j) {
+		if !s.worthwhile(w, j, now) {
 			full = true
 			continue
 		}
@@ -110,11 +139,11 @@
 // worthwhile says whether a target has room for the queue's first job, and for
 // half a call when more than that waits. A smaller call would spend the call's own
 // time on few pieces just when there is the most to do.
-func (s *Scheduler) worthwhile(w *worker, first *Job) bool {
+func (s *Scheduler) worthwhile(w *worker, first *Job, now time.Time) bool {
 	if s.profile.ResultBytes <= 0 {
 		return true
 	}
-	room := s.profile.ResultBytes - w.room
+	room := s.roomLeft(w, now)
 	need := int64(len(first.queue)) * first.ResultBytes
 	pieces := len(first.queue)
 	for _, j := range s.jobs {
@@ -172,10 +201,17 @@
 
 // learn updates the averages by a call that ran whole.
 func (s *Scheduler) learn(w *worker, c *Call, o Answered, now time.Time) {
-	if slices.ContainsFunc(o.Pieces, func(p PieceOutcome) bool { return p == PieceRetry }) {
+	if o.count(PieceNoRoom) > 0 {
+		s.noteFull(w, now)
+		return
+	}
+	if o.count(PieceRetry) > 0 {
 		w.pause = now.Add(fullPause)
 		return
 	}
+	if now.Sub(c.Began) > c.Limit() {
+		return // the call would have been given up: this process was stopped meanwhile
+	}
 	took := now.Sub(c.Began).Seconds()
 	seen := min(took/s.callTime(len(c.Pieces)).Seconds(), maxRatio)
 	before := w.ratio(now)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -85,6 +85,8 @@
 	HTTP *http.Client
 	// Voters is the number of voters that the losses to be borne require.
 	Voters int
+	// Collecting returns for how long this VM has collected the pieces of stages.
+	Collecting func() time.Duration
 }
 
 // confirmation is the newest version that a quorum has confirmed.
@@ -425,6 +427,9 @@
 	}
 	version, document := d.o.Store.Newest()
 	w.CatalogVersion = version
+	if d.o.Collecting != nil {
+		w.CollectingMs = uint32(d.o.Collecting().Milliseconds())
+	}
 	w.Confirmed = d.isConfirmed(version)
 	if version > r.GetCatalogVersion() {
 		w.Catalog = document
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -21,6 +21,8 @@
 	watchTimeout = 700 * time.Millisecond
 	// watchPause is the time before the next try after a failure.
 	watchPause = 200 * time.Millisecond
+	// collectsSlack is how exactly a process knows since when a control VM collects.
+	collectsSlack = 300 * time.Millisecond
 	// forgetAfter is how long a control VM that no one names any more is followed
 	// without an answer.
 	forgetAfter = 10 * time.Second
@@ -63,6 +65,8 @@
 	named    time.Time // last time that a seed list or a member list named it
 	working  bool
 	catalog  uint64 // version that it holds
+	// collects is since when it collects pieces of stages; zero when it doesn't.
+	collects time.Time
 	// until ends when the control VM stops answering.
 	until context.Context
 	lose  context.CancelFunc
@@ -101,9 +105,11 @@
 	f.follow(seeds)
 }
 
-// Working returns the addresses of the control VMs whose last watch was answered
-// and that have a catalog, sorted. One that lost its disk has none for a while.
-func (f *Follower) Working() []string {
+// Collectors returns the addresses of the control VMs whose last watch was answered
+// and that have a catalog: first those that collect the pieces of stages, the one
+// that has done so longest before others, so that all processes choose the same one
+// and stay with it. One that lost its disk has no catalog for a while.
+func (f *Follower) Collectors() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []string
@@ -113,9 +119,25 @@
 		}
 	}
 	slices.Sort(list)
+	slices.SortStableFunc(list, func(a, b string) int { return f.sources[a].compareCollects(f.sources[b]) })
 	return list
 }
 
+// compareCollects orders control VMs by how long they collect. Processes hear of it
+// at different times, so that small differences don't count.
+func (s *source) compareCollects(other *source) int {
+	switch {
+	case s.collects.IsZero() != other.collects.IsZero():
+		if s.collects.IsZero() {
+			return 1
+		}
+		return -1
+	case s.collects.Sub(other.collects).Abs() < collectsSlack:
+		return 0
+	}
+	return s.collects.Compare(other.collects)
+}
+
 // Until returns a context that ends when the control VM stops answering watches.
 // It has ended for one that doesn't answer.
 func (f *Follower) Until(address string) context.Context {
@@ -180,6 +202,10 @@
 	defer f.mu.Unlock()
 	s.answered = f.o.Timers.Now()
 	s.catalog = w.GetCatalogVersion()
+	s.collects = time.Time{}
+	if ms := w.GetCollectingMs(); ms > 0 {
+		s.collects = s.answered.Add(-time.Duration(ms) * time.Millisecond)
+	}
 	if !s.working {
 		s.working = true
 		s.until, s.lose = context.WithCancel(f.ctx)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -112,6 +112,7 @@
 		return
 	}
 	x.started = true
+	x.firstT = x.g.o.Timers.Since(x.began)
 	x.status = resp.StatusCode
 	h := x.w.Header()
 	for name, values := range x.g.o.Codec.Inbound(resp.Header) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	retries   *budget.Retries
 	stages    *stageClient
 	times     *latencies
+	patience  *patience
 	mu        sync.Mutex
 	pools     map[string]*routing.Pool
 	weights   map[string]map[string]float64 // by route and failure domain
@@ -95,7 +96,7 @@
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		o: o, pools: map[string]*routing.Pool{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(),
+		o: o, pools: map[string]*routing.Pool{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		retries: budget.NewRetries(budget.RetryOptions{Share: o.RetryShare, EntryShare: o.RetryShare, SpareShare: o.RetryShare, Burst: o.RetryBurst}),
 	}
 	g.confirmed.Store(-int64(time.Hour))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,6 +18,14 @@
 // defaultBodyBytes bounds a body when the catalog sets no limit.
 const defaultBodyBytes = 4 << 20
 
+const (
+	// ordinaryCustomer is the rank of a customer that has none of its own.
+	ordinaryCustomer = 1
+	// routeRanks is the number of ranks of routes told apart: the users' sites have
+	// three, and less urgent ones count as the last.
+	routeRanks = 3
+)
+
 // exchange is one request of a caller while it is served.
 type exchange struct {
 	g        *Gateway
@@ -31,6 +39,8 @@
 	body     []byte
 	began    time.Time
 	deadline time.Time // when the caller, or the route, gives up
+	// waited is how long the caller has waited in earlier attempts, at least.
+	waited time.Duration
 	// timeoutFirst says that the route's timeout ends the request.
 	timeoutFirst bool
 
@@ -42,6 +52,7 @@
 	started  bool     // the answer's header has been sent
 	reason   string
 	stagesT  time.Duration
+	firstT   time.Duration // until the answer began; 0 when it didn't
 	target   string
 	lastErr  string
 }
@@ -91,9 +102,10 @@
 	}
 	x.route = route
 	x.service = route.PickRandom()
-	x.priority = route.Priority()
+	x.priority = rank(&catalog.Customer{}, route)
 	x.deadline = x.began.Add(route.Timeout())
 	x.timeoutFirst = true
+	x.waited = x.g.patience.waited(route.Name(), r.Patience)
 	if r.Patience > 0 && r.Patience < route.Timeout() {
 		x.deadline = x.began.Add(r.Patience)
 		x.timeoutFirst = false
@@ -101,6 +113,16 @@
 	return true
 }
 
+// rank returns the place of a request among others, 0 being the most urgent: the
+// customer's rank goes first, and the route's decides among customers of one rank.
+func rank(customer *catalog.Customer, route *catalog.Route) int {
+	first, has := customer.Priority()
+	if !has {
+		first = ordinaryCustomer
+	}
+	return first*routeRanks + min(route.Priority(), routeRanks-1)
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
@@ -114,9 +136,7 @@
 	customer, ok := c.Customer(x.r.Key)
 	if ok {
 		x.customer = customer.Name()
-		if p, has := customer.Priority(); has {
-			x.priority = p
-		}
+		x.priority = rank(customer, x.route)
 		return true
 	}
 	if x.route.Public() || !c.Keyed() {
@@ -227,12 +247,13 @@
 	if x.route != nil {
 		route, kind = x.route.Name(), x.route.Kind().String()
 	}
+	var patience time.Duration
 	if x.r != nil {
-		id = x.r.ID
+		id, patience = x.r.ID, x.r.Patience
 	}
 	x.g.o.Metrics.Observe("request_seconds", x.customer, kind, took)
 	x.g.o.Metrics.CountReason("requests", fmt.Sprintf("%d_%s", x.status, x.reason))
-	klog.InfoS("Request", "request", id, "route", route, "service", x.service, "customer", x.customer, "status", x.status, "reason", x.reason,
-		"took_ms", took.Milliseconds(), "stages_ms", x.stagesT.Milliseconds(), "left_ms", x.deadline.Sub(x.began.Add(took)).Milliseconds(),
+	klog.InfoS("Request", "request", id, "route", route, "service", x.service, "customer", x.customer, "rank", x.priority, "status", x.status, "reason", x.reason,
+		"patience_ms", patience.Milliseconds(), "waited_before_ms", x.waited.Milliseconds(), "took_ms", took.Milliseconds(), "stages_ms", x.stagesT.Milliseconds(), "first_ms", x.firstT.Milliseconds(), "left_ms", x.deadline.Sub(x.began.Add(took)).Milliseconds(),
 		"target", x.target, "tried", len(x.tried), "ran", x.ran, "catalog", x.g.CatalogVersion(), "cause", x.lastErr)
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -218,6 +218,13 @@
 		close(states[i].done)
 		return nil
 	}
+	if head, ok := x.headBefore(i); ok {
+		select {
+		case <-states[head].done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	domain := x.home
 	if len(stage.Needs) > 0 {
 		domain = commonDomain(states, stage.Needs, domain)
@@ -226,9 +233,13 @@
 	req := &wire.RunStageRequest{
 		RequestId: x.r.ID, Service: stage.Service, Stage: uint32(i), Inputs: handles, Pieces: uint32(n), ResultBytes: uint64(stage.ResultBytes),
 		Priority: uint32(x.priority), FailureDomain: domain,
-		ObjectiveLeftMs: x.began.Add(x.route.Objective()).Sub(now).Milliseconds(),
+		ObjectiveLeftMs: x.began.Add(x.route.Objective() - x.waited).Sub(now).Milliseconds(),
 		DeadlineLeftMs:  x.firstEventBy().Sub(now).Milliseconds(),
-		Following:       x.following(i), AfterMs: uint32(x.expectedFirst().Milliseconds()),
+		AfterMs:         uint32(x.expectedFirst().Milliseconds()),
+	}
+	for _, next := range x.following(i) {
+		req.Following = append(req.Following, x.route.Stages()[next].Service)
+		req.FollowingPieces = append(req.FollowingPieces, uint32(x.pieces(next)))
 	}
 	if len(stage.Needs) == 0 {
 		req.Key = x.r.PieceKey
@@ -279,15 +290,15 @@
 	return by
 }
 
-// following returns the services of the stages after a stage, on the longest path.
-func (x *exchange) following(i int) []string {
-	var services []string
+// following returns the stages after a stage, on the longest path.
+func (x *exchange) following(i int) []int {
+	var stages []int
 	for {
 		next, ok := x.nextOnPath(i)
 		if !ok {
-			return services
+			return stages
 		}
-		services = append(services, x.route.Stages()[next].Service)
+		stages = append(stages, next)
 		i = next
 	}
 }
@@ -306,6 +317,25 @@
 	return next, ok
 }
 
+// headBefore returns the first stage of the longest path if a stage that needs no
+// other is done in time when it begins after that: its results would only take up
+// memory while the request waits for its turn.
+func (x *exchange) headBefore(i int) (head int, ok bool) {
+	if len(x.route.Stages()[i].Needs) > 0 {
+		return 0, false
+	}
+	best := x.pathAfter(i)
+	for j, other := range x.route.Stages() {
+		if j == i || x.pieces(j) == 0 || len(other.Needs) > 0 {
+			continue
+		}
+		if after := x.pathAfter(j); after > best && after > x.stageTime(i) {
+			head, best, ok = j, after, true
+		}
+	}
+	return head, ok
+}
+
 // pathAfter estimates the time that the stages after a stage take.
 func (x *exchange) pathAfter(i int) time.Duration {
 	next, ok := x.nextOnPath(i)
@@ -343,7 +373,7 @@
 // counts the ones that failed for this stage. One VM collects for all, because it
 // gives up the results of one stage as the next one fetches them.
 func (c *stageClient) collector(nth int) (string, bool) {
-	working := c.o.Follower.Working()
+	working := c.o.Follower.Collectors()
 	if len(working) == 0 {
 		return "", false
 	}
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -78,13 +78,13 @@
 	follower := discovery.NewFollower(discovery.FollowerOptions{
 		Timers: t, HTTP: client, Process: o.Name, Self: o.Internal, Seeds: o.Seeds, Table: table,
 	})
-	d := directory.New(directory.Options{
-		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.Losses + 1,
-	})
 	catalogs := newCatalogCache(store, o.Decode)
 	runner := batching.NewRunner(batching.Options{
 		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, Target: o.Target(newUpstream(t, m)),
 	})
+	d := directory.New(directory.Options{
+		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.Losses + 1, Collecting: runner.Collecting,
+	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
 	mux.Handle(wire.BatchingPathPrefix, runner.Handler())
