commands, logbook: Tell a request from the log files of all processes

Cause: on the users' platform a request is explained from logs alone, and the lines had to be read by hand; on-call engineers asked for words that a manager understands. Ruled out: asking the processes, which may be gone.

--- a/internal/commands/explain.go
+++ b/internal/commands/explain.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -11,6 +14,7 @@
 	"github.com/cardamomline/cardamomline/internal/controlclient"
 	"github.com/cardamomline/cardamomline/internal/entry"
 	"github.com/cardamomline/cardamomline/internal/explain"
+	"github.com/cardamomline/cardamomline/internal/logbook"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -19,6 +23,7 @@
 	out      *output
 	cluster  cluster
 	customer string
+	logs     []string
 }
 
 // explanation is one source's account of a request as JSON shows it.
@@ -35,18 +40,26 @@
 stage ran where and for how long, what was tried again and why, why it was refused.
 
 Entries keep the newest requests in memory. Waiting requests, and orders when
---customer is given and REQUEST is an order id, are told from the durable state.`,
+--customer is given and REQUEST is an order id, are told from the durable state.
+
+On the users' platform, --logs names files with what the processes wrote; the lines
+about the request are told in order of their times, and no process is asked.`,
 		Example: `  cardamomline explain c3790060-5814-43cc-a0e2-fe4b70427486
-  cardamomline explain release-17 --customer depot-milford`,
+  cardamomline explain release-17 --customer depot-milford
+  cardamomline explain 5715123228e3e79e --logs gateway-1.log,directory-1.log`,
 		Args: cobra.ExactArgs(1),
 		RunE: c.run,
 	}
 	c.cluster.addFlag(cmd)
+	cmd.Flags().StringSliceVar(&c.logs, "logs", nil, "log files of gateways and directories to tell it from")
 	cmd.Flags().StringVar(&c.customer, "customer", "", "customer whose order id REQUEST is")
 	return cmd
 }
 
 func (c *explainCommand) run(cmd *cobra.Command, args []string) error {
+	if len(c.logs) > 0 {
+		return c.fromLogs(cmd, args[0])
+	}
 	ctx, client, cancel, err := c.cluster.connect(cmd)
 	if err != nil {
 		return err
@@ -74,6 +87,39 @@
 	})
 }
 
+// fromLogs tells what log files say of a request.
+func (c *explainCommand) fromLogs(cmd *cobra.Command, request string) error {
+	var entries []logbook.Entry
+	for _, path := range c.logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return &inputError{err: err}
+		}
+		found, err := logbook.Read(strings.TrimSuffix(filepath.Base(path), ".log"), f, request)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return err
+		}
+		entries = append(entries, found...)
+	}
+	if len(entries) == 0 {
+		return &refusalError{reason: "not_found", detail: "no log names " + request, code: ExitNotFound}
+	}
+	logbook.Sort(entries)
+	var told []explanation
+	for _, e := range entries {
+		told = append(told, explanation{Source: e.Source(), Text: e.Sentence()})
+	}
+	return c.out.write(cmd.OutOrStdout(), told, func(w io.Writer) error {
+		for _, e := range told {
+			if _, err := fmt.Fprintln(w, e.Text); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
 // order tells the durable record of an order, and what the entry that handled it
 // last still remembers.
 func (c *explainCommand) order(ctx context.Context, client *controlclient.Client, id string) ([]explanation, error) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -247,13 +247,16 @@
 	if x.route != nil {
 		route, kind = x.route.Name(), x.route.Kind().String()
 	}
-	var patience time.Duration
+	var patience, left time.Duration
 	if x.r != nil {
 		id, patience = x.r.ID, x.r.Patience
 	}
+	if !x.deadline.IsZero() {
+		left = x.deadline.Sub(x.began.Add(took))
+	}
 	x.g.o.Metrics.Observe("request_seconds", x.customer, kind, took)
 	x.g.o.Metrics.CountReason("requests", fmt.Sprintf("%d_%s", x.status, x.reason))
 	klog.InfoS("Request", "request", id, "route", route, "service", x.service, "customer", x.customer, "rank", x.priority, "status", x.status, "reason", x.reason,
-		"patience_ms", patience.Milliseconds(), "waited_before_ms", x.waited.Milliseconds(), "took_ms", took.Milliseconds(), "stages_ms", x.stagesT.Milliseconds(), "first_ms", x.firstT.Milliseconds(), "left_ms", x.deadline.Sub(x.began.Add(took)).Milliseconds(),
+		"patience_ms", patience.Milliseconds(), "waited_before_ms", x.waited.Milliseconds(), "took_ms", took.Milliseconds(), "stages_ms", x.stagesT.Milliseconds(), "first_ms", x.firstT.Milliseconds(), "left_ms", left.Milliseconds(),
 		"target", x.target, "tried", len(x.tried), "ran", x.ran, "catalog", x.g.CatalogVersion(), "cause", x.lastErr)
 }
