--- a/internal/batching/load.go
+++ b/internal/batching/load.go
@@ -8,6 +8,9 @@
 const (
 	// ranks is the number of ranks told apart; less urgent ones count as the last.
 	ranks = 12
+	// nearRanks is by how much less urgent others may be that still count as ahead:
+	// the next rank gives way, but isn't starved by a burst.
+	nearRanks = 1
 	// maxHops is the number of stages that a path is looked along.
 	maxHops = 8
 	// freeWait is what a job waits for a free target when no other is before it.
@@ -41,7 +44,7 @@
 		return freeWait
 	}
 	ahead := 0
-	for r := range rank + 1 {
+	for r := range min(rank+1+nearRanks, ranks) {
 		ahead += l.waiting[r]
 		for h := range hop + 1 {
 			ahead += l.coming[r][h]
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -29,8 +29,9 @@
 const (
 	// priorityDelay is how much later than its objective says a request is ordered
 	// for each rank below the most urgent. It decides who waits when not all
-	// objectives can be met: a stage's objectives differ by less.
-	priorityDelay = time.Second
+	// objectives can be met: waits before a stage are a few times as long, so that
+	// neighbouring ranks share a burst.
+	priorityDelay = 300 * time.Millisecond
 	// foreignDelay is the same for a request whose results would cross to another
 	// failure domain at the target that is free. A call takes about as long, after
 	// which a target of the own domain is free.
