gateway: Bound the ranks and the routes whose callers are told apart

Cause: found on reading the change: a histogram for each route takes 45 KB, and a config may bring hundreds of routes; a negative or huge rank of a customer would overflow the delay that it stands for. Change: only routes with stages are followed, at most 64; ranks are bounded.

--- a/internal/batching/pipeline_test.go
+++ b/internal/batching/pipeline_test.go
@@ -153,15 +153,21 @@
 	}
 }
 
-// Load pattern: a collector takes over while results of another one fill the targets.
-// Guards against calls that are refused for want of room, one after the other.
-func TestRoomTakenByAnotherCollectorIsLearned(t *testing.T) {
-	s := NewScheduler(secondStage)
+// newCall returns a Scheduler with one target, "a", and a job's call there.
+func newCall(t *testing.T, p catalog.BatchProfile, pieces int, bytes int64) (*Scheduler, *Call, time.Time) {
+	s := NewScheduler(p)
 	now := time.Unix(1000, 0)
 	s.SetTargets([]Target{{ID: "a"}})
-	s.Add(&Job{RequestID: "r", Pieces: 24, ResultBytes: 60_000, Objective: now.Add(time.Second), Deadline: now.Add(9 * time.Second)}, func(Outcome) {}, now)
+	s.Add(&Job{RequestID: "r", Pieces: pieces, ResultBytes: bytes, Objective: now.Add(time.Second), Deadline: now.Add(9 * time.Second)}, func(Outcome) {}, now)
 	c, _ := s.Next(now)
 	require.NotNil(t, c)
+	return s, c, now
+}
+
+// Load pattern: a collector takes over while results of another one fill the targets.
+// Guards against calls that are refused for want of room, one after the other.
+func TestRoomTakenByAnotherCollectorIsLearned(t *testing.T) {
+	s, c, now := newCall(t, secondStage, 24, 60_000)
 	o := Answered{Handles: make([]string, 24)}
 	for range 24 {
 		o.Pieces = append(o.Pieces, PieceNoRoom)
@@ -177,12 +183,7 @@
 // Guards against calls to a target whose memory is full of the results of a call that
 // broke: it may have made them, and nobody has their handles.
 func TestBrokenCallKeepsItsRoom(t *testing.T) {
-	s := NewScheduler(secondStage)
-	now := time.Unix(1000, 0)
-	s.SetTargets([]Target{{ID: "a"}})
-	s.Add(&Job{RequestID: "r", Pieces: 24, ResultBytes: 60_000, Objective: now.Add(time.Second), Deadline: now.Add(9 * time.Second)}, func(Outcome) {}, now)
-	c, _ := s.Next(now)
-	require.NotNil(t, c)
+	s, c, now := newCall(t, secondStage, 24, 60_000)
 	s.Finish(c, Broken{Reason: "reset"}, now.Add(time.Second))
 	require.Equal(t, int64(24*60_000), s.workers["a"].room)
 	s.expire(now.Add(time.Second + secondStage.ResultTTL))
@@ -192,12 +193,7 @@
 // Guards against targets that count as slow because the collector was suspended while
 // their calls ran.
 func TestSuspendedCollectorLearnsNothing(t *testing.T) {
-	s := NewScheduler(firstStage)
-	now := time.Unix(1000, 0)
-	s.SetTargets([]Target{{ID: "a"}})
-	s.Add(&Job{RequestID: "r", Pieces: 8, ResultBytes: 8_000, Objective: now.Add(time.Second), Deadline: now.Add(9 * time.Second)}, func(Outcome) {}, now)
-	c, _ := s.Next(now)
-	require.NotNil(t, c)
+	s, c, now := newCall(t, firstStage, 8, 8_000)
 	o := Answered{Handles: make([]string, 8), Pieces: make([]PieceOutcome, 8)}
 	now = now.Add(7 * time.Second)
 	s.Finish(c, o, now)
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -21,6 +21,8 @@
 	patienceWindow = 256
 	// maxPatience is the longest patience that is told apart, in milliseconds.
 	maxPatience = 10 * 60 * 1000
+	// patienceRoutes bounds the routes whose callers are told apart, at 45 KB each.
+	patienceRoutes = 64
 )
 
 // patience tells callers that come back after a refusal from those that come for
@@ -42,7 +44,7 @@
 }
 
 // waited returns how long a caller has at least waited in earlier attempts, by the
-// patience that it states now; 0 when it states none.
+// patience that it states now; 0 when it states none or the route isn't followed.
 func (p *patience) waited(route string, stated time.Duration) time.Duration {
 	if stated <= 0 {
 		return 0
@@ -51,6 +53,9 @@
 	defer p.mu.Unlock()
 	r := p.routes[route]
 	if r == nil {
+		if len(p.routes) >= patienceRoutes {
+			return 0
+		}
 		r = &routePatience{window: hdrhistogram.NewWindowed(2, 1, maxPatience, 2)}
 		p.routes[route] = r
 	}
--- a/internal/gateway/patience_test.go
+++ b/internal/gateway/patience_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -31,6 +32,10 @@
 	require.Less(t, p.waited("draft", 3*time.Second), 3*time.Second, "never more than it can have waited")
 	require.Zero(t, p.waited("chat", 3*time.Second), "each route by itself")
 	require.Zero(t, p.waited("draft", 0), "a caller that states none")
+	for i := range 10 * patienceRoutes {
+		p.waited(fmt.Sprint("route-", i), time.Second)
+	}
+	require.Len(t, p.routes, patienceRoutes, "a config with many routes takes no more memory")
 }
 
 // Load pattern: a burst in which nearly all customers have one rank. Guards against
@@ -49,6 +54,8 @@
 			{Name: "first", Keys: []string{"k0"}, Priority: 0, HasPriority: true},
 			{Name: "second", Keys: []string{"k1"}, Priority: 1, HasPriority: true},
 			{Name: "plain", Keys: []string{"k2"}},
+			{Name: "below", Keys: []string{"k3"}, Priority: -7, HasPriority: true},
+			{Name: "beyond", Keys: []string{"k4"}, Priority: 1 << 40, HasPriority: true},
 		},
 	})
 	require.NoError(t, err)
@@ -61,5 +68,7 @@
 	}
 	require.Less(t, of("k1", "/d/"), of("k1", "/c/"), "the route decides")
 	require.Less(t, of("k0", "/o/"), of("k1", "/d/"), "the customer goes first")
+	require.Equal(t, of("k0", "/c/"), of("k3", "/c/"))
+	require.Equal(t, customerRanks*routeRanks-1, of("k4", "/o/"))
 	require.Equal(t, of("k1", "/c/"), of("k2", "/c/"), "a customer without a rank is an ordinary one")
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,9 +21,11 @@
 const (
 	// ordinaryCustomer is the rank of a customer that has none of its own.
 	ordinaryCustomer = 1
-	// routeRanks is the number of ranks of routes told apart: the users' sites have
-	// three, and less urgent ones count as the last.
-	routeRanks = 3
+	// customerRanks and routeRanks are the numbers of ranks told apart: the users'
+	// sites have fewer of the first and three of the second. Less urgent ones count as
+	// the last.
+	customerRanks = 4
+	routeRanks    = 3
 )
 
 // exchange is one request of a caller while it is served.
@@ -105,7 +107,9 @@
 	x.priority = rank(&catalog.Customer{}, route)
 	x.deadline = x.began.Add(route.Timeout())
 	x.timeoutFirst = true
-	x.waited = x.g.patience.waited(route.Name(), r.Patience)
+	if len(route.Stages()) > 0 {
+		x.waited = x.g.patience.waited(route.Name(), r.Patience)
+	}
 	if r.Patience > 0 && r.Patience < route.Timeout() {
 		x.deadline = x.began.Add(r.Patience)
 		x.timeoutFirst = false
@@ -120,9 +124,12 @@
 	if !has {
 		first = ordinaryCustomer
 	}
-	return first*routeRanks + min(route.Priority(), routeRanks-1)
+	return bounded(first, customerRanks)*routeRanks + bounded(route.Priority(), routeRanks)
 }
 
+// bounded returns a rank among those told apart.
+func bounded(rank, ranks int) int { return min(max(rank, 0), ranks-1) }
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
