batching: Let young requests wait for their own failure domain up to two calls a target

Change: they wait up to 150 ms while fewer than two full calls for each target are queued, in place of one.

--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -39,6 +39,9 @@
 	// foreignWait is how long a request waits for a target of its own failure
 	// domain while only others are free.
 	foreignWait = 150 * time.Millisecond
+	// crowdedCalls is the number of full calls for each target in the queue above which
+	// nobody waits for a target of the own failure domain: those that do would be late.
+	crowdedCalls = 2
 	// roomPause is how soon a target is looked at again that has no room. The
 	// gateways tell about as often which results they no longer need.
 	roomPause = 10 * time.Millisecond
@@ -299,7 +302,7 @@
 		if s.profile.ResultBytes > 0 && j.ResultBytes > 0 {
 			space = min(space, int(s.roomLeft(w, now)/j.ResultBytes))
 		}
-		foreign := j.Domain != w.Domain && j != first && s.waiting < s.profile.Size*len(s.order) && s.mayWait(j, now)
+		foreign := j.Domain != w.Domain && j != first && !s.isCrowded() && s.mayWait(j, now)
 		whole := len(j.queue) <= space || j == first || len(j.queue) > s.profile.Size
 		if space <= 0 || foreign || !whole || j.group == groupGated {
 			continue
@@ -324,6 +327,11 @@
 	return c
 }
 
+// isCrowded says whether more waits than the targets do in their next calls.
+func (s *Scheduler) isCrowded() bool {
+	return s.waiting >= crowdedCalls*s.profile.Size*len(s.order)
+}
+
 // jobsFor returns the jobs in the order in which a target takes them.
 func (s *Scheduler) jobsFor(w *worker) []*Job {
 	at := func(j *Job) time.Time {
