--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -18,6 +18,8 @@
 	"regexp"
 	"slices"
 	"strings"
+
+	"github.com/go-faster/errors"
 )
 
 // maxLine bounds a log line, in bytes.
@@ -41,9 +43,6 @@
 // Source returns the name of the log that has the line.
 func (e Entry) Source() string { return e.source }
 
-// Message returns the line's message.
-func (e Entry) Message() string { return e.message }
-
 // Field returns a field's value, empty when the line doesn't have it.
 func (e Entry) Field(name string) string { return e.fields[name] }
 
@@ -61,7 +60,7 @@
 		}
 	}
 	if err := lines.Err(); err != nil {
-		return nil, fmt.Errorf("read log %s: %w", source, err)
+		return nil, errors.Wrapf(err, "read log %s", source)
 	}
 	return entries, nil
 }
