control: Bound the end of a lease by the election in TestNewLeaderStampsAfterTheNewestEntry

Cause: the test expected the end of a lease at a fixed time, while the time at which the next leader applies the lease depends on the duration of its election, and that on random member ids. An election after 22.16 s made it fail.

Change: member ids in the test cluster are fixed, and the bound is computed from the election: 6 s at 9/8 of real time, plus the latency of a commit (two writes of 100 ms) and the observation interval of 20 ms. An election before 21.94 s gives an earlier bound than before, a later one a later bound. The check at 23.5 s is unchanged.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -70,8 +70,12 @@
 	network *standin.MemoryNetwork
 	timers  *timer.Service
 	vms     []*vm
+	// members is the number of member ids that were generated.
+	members atomic.Int64
 }
 
+func (c *cluster) newID() string { return fmt.Sprintf("member-%d", c.members.Add(1)) }
+
 func runWithCluster(t *testing.T, test func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{t: t, network: standin.NewMemoryNetwork(), timers: timer.NewService()}
@@ -114,6 +118,8 @@
 	v.ledger = ledger.New(ledger.Options{})
 	v.node, err = replica.NewNode(replica.NodeOptions{
 		Timer: c.timers, Journal: &slowJournal{Journal: j, vm: v}, Transport: transport, HelloClient: transport, StateMachine: v.ledger, Address: v.address, Peers: peers, Seed: uint64(len(v.address)) + uint64(v.address[8]),
+		// The election timeouts depend on the member id.
+		NewID: c.newID,
 	})
 	require.NoError(c.t, err)
 	v.roster = roster.New(roster.Options{Timer: c.timers, Epoch: v.address + time.Now().String()})
--- a/internal/control/wallclock_test.go
+++ b/internal/control/wallclock_test.go
@@ -58,6 +58,7 @@
 // between, it would end a lease after 4 s instead of 6 s.
 func TestNewLeaderStampsAfterTheNewestEntry(t *testing.T) {
 	const year = 365 * 24 * time.Hour
+	const writeDelay = 100 * time.Millisecond
 	runWithCluster(t, func(c *cluster) {
 		startedAt := time.Now()
 		until := func(d time.Duration) { time.Sleep(d - time.Since(startedAt)) }
@@ -73,7 +74,7 @@
 		execute(l, &wire.Command{Kind: &wire.Command_SubmitWaiting{SubmitWaiting: &wire.SubmitWaiting{Id: "w", Customer: "c", Pipeline: "p", SubmissionId: "s"}}})
 		for _, v := range c.vms {
 			v.clockOffset.Store(int64(year))
-			v.writeDelay.Store(int64(100 * time.Millisecond))
+			v.writeDelay.Store(int64(writeDelay))
 		}
 		l.clockOffset.Store(-int64(year))
 		// The entry that the leader writes every 10 s is the last one that the others
@@ -89,9 +90,14 @@
 			})
 		}
 		calls.Wait()
+		// The duration of the election depends on the schedule of the goroutines. By now the
+		// next leader has applied the lease, and its time advances at 9/8 from there. Its
+		// estimate for reads lags by the latency of a commit, at most two writes, and by the
+		// interval of 20 ms at which applied entries are observed.
+		leaseEnd := time.Since(startedAt) + (6*time.Second*8)/9 + 2*writeDelay + 20*time.Millisecond
 		until(23500 * time.Millisecond)
 		require.Zero(c.t, lease(c.leader(), "entry-2"), "lease ended early")
-		until(27500 * time.Millisecond)
-		require.Equal(c.t, 1, lease(c.leader(), "entry-2"))
+		until(leaseEnd)
+		require.Equal(c.t, 1, lease(c.leader(), "entry-2"), "lease ended late")
 	})
 }
