--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -170,6 +170,8 @@
 	switch {
 	case c.shuttingDown.Load():
 		return false, "leaving"
+	case c.o.Node.Status().StorageFailure != "":
+		return false, c.o.Node.Status().StorageFailure
 	case c.freshConfirmation() == nil:
 		return false, "no quorum confirmed the current revision"
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -140,6 +140,9 @@
 // Ready reports whether a quorum has confirmed this VM's catalog as the newest one, and the
 // reason if not.
 func (d *Directory) Ready() (ok bool, reason string) {
+	if failure := d.o.Node.Status().StorageFailure; failure != "" {
+		return false, failure
+	}
 	if version, _ := d.o.Store.Newest(); !d.isConfirmed(version) {
 		return false, "no quorum has confirmed the catalog"
 	}
@@ -346,6 +349,11 @@
 // another VM, and learners that never caught up.
 func (d *Directory) maintainMembers(ctx context.Context) {
 	s := d.o.Node.Status()
+	failing := 0.0
+	if s.StorageFailure != "" {
+		failing = 1
+	}
+	d.o.Metrics.Gauge("journal_failing", failing)
 	if s.LeaderAddress != d.lastLeader {
 		klog.InfoS("Leader changed", "leader", s.LeaderAddress, "before", d.lastLeader, "term", s.Term, "role", s.Role.String(), "members", len(s.Members))
 		d.lastLeader = s.LeaderAddress
--- a/internal/journal/errors.go
+++ b/internal/journal/errors.go
@@ -25,14 +25,15 @@
 	return fmt.Sprintf("journal file %s is corrupt at byte %d: %s", e.file, e.offset, e.detail)
 }
 
-// FailedError reports a failed write or sync. The contents of the disk are unknown
-// after it, so the journal rejects further writes until it is reopened.
+// FailedError reports a failed write or sync. It is unknown which part of the write is on
+// disk; see Journal.Save.
 type FailedError struct {
 	operation string
 	cause     error
 }
 
-// Operation returns the failed operation: write, sync, create, rename or truncate.
+// Operation returns the failed operation: write, sync, create, rename, open, seek or
+// truncate.
 func (e *FailedError) Operation() string { return e.operation }
 
 // Unwrap returns the cause.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,10 +20,15 @@
 //	defer j.Close()
 //	contents := j.Contents()
 //	err = j.Save(batches) // the batches are durable if err is nil
+//	var failed *journal.FailedError
+//	if errors.As(err, &failed) {
+//		err = j.Save(batches) // once the disk may accept writes again
+//	}
 package journal
 
 import (
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -63,9 +68,15 @@
 	generation uint64
 	sequence   uint64
 	contents   Contents
-	failed     error
-	buffer     []byte
-	truncated  int64
+	// end is the size of the file up to the last synced record.
+	end int64
+	// failed is the failure of the previous Save, or nil.
+	failed error
+	// unsyncedRename is set while the rename of a new generation may not be durable.
+	unsyncedRename bool
+	closed         bool
+	buffer         []byte
+	truncated      int64
 }
 
 // Open reads the journal in a folder and prepares it for Save. It returns a
@@ -158,11 +169,13 @@
 // TruncatedBytes returns the size of the torn write that Open removed.
 func (j *Journal) TruncatedBytes() int64 { return j.truncated }
 
-// Save stores the batches durably in order, with a single sync. After a *FailedError,
-// all further calls return the same error.
+// Save stores the batches durably in order, with a single sync. After a *FailedError it is
+// unknown which of them are on disk. The caller may then repeat the call with the same
+// batches, optionally followed by further ones: Save first removes what the failed call left
+// behind. After Close it returns a *FailedError.
 func (j *Journal) Save(batches []Batch) error {
-	if j.failed != nil {
-		return j.failed
+	if j.closed {
+		return &FailedError{operation: "write", cause: os.ErrClosed}
 	}
 	// A batch with a snapshot contains the complete state and supersedes earlier ones.
 	for i := len(batches) - 1; i > 0; i-- {
@@ -178,15 +191,54 @@
 	if j.file == nil || batches[0].Snapshot != nil {
 		return j.startGeneration()
 	}
-	return j.write(j.file)
+	return j.appendRecord()
+}
+
+// appendRecord writes the buffer to the end of the current generation. After a failure the
+// file may end with a part of the record, and a repeated sync could succeed without having
+// written it. The file is therefore opened again, truncated to the last synced record, and
+// the record is written again.
+func (j *Journal) appendRecord() error {
+	if j.unsyncedRename {
+		// The rename of the failed Save may have replaced the current generation.
+		return j.setFailed("write", errors.New("the failed snapshot has to be saved again"))
+	}
+	if j.failed != nil {
+		if err := j.reopenFile(); err != nil {
+			return err
+		}
+	}
+	if err := j.write(j.file); err != nil {
+		return err
+	}
+	j.end += int64(len(j.buffer))
+	j.failed = nil
+	return nil
+}
+
+func (j *Journal) reopenFile() error {
+	f, err := j.fileSystem.OpenFile(j.path(j.generation), os.O_RDWR, fileMode)
+	if err != nil {
+		return j.setFailed("open", err)
+	}
+	if err := f.Truncate(j.end); err != nil {
+		_ = f.Close()
+		return j.setFailed("truncate", err)
+	}
+	if _, err := f.Seek(j.end, io.SeekStart); err != nil {
+		_ = f.Close()
+		return j.setFailed("seek", err)
+	}
+	// A failure to close the old descriptor concerns only what was truncated.
+	_ = j.file.Close()
+	j.file = f
+	return nil
 }
 
 // Close closes the files and releases the lock. All successfully saved batches are
 // already durable.
 func (j *Journal) Close() error {
-	if j.failed == nil {
-		j.failed = &FailedError{operation: "write", cause: os.ErrClosed}
-	}
+	j.closed = true
 	var first error
 	for _, f := range []afero.File{j.file, j.lock} {
 		if f == nil {
@@ -238,6 +290,8 @@
 	}
 	if err := j.write(f); err != nil {
 		_ = f.Close()
+		// The room of an incomplete file is needed for the next attempt.
+		_ = j.fileSystem.Remove(path + temporarySuffix)
 		return err
 	}
 	if err := j.fileSystem.Rename(path+temporarySuffix, path); err != nil {
@@ -246,11 +300,14 @@
 	}
 	if err := j.syncFolder(j.folder); err != nil {
 		_ = f.Close()
+		j.unsyncedRename = j.file != nil
 		return err
 	}
 	old := j.file
 	j.file = f
 	j.generation++
+	j.end = int64(len(j.buffer))
+	j.failed, j.unsyncedRename = nil, false
 	if old == nil {
 		return nil
 	}
@@ -332,6 +389,7 @@
 	}
 	j.file = f
 	j.generation = generation
+	j.end = int64(end)
 	j.truncated = int64(len(data) - end)
 	if j.truncated > 0 {
 		if err := f.Truncate(int64(end)); err != nil {
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -130,6 +130,7 @@
 	electionElapsed int
 	electionTimeout int
 	votes           map[string]bool
+	storageFailed   bool // journal writes fail or stall
 
 	// Leader state.
 	peers              map[string]*peer
@@ -238,6 +239,10 @@
 		c.onTransferLeadership(e.ID)
 	case RemoveMember:
 		c.onRemoveMember(e)
+	case StorageFailed:
+		c.onStorageFailed()
+	case StorageRecovered:
+		c.storageFailed = false
 	}
 }
 
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -66,6 +66,8 @@
 		"cut one way":   func(t *rapid.T) { s.partitioned[pick(t).address+" to "+pick(t).address] = true },
 		"freeze":        func(t *rapid.T) { pick(t).frozen = true },
 		"thaw":          func(t *rapid.T) { pick(t).frozen = false },
+		"disk fails":    func(t *rapid.T) { s.setDisk(pick(t), true) },
+		"disk recovers": func(t *rapid.T) { s.setDisk(pick(t), false) },
 		"snapshot":      func(t *rapid.T) { s.takeSnapshot(pick(t)) },
 		"remove member": func(t *rapid.T) { s.removeMember(pick(t), pick(t)) },
 		"hand over":     func(t *rapid.T) { s.transferLeadership(pick(t)) },
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -13,7 +13,7 @@
 		return
 	}
 	c.leader = ""
-	if c.config().isVoter(c.id) {
+	if c.config().isVoter(c.id) && !c.storageFailed {
 		c.campaign(PreCandidate, false)
 	}
 }
--- a/internal/replica/leadershiptransfer.go
+++ b/internal/replica/leadershiptransfer.go
@@ -6,6 +6,9 @@
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
+// noCall is the id of a leadership transfer that no caller waits for.
+const noCall = 0
+
 // leadershipTransfer is a leadership transfer in progress.
 type leadershipTransfer struct {
 	id          uint64
@@ -43,6 +46,9 @@
 		c.endLeadershipTransfer()
 		c.out.LeadershipTransferred = append(c.out.LeadershipTransferred, t.id)
 	case t.ticks >= c.o.ElectionTicks, c.role == Leader && c.activeVoters(c.config()) < 2:
+		if c.storageFailed && c.role == Leader {
+			c.becomeFollower(c.term)
+		}
 		c.endLeadershipTransfer()
 		c.out.LeadershipTransferFailed = append(c.out.LeadershipTransferFailed, t.id)
 	case c.role == Leader:
@@ -98,7 +104,7 @@
 // onHandOverRequest starts an election without a pre-vote. A request whose last
 // index isn't the end of the log is stale: its leadership transfer was abandoned.
 func (c *Core) onHandOverRequest(r *wire.HandOverRequest) {
-	if c.role == Leader || c.role == Candidate || c.leadershipTransfer != nil || !c.config().isVoter(c.id) {
+	if c.role == Leader || c.role == Candidate || c.leadershipTransfer != nil || c.storageFailed || !c.config().isVoter(c.id) {
 		return
 	}
 	if c.log.last() != r.LastIndex || c.log.lastTerm() != c.term {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -138,6 +138,7 @@
 	writes          *queue[writeJob]
 	applyJobs       *queue[applyJob]
 	calls           *callTable
+	storage         *storage
 	applied         atomic.Uint64
 	status          atomic.Pointer[Status]
 	ctx             context.Context // cancelled when quit is closed
@@ -173,6 +174,7 @@
 		done:      make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.storage = newStorage(o.Timer, func(e Event) { n.events.put(e) })
 	n.status.Store(&Status{FaultTolerance: -1})
 	n.SetPeers(o.Peers)
 	return n, nil
@@ -182,12 +184,13 @@
 func (n *Node) SetPeers(peers []string) { n.peers.Store(&peers) }
 
 // Start initializes a new journal with a member id, restores the state machine and
-// starts the replica. It returns before a leader is known.
-func (n *Node) Start(context.Context) error {
+// starts the replica. It returns before a leader is known. It waits while the journal
+// can't store the member id.
+func (n *Node) Start(ctx context.Context) error {
 	contents := n.o.Journal.Contents()
 	if contents.State.Member == "" {
 		contents.State.Member = n.o.NewID()
-		if err := n.o.Journal.Save([]journal.Batch{{State: &contents.State}}); err != nil {
+		if err := n.saveMemberID(ctx, contents.State); err != nil {
 			return errors.Wrap(err, "save member id")
 		}
 	}
@@ -225,6 +228,21 @@
 	return nil
 }
 
+func (n *Node) saveMemberID(ctx context.Context, state journal.State) error {
+	for {
+		n.storage.begin()
+		err := n.o.Journal.Save([]journal.Batch{{State: &state}})
+		n.storage.end(err)
+		var failed *journal.FailedError
+		if !errors.As(err, &failed) {
+			return err
+		}
+		if sleepErr := n.o.Timer.Sleep(ctx, storageRetryInterval); sleepErr != nil {
+			return err
+		}
+	}
+}
+
 // Stop stops the replica and waits until its goroutines have finished or ctx is done.
 func (n *Node) Stop(ctx context.Context) error {
 	n.fail(nil)
@@ -328,6 +346,7 @@
 func (n *Node) Status() Status {
 	s := *n.status.Load()
 	s.Applied = n.applied.Load()
+	s.StorageFailure = n.storage.state()
 	if n.ctx.Err() != nil {
 		s.Role, s.LeaderID, s.LeaderAddress, s.FaultTolerance = Follower, "", "", -1
 	}
@@ -349,6 +368,7 @@
 		case <-n.quit:
 			return
 		case <-ticker.C():
+			n.storage.check()
 			events = []Event{Tick{}}
 		case <-n.events.ready():
 			events = n.events.take()
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -19,6 +19,8 @@
 	// voters that are caught up and responded within one election timeout. It is -1
 	// if this replica isn't the leader, because only the leader knows it.
 	FaultTolerance int
+	// StorageFailure describes why journal writes fail, or is "" while they succeed.
+	StorageFailure string
 }
 
 // MemberStatus is a replica's view of one member.
@@ -29,7 +31,8 @@
 	CaughtUp bool   // has all entries that were committed about 200 ms ago
 }
 
-// Status returns the current view of the cluster. Applied is set by Node.
+// Status returns the current view of the cluster. Applied and StorageFailure are set by
+// Node.
 func (c *Core) Status() Status {
 	m := c.config()
 	s := Status{
--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -22,7 +22,7 @@
 			return
 		case <-n.writes.ready():
 		}
-		if err := n.save(n.writes.take()); err != nil {
+		if err := n.saveWithRetries(n.writes.take()); err != nil {
 			n.fail(errors.Wrap(err, "save to journal"))
 			return
 		}
