upstream: Limit what a target may send, and judge streams by whole events

Cause: a response head without end was read until the deadline of the call, 924 MB of heap after 3 s; an event without end was held without a limit; a stream whose target sends a byte or a comment now and then ended only at the timeout of its route; a stream without length that was cut within an event reached the caller as a complete success; a late copy of an answer without request id, or of a stage call's answer, was taken by the next request on its connection; the rest of a refusal without end held its request.

Ruled out: identifying answers to stage calls by a request id, since targets don't echo one (trial, 0 of 30 stage calls).

Change: heads of one call are limited to 64 KiB together, events to 256 KiB, answers that aren't streams to 64 MiB, the rest of a refusal to 64 KiB and 50 ms. Only whole events with data are progress; a stream without any for the callers' patience and 250 ms ends and goes on elsewhere where its route allows it. A request that is sent to the same target again gets a new connection. HTTP clients of agents, entries and control VMs have the same limit for heads.

--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/cardamomline/cardamomline/internal/upstream"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -115,9 +116,10 @@
 		dial = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
 	}
 	return &target{url: strings.TrimSuffix(url, "/"), http: &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: targetIdleConns,
-		DisableCompression:  true,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    targetIdleConns,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 
 		ExpectContinueTimeout: continueTimeout,
 	}}}
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/upstream"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -176,10 +177,11 @@
 	p, ok := c.pools[address]
 	if !ok {
 		p = &http.Client{Transport: &http.Transport{
-			DialContext:         c.o.Dial,
-			MaxIdleConnsPerHost: maxIdlePerTarget,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
+			DialContext:            c.o.Dial,
+			MaxIdleConnsPerHost:    maxIdlePerTarget,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 		}}
 		c.pools[address] = p
 	}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/upstream"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -40,9 +41,10 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		DisableCompression:  true,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 	}}
 }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -3,36 +3,50 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/routing"
+	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
 )
 
 const (
 	copyBuffer = 4 << 10
-	// drainBytes bounds the body of a refusal that is read so that the connection
-	// can be used again.
-	drainBytes = 64 << 10
 	// bufferedAnswer bounds an answer that is read whole before it is passed on,
 	// so that one that breaks off can be replaced by another target's.
 	bufferedAnswer = 64 << 10
+	// maxAnswerBytes limits an answer that isn't a stream. The platform sets no limit; this
+	// one is far above its answers and ends those that never end.
+	maxAnswerBytes = 64 << 20
+	// maxEventBytes limits one event of a stream, which is held until it is whole.
+	maxEventBytes = 256 << 10
+	// eventTimeoutMargin is added to the time after which callers abandon a stream, so that
+	// a sound stream isn't ended before its caller would leave.
+	eventTimeoutMargin = 250 * time.Millisecond
 )
 
-// drain reads the rest of a short body and closes the answer.
-func drain(resp *upstream.Response) {
-	_, _ = io.CopyN(io.Discard, resp, drainBytes)
-	resp.Close()
+// errTruncatedEvent reports a stream that ended within an event.
+var errTruncatedEvent = errors.New("the stream ended within an event")
+
+// EventTooLargeError reports an event of a stream that exceeds maxEventBytes.
+type EventTooLargeError struct{}
+
+// Error implements error.
+func (*EventTooLargeError) Error() string {
+	return fmt.Sprintf("an event exceeds %d bytes", maxEventBytes)
 }
 
-// deliver passes an answer on to the caller.
-func (x *exchange) deliver(ctx context.Context, pool *routing.Pool, choice routing.Choice, resp *upstream.Response, in *inputs, began time.Time) verdict {
+// deliver passes an answer on to the caller. cancel ends the attempt, and ctx is that of the
+// request.
+func (x *exchange) deliver(ctx context.Context, cancel context.CancelFunc, pool *routing.Pool, choice routing.Choice, resp *upstream.Response, in *inputs, began time.Time) verdict {
 	defer resp.Close()
 	first := x.g.o.Timers.Since(began)
 	in.free()
@@ -40,7 +54,9 @@
 	if x.route.Kind() != catalog.Stream || !success {
 		return x.deliverWhole(pool, choice, resp, first, success)
 	}
-	err := x.copyEvents(resp)
+	w := x.watchEvents(ctx, cancel)
+	err := x.copyEvents(resp, w)
+	w.stop()
 	now := x.g.o.Timers.Now()
 	if err == nil {
 		pool.Finish(choice, routing.Success{Latency: first, Expected: x.expectedFirst()}, now)
@@ -48,9 +64,13 @@
 		return answered
 	}
 	x.lastErr = err.Error()
-	if x.in.Context().Err() != nil || ctx.Err() != nil {
+	switch {
+	case w.expired.Load():
+		x.lastErr = "no whole event within " + x.eventTimeout().String()
+		pool.Finish(choice, routing.Failure{}, now)
+	case x.in.Context().Err() != nil || ctx.Err() != nil:
 		pool.Finish(choice, routing.Canceled{}, now)
-	} else {
+	default:
 		pool.Finish(choice, routing.Failure{}, now)
 	}
 	return x.brokenStream(ctx)
@@ -90,7 +110,12 @@
 	x.sendHeader(resp)
 	_, werr := x.w.Write(b.Bytes())
 	if werr == nil && !resp.BodyComplete() {
-		_, err = io.Copy(x.w, resp)
+		_, err = io.Copy(x.w, io.LimitReader(resp, maxAnswerBytes))
+		if err == nil && !resp.BodyComplete() {
+			x.lastErr = fmt.Sprintf("the answer exceeds %d bytes", maxAnswerBytes)
+			pool.Finish(choice, routing.Failure{}, now)
+			x.breakOff("answer_too_large")
+		}
 	}
 	if err != nil || werr != nil {
 		pool.Finish(choice, routing.Canceled{}, now)
@@ -124,18 +149,18 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// copyEvents passes on whole events as they arrive, and remembers the last one. A
-// target may stop in the middle of an event.
-func (x *exchange) copyEvents(resp *upstream.Response) error {
+// copyEvents passes on whole events as they arrive, and remembers the last one. A target may
+// stop in the middle of an event: the rest is passed on only if the framing of the answer
+// shows that it is complete.
+func (x *exchange) copyEvents(resp *upstream.Response, w *eventWatch) error {
 	rc := http.NewResponseController(x.w)
 	var pending []byte
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
-		whole := bytes.LastIndex(pending, []byte("\n\n"))
-		if whole >= 0 {
-			events := pending[:whole+2]
+		if end := lastEventEnd(pending); end > 0 {
+			events := pending[:end]
 			x.sendHeader(resp)
 			if _, werr := x.w.Write(events); werr != nil {
 				return werr
@@ -143,16 +168,88 @@
 			if ferr := rc.Flush(); ferr != nil {
 				return ferr
 			}
+			if hasData(events) {
+				w.progress()
+			}
 			x.noteEvents(events)
-			pending = append(pending[:0], pending[whole+2:]...)
+			pending = append(pending[:0], pending[end:]...)
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && len(pending) > 0 && resp.EndsWithConnection():
+			return errTruncatedEvent
+		case errors.Is(err, io.EOF):
 			x.sendHeader(resp)
 			_, werr := x.w.Write(pending)
 			return werr
-		}
-		if err != nil {
+		case err != nil:
 			return err
+		case len(pending) > maxEventBytes:
+			return &EventTooLargeError{}
+		}
+	}
+}
+
+// lastEventEnd returns the position after the last blank line, which ends an event, or 0.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, blank := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(b, blank); i >= 0 {
+			end = max(end, i+len(blank))
+		}
+	}
+	return end
+}
+
+// hasData reports whether events contain a data field. Comments and empty events keep a
+// connection open, but are no progress.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, []byte("data")) || bytes.Contains(events, []byte("\ndata"))
+}
+
+// eventTimeout returns the time without a whole event after which a stream is ended, or 0.
+func (x *exchange) eventTimeout() time.Duration {
+	if t := x.route.ClientEventTimeout(); t > 0 {
+		return t + eventTimeoutMargin
+	}
+	return 0
+}
+
+// eventWatch cancels an attempt whose stream makes no progress.
+type eventWatch struct {
+	last    atomic.Int64 // time of the last progress in nanoseconds since began
+	began   time.Time
+	timers  *timer.Service
+	expired atomic.Bool
+	done    chan struct{}
+}
+
+// watchEvents starts to watch the stream of an attempt.
+func (x *exchange) watchEvents(ctx context.Context, cancel context.CancelFunc) *eventWatch {
+	w := &eventWatch{timers: x.g.o.Timers, began: x.g.o.Timers.Now(), done: make(chan struct{})}
+	if limit := x.eventTimeout(); limit > 0 {
+		go w.run(ctx, cancel, limit)
+	}
+	return w
+}
+
+func (w *eventWatch) progress() { w.last.Store(int64(w.timers.Since(w.began))) }
+
+func (w *eventWatch) stop() { close(w.done) }
+
+func (w *eventWatch) run(ctx context.Context, cancel context.CancelFunc, limit time.Duration) {
+	for {
+		left := limit - (w.timers.Since(w.began) - time.Duration(w.last.Load()))
+		if left <= 0 {
+			w.expired.Store(true)
+			cancel()
+			return
+		}
+		select {
+		case <-w.timers.After(left):
+		case <-w.done:
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -165,12 +165,12 @@
 	}
 	x.ran++
 	if resp.StatusCode >= http.StatusInternalServerError && x.route.Kind() == catalog.Idempotent && x.ran < x.route.MaxAttempts() {
-		drain(resp)
+		resp.Drain()
 		pool.Finish(choice, routing.Failure{}, x.g.o.Timers.Now())
 		x.lastErr = resp.Status
 		return mayHaveRun
 	}
-	return x.deliver(actx, pool, choice, resp, in, began)
+	return x.deliver(ctx, cancel, pool, choice, resp, in, began)
 }
 
 // send sends the request and waits until its answer begins. An attempt that could
@@ -202,16 +202,25 @@
 			Target: choice.Target, Customer: x.customer, RemainingTime: left, Inputs: handles, ResumeAfter: x.r.ResumeAfter,
 		}),
 	}
-	c := upstream.Call{Address: choice.Address, Request: r, Body: x.body, Matches: func(resp *http.Response) bool {
-		id := x.g.o.Codec.DecodeResponse(resp).RequestID
-		return id == "" || id == x.r.ID
-	}}
+	c := upstream.Call{Address: choice.Address, Request: r, Body: x.body, Match: x.matchResponse}
+	// A late copy of the target's earlier response has the same id.
+	c.NewConnection = x.regained
 	if !x.route.Retryable() {
 		c.MaxIdle = nonIdempotentIdle
 	}
 	return c
 }
 
+func (x *exchange) matchResponse(resp *http.Response) upstream.Match {
+	switch x.g.o.Codec.DecodeResponse(resp).RequestID {
+	case x.r.ID:
+		return upstream.Matched
+	case "":
+		return upstream.Unnamed
+	}
+	return upstream.Mismatched
+}
+
 // noAnswer judges an attempt without an answer.
 func (x *exchange) noAnswer(ctx context.Context, pool *routing.Pool, choice routing.Choice, err error) verdict {
 	now := x.g.o.Timers.Now()
@@ -233,7 +242,7 @@
 
 // notRunThere judges a refusal by the target.
 func (x *exchange) notRunThere(pool *routing.Pool, choice routing.Choice, resp *upstream.Response, a ResponseMetadata) verdict {
-	drain(resp)
+	resp.Drain()
 	x.lastErr = resp.Status + " not run"
 	now := x.g.o.Timers.Now()
 	switch {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,9 +2,10 @@
 //
 // The client of net/http retries some requests automatically and accepts whatever
 // arrives next on a connection as the response. A target may send a second or a
-// delayed response. A Pool therefore matches the response to the request, never
-// sends a request twice, and reports whether a failed request may have reached the
-// target. Messages are written and parsed by net/http.
+// delayed response, or bytes that are no response and never end. A Pool therefore
+// matches the response to the request, limits the head of the response, never sends a
+// request twice, and reports whether a failed request may have reached the target.
+// Messages are written and parsed by net/http.
 //
 // # Usage
 //
@@ -62,9 +63,24 @@
 	maxMismatched = 3
 	// maxMismatchedBytes is the maximum body size of a skipped response.
 	maxMismatchedBytes = 1 << 20
-	readBufferSize     = 4 << 10
+	// MaxHeadBytes is the maximum size of all response heads of one call together, interim
+	// and mismatched responses included.
+	MaxHeadBytes = 64 << 10
+	// drainBytes and drainTimeout limit the rest of a body that Drain reads to keep the
+	// connection.
+	drainBytes     = 64 << 10
+	drainTimeout   = 50 * time.Millisecond
+	readBufferSize = 4 << 10
 )
 
+// HeadTooLargeError reports a response head that exceeds MaxHeadBytes.
+type HeadTooLargeError struct{}
+
+// Error implements error.
+func (*HeadTooLargeError) Error() string {
+	return fmt.Sprintf("response head exceeds %d bytes", MaxHeadBytes)
+}
+
 // Error reports a call without a response.
 type Error struct {
 	address string
@@ -98,12 +114,25 @@
 	// Request has the method, URL, host and header; the body is Body.
 	Request *http.Request
 	Body    []byte
-	// Matches reports whether a response belongs to the request; nil accepts any.
-	Matches func(*http.Response) bool
+	// Match reports whether a response belongs to the request; nil accepts any.
+	Match func(*http.Response) Match
 	// MaxIdle is the maximum idle time of a reused connection; 0 means no limit.
 	MaxIdle time.Duration
+	// NewConnection prevents the reuse of a connection.
+	NewConnection bool
 }
 
+// Match is the relation between a response and a request.
+type Match int
+
+// Relations between a response and a request. A response that names no request is accepted
+// only on a new connection, where it can't be a late response to an earlier request.
+const (
+	Matched Match = iota
+	Mismatched
+	Unnamed
+)
+
 // Pool is a pool of connections to targets. It is safe for concurrent use.
 type Pool struct {
 	o    Options
@@ -115,11 +144,34 @@
 // conn is a connection to a target.
 type conn struct {
 	net       net.Conn
+	head      *headLimiter
 	r         *bufio.Reader
+	used      bool      // a response was read
 	idleSince time.Time // when it became idle
 	expires   time.Time // end of reuse, before the target closes it
 }
 
+// headLimiter limits the bytes that are read while a response head is parsed. Reading a line
+// or a header without end would otherwise take memory until the end of the call.
+type headLimiter struct {
+	r      io.Reader
+	active bool
+	left   int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.active {
+		return l.r.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, &HeadTooLargeError{}
+	}
+	n, err := l.r.Read(b)
+	l.left -= n
+	return n, err
+}
+
 // NewPool returns an empty Pool.
 func NewPool(o Options) *Pool {
 	return &Pool{o: o, idle: map[string][]*conn{}, dial: net.Dialer{
@@ -163,7 +215,7 @@
 
 // connect returns an idle connection that is still open, or a new one.
 func (p *Pool) connect(ctx context.Context, c Call) (*conn, error) {
-	for {
+	for !c.NewConnection {
 		cn := p.take(c)
 		if cn == nil {
 			break
@@ -180,7 +232,8 @@
 	if p.o.OnDial != nil {
 		p.o.OnDial(c.Address)
 	}
-	return &conn{net: nc, r: bufio.NewReaderSize(nc, readBufferSize)}, nil
+	head := &headLimiter{r: nc}
+	return &conn{net: nc, head: head, r: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 func (p *Pool) take(c Call) *conn {
@@ -266,23 +319,39 @@
 
 // read returns the response to the request and skips responses to other requests.
 func (c *conn) read(call Call) (*http.Response, error) {
+	reused := c.used
+	c.used = true
+	c.head.left = MaxHeadBytes
 	for range maxMismatched {
-		resp, err := http.ReadResponse(c.r, call.Request)
+		resp, err := c.readHead(call)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if call.Matches == nil || call.Matches(resp) {
+		match := Matched
+		if call.Match != nil {
+			match = call.Match(resp)
+		}
+		switch {
+		case match == Matched, match == Unnamed && !reused:
 			return resp, nil
+		case match == Unnamed:
+			return nil, errors.New("response on a reused connection names no request")
 		}
 		n, err := io.CopyN(io.Discard, resp.Body, maxMismatchedBytes)
 		if err == nil || !errors.Is(err, io.EOF) || resp.Close {
 			return nil, errors.Errorf("mismatched response with a body of %d bytes or more: %v", n, err)
 		}
 	}
-	return nil, errors.New("only mismatched responses received")
+	return nil, errors.New("only interim or mismatched responses received")
+}
+
+func (c *conn) readHead(call Call) (*http.Response, error) {
+	c.head.active = true
+	defer func() { c.head.active = false }()
+	return http.ReadResponse(c.r, call.Request)
 }
 
 // Response is a response whose body is read from the connection.
@@ -307,6 +376,27 @@
 // BodyComplete reports whether the complete body has been read.
 func (r *Response) BodyComplete() bool { return r.complete }
 
+// EndsWithConnection reports whether the end of the connection ends the body, so that a
+// body that is cut off can't be told from a complete one.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// Drain reads the rest of a short body, so that the connection can be reused, and ends the
+// call.
+func (r *Response) Drain() {
+	_ = r.conn.net.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.CopyN(io.Discard, r, drainBytes)
+	_ = r.conn.net.SetReadDeadline(time.Time{})
+	r.Close()
+}
+
+// Discard ends the call and closes the connection.
+func (r *Response) Discard() {
+	r.complete = false
+	r.Close()
+}
+
 // Close ends the call. The connection is reused if the complete body was read.
 func (r *Response) Close() {
 	live := r.stop()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -37,7 +37,19 @@
 func call(address, id string) Call {
 	return Call{Address: address, Request: &http.Request{
 		Method: http.MethodPost, Host: address, URL: &url.URL{Scheme: "http", Host: address, Path: "/"}, Header: http.Header{"Id": {id}},
-	}, Body: []byte("body"), Matches: func(r *http.Response) bool { return r.Header.Get("Id") == id }}
+	}, Body: []byte("body"), Match: matchID(id)}
+}
+
+func matchID(id string) func(*http.Response) Match {
+	return func(r *http.Response) Match {
+		switch r.Header.Get("Id") {
+		case id:
+			return Matched
+		case "":
+			return Unnamed
+		}
+		return Mismatched
+	}
 }
 
 // respondAll responds to each request on a connection with the result of answer.
