control: Check shared connections only while no watch is answered

Cause: with pings after 1 s a silent connection is closed after 2 s, later than the 1.2 s after which a watch over a connection of its own was repeated.

Change: pings after 600 ms, longer than the 500 ms for which a watch is held, closed after 1.4 s. A connection with answered watches is not checked.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -19,10 +19,11 @@
 	sendQueueSize = 256
 	sendTimeout   = 2 * time.Second
 	// pingIdle is the time without a frame after which a multiplexed connection is checked,
-	// and pingTimeout the time for the response. A connection that went silent is closed
-	// within 2 s.
-	pingIdle    = time.Second
-	pingTimeout = time.Second
+	// and pingTimeout the time for the response. A silent connection is closed within 1.4 s.
+	// Gateways watch each control VM and get a response every 500 ms, so that a connection
+	// that works isn't checked.
+	pingIdle    = 600 * time.Millisecond
+	pingTimeout = 800 * time.Millisecond
 	// maxMultiplexedConns limits the connections that calls open which arrive while none is
 	// ready, as after the loss of a collector.
 	maxMultiplexedConns = 2
