gateway: Let requests wait for the first catalog after a start

Change: in the first 3 s of a process a request waits for the first catalog, at most 800 ms and an eighth of the time that its caller states.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,12 @@
 	// unsureRetry is the time after which a caller may come back that was refused
 	// because this gateway is not sure of the catalog.
 	unsureRetry = 300 * time.Millisecond
+	// startupTime is the time after the start in which the first catalog is expected: a
+	// restart of all control VMs takes an election. catalogWait and catalogWaitShare limit
+	// how long a request waits for it, the latter as a share of the caller's timeout.
+	startupTime      = 3 * time.Second
+	catalogWait      = 800 * time.Millisecond
+	catalogWaitShare = 1.0 / 8
 )
 
 // Options holds what a Gateway needs; all are required.
@@ -86,6 +92,9 @@
 	weights   map[string]map[string]float64 // by route and failure domain
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
+	// installed is closed with the first catalog.
+	installed chan struct{}
+	startedAt time.Time
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -97,6 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		o: o, pools: map[string]*routing.Pool{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
+		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 		retries: budget.NewRetries(budget.RetryOptions{RetryRatio: o.RetryRatio, EntryRetryRatio: o.RetryRatio, IdleRetryRatio: o.RetryRatio, Burst: o.RetryBurst}),
 	}
 	g.confirmed.Store(-int64(time.Hour))
@@ -181,10 +191,34 @@
 		return
 	}
 	klog.InfoS("Catalog in force", "version", c.Version(), "before", g.CatalogVersion(), "from", address, "services", len(c.Services()))
-	g.catalog.Store(c)
+	if g.catalog.Swap(c) == nil {
+		close(g.installed)
+	}
 	g.syncPools()
 }
 
+// awaitCatalog returns the catalog in force. Shortly after the start it waits for the first
+// one, so that the callers of a system that restarts aren't all sent away. It returns nil if
+// there is none in time.
+func (g *Gateway) awaitCatalog(ctx context.Context, callerTimeout time.Duration) *catalog.Catalog {
+	if c := g.catalog.Load(); c != nil {
+		return c
+	}
+	limit := min(catalogWait, startupTime-g.o.Timers.Since(g.startedAt))
+	if callerTimeout > 0 {
+		limit = min(limit, time.Duration(float64(callerTimeout)*catalogWaitShare))
+	}
+	if limit <= 0 || g.stopping.Load() {
+		return nil
+	}
+	select {
+	case <-g.installed:
+	case <-g.o.Timers.After(limit):
+	case <-ctx.Done():
+	}
+	return g.catalog.Load()
+}
+
 // isFresh says whether the catalog was the newest one a short time ago.
 func (g *Gateway) isFresh() bool {
 	return timer.SinceBoot()-time.Duration(g.confirmed.Load()) <= freshBound
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -92,7 +92,7 @@
 		return false
 	}
 	x.r = r
-	c := x.g.catalog.Load()
+	c := x.g.awaitCatalog(x.in.Context(), r.ClientTimeout)
 	if c == nil {
 		x.refuse("no_catalog", unsureRetry)
 		return false
