gateway: Send callers of a stopping gateway on without delay

Cause: a gateway that stops refused streams with a Retry-After of 1.5 s, the time until its successor starts.

Change: they may return after 200 ms.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,9 +40,10 @@
 	// engineOutlier is the multiple of the median latency above which an engine is
 	// ejected. At 3, bursts of long prompts ejected half of the engines.
 	engineOutlier = 6
-	// stoppingRetry is the time after which a caller may come back whose stream was
-	// refused by a gateway that stops; its successor starts about then.
-	stoppingRetry = 1500 * time.Millisecond
+	// stoppingRetry is the time after which a caller may return whose stream was refused by a
+	// gateway that stops. It returns to another gateway, because the balancer has noticed the
+	// stop by then, and can still be in time.
+	stoppingRetry = 200 * time.Millisecond
 	// unsureRetry is the time after which a caller may come back that was refused
 	// because this gateway is not sure of the catalog.
 	unsureRetry = 300 * time.Millisecond
