control: Give each call to a control VM a connection of its own again

Ruled out: a change of descriptors without cost. At 103 gateways a control VM has up to 3,219 files open (limit 4,096); at the target that is too many, and needs a transport that is cheaper than both.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -18,15 +18,6 @@
 	// dropped messages.
 	sendQueueSize = 256
 	sendTimeout   = 2 * time.Second
-	// pingIdle is the time without a frame after which a multiplexed connection is checked,
-	// and pingTimeout the time for the response. A silent connection is closed within 1.4 s.
-	// Gateways watch each control VM and get a response every 500 ms, so that a connection
-	// that works isn't checked.
-	pingIdle    = 600 * time.Millisecond
-	pingTimeout = 800 * time.Millisecond
-	// maxMultiplexedConns limits the connections that calls open which arrive while none is
-	// ready, as after the loss of a collector.
-	maxMultiplexedConns = 2
 )
 
 // Transport sends the replicated log's messages over twirp. Each peer has its own queue and
@@ -57,26 +48,6 @@
 	}}
 }
 
-// NewMultiplexedClient returns an HTTP client that sends all concurrent calls to a process
-// over one connection, by HTTP/2 without TLS. A call of a gateway waits for its batch, so that
-// a control VM would otherwise have one connection for each request in the system.
-func NewMultiplexedClient() *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
-		MaxConnsPerHost:        maxMultiplexedConns,
-		Protocols:              protocols,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingIdle,
-			PingTimeout:      pingTimeout,
-			WriteByteTimeout: pingTimeout,
-		},
-	}}
-}
-
 // NewTransport returns a Transport that uses the dialer, or the network if it is nil.
 func NewTransport(dial Dialer) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -28,8 +28,6 @@
 
 	// defaultMaxConns limits the open connections of one server.
 	defaultMaxConns = 8192
-	// maxConcurrentStreams limits the concurrent calls on one multiplexed connection.
-	maxConcurrentStreams = 1000
 )
 
 // Options configures a Server.
@@ -42,15 +40,6 @@
 	Listener net.Listener
 	// MaxConns limits the open connections; defaults to 8192.
 	MaxConns int
-	// Multiplexed also accepts HTTP/2 without TLS, for other processes of the system.
-	Multiplexed bool
-}
-
-func (o Options) protocols() *http.Protocols {
-	p := new(http.Protocols)
-	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(o.Multiplexed)
-	return p
 }
 
 // Server is an HTTP server that starts and stops with its kernel.
@@ -72,8 +61,6 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		Protocols:         o.protocols(),
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
 	}}
 }
 
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := control.NewMultiplexedClient()
+	client := control.NewHTTPClient(nil)
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
 		Timers: t, HTTP: client, Process: o.Name, Self: o.Internal, Seeds: o.Seeds, Table: table,
@@ -94,7 +94,7 @@
 	k.Register(TransportComponent, link)
 	k.Register(NodeComponent, node)
 	k.Register(WatcherComponent, follower)
-	k.Register(ServerComponent, listener.New(listener.Options{Address: o.Internal, Handler: mux, Multiplexed: true}))
+	k.Register(ServerComponent, listener.New(listener.Options{Address: o.Internal, Handler: mux}))
 	k.Register(BatchingComponent, runner)
 	k.Register(CallerServerComponent, listener.New(listener.Options{Address: o.Public, Handler: o.Handler(d)}))
 	k.Register(DirectoryComponent, d)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -67,7 +67,7 @@
 	k, t, m := kernel.New(), timer.NewService(), metrics.New("gateway")
 	k.Register(TimerComponent, t)
 	k.Register(MetricsComponent, m)
-	client := control.NewMultiplexedClient()
+	client := control.NewHTTPClient(nil)
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
