batching: Make the processor time of the scheduler independent of calls and results

Cause: each job that was added, each call and each change of the load looked through all running calls once for each target, and each call through all stored results. On a service with 47 targets and 900 requests a second that took 210 us for one stage of one request, 0.57 of a core at 2,700 stages a second.

Change: a target knows its running calls, results are looked through only when the first may have expired, and the rate is computed once for each published load. Decisions are the same.

--- a/internal/batching/capacity.go
+++ b/internal/batching/capacity.go
@@ -116,8 +116,8 @@
 	best := time.Duration(-1)
 	for _, w := range s.order {
 		left := w.backoffUntil.Sub(now)
-		if w.calls >= s.profile.MaxConcurrency {
-			left = max(left, s.callLeft(w.ID, now))
+		if len(w.running) >= s.profile.MaxConcurrency {
+			left = max(left, w.callLeft(now))
 		}
 		left = max(left, 0)
 		if best < 0 || left < best {
@@ -127,21 +127,6 @@
 	return max(best, 0)
 }
 
-// callLeft returns the time until the first call at a target ends.
-func (s *Scheduler) callLeft(id string, now time.Time) time.Duration {
-	best := time.Duration(-1)
-	for _, c := range s.calls {
-		if c.Target.ID != id {
-			continue
-		}
-		left := max(c.StartedAt.Add(c.Expected).Sub(now), 0)
-		if best < 0 || left < best {
-			best = left
-		}
-	}
-	return max(best, 0)
-}
-
 // batchDelay returns how long to wait for more pieces before the next call. The fewer
 // targets are free, the more a partly filled call costs later arrivals.
 func (s *Scheduler) batchDelay(free int, now time.Time) time.Duration {
@@ -159,8 +144,9 @@
 }
 
 // Backlog returns the time that the targets need for the queue.
-func (s *Scheduler) Backlog(now time.Time) time.Duration {
-	rate := s.rate(now)
+func (s *Scheduler) Backlog(now time.Time) time.Duration { return s.backlogAt(s.rate(now)) }
+
+func (s *Scheduler) backlogAt(rate float64) time.Duration {
 	if rate <= 0 {
 		return s.callTime(s.profile.MaxBatchSize)
 	}
@@ -174,7 +160,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.throughput, l.lateThroughput = o.rate, o.late
-	l.fullCall, l.backlog = s.callTime(s.profile.MaxBatchSize), s.Backlog(now)
+	l.fullCall, l.backlog = s.callTime(s.profile.MaxBatchSize), s.backlogAt(o.rate)
 	l.waiting = [ranks]int{}
 	for _, j := range s.jobs {
 		if j.group == groupOnTime {
--- a/internal/batching/results.go
+++ b/internal/batching/results.go
@@ -73,13 +73,29 @@
 	return byTarget
 }
 
+func (s *Scheduler) storeResult(handle string, w *worker, bytes int64, now time.Time) {
+	expires := now.Add(s.profile.ResultTTL)
+	if len(s.results) == 0 || expires.Before(s.nextExpiry) {
+		s.nextExpiry = expires
+	}
+	s.results[handle] = storedResult{worker: w, bytes: bytes, expires: expires}
+}
+
 // expireResults frees the memory of results whose lifetime is over.
 func (s *Scheduler) expireResults(now time.Time) {
+	if now.Before(s.nextExpiry) {
+		return
+	}
+	next := now.Add(s.profile.ResultTTL)
 	for h, r := range s.results {
 		if now.Before(r.expires) {
+			if r.expires.Before(next) {
+				next = r.expires
+			}
 			continue
 		}
 		delete(s.results, h)
 		r.worker.resultBytes -= r.bytes
 	}
+	s.nextExpiry = next
 }
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -115,8 +115,8 @@
 	order              []*worker
 	jobs               []*Job // jobs with pieces that are in no call
 	waiting            int    // pieces that are in no call
-	calls              map[uint64]*Call
 	results            map[string]storedResult
+	nextExpiry         time.Time // no result expires before
 	nextID             uint64
 	orphans            []Result // results that no job needs any more
 	pieceTime          float64  // average call time per piece, in seconds
@@ -129,7 +129,7 @@
 // NewScheduler returns a Scheduler without targets.
 func NewScheduler(p catalog.BatchProfile) *Scheduler {
 	return &Scheduler{
-		profile: p, workers: map[string]*worker{}, calls: map[uint64]*Call{}, results: map[string]storedResult{},
+		profile: p, workers: map[string]*worker{}, results: map[string]storedResult{},
 		pieceTime: p.PieceTime.Seconds(), load: NewLoad(),
 	}
 }
@@ -324,8 +324,7 @@
 	c.ID = s.nextID
 	c.Expected = time.Duration(float64(s.callTime(len(c.Pieces))) * max(w.ratio(now), 1))
 	c.Queued, c.TargetBytes = s.waiting, w.resultBytes
-	w.calls++
-	s.calls[c.ID] = c
+	w.running = append(w.running, c)
 	return c
 }
 
@@ -352,9 +351,8 @@
 
 // Finish records the outcome of a call.
 func (s *Scheduler) Finish(c *Call, o CallOutcome, now time.Time) {
-	delete(s.calls, c.ID)
 	w := c.worker
-	w.calls--
+	w.running = slices.DeleteFunc(w.running, func(other *Call) bool { return other == c })
 	switch o := o.(type) {
 	case CallCompleted:
 		w.failures = 0
@@ -383,7 +381,7 @@
 	}
 	switch o {
 	case PieceDone:
-		s.results[handle] = storedResult{worker: w, bytes: p.Job.ResultBytes, expires: now.Add(s.profile.ResultTTL)}
+		s.storeResult(handle, w, p.Job.ResultBytes, now)
 		r := Result{Handle: handle, Target: w.ID, FailureDomain: w.FailureDomain}
 		if p.Job.finished {
 			s.orphans = append(s.orphans, r)
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -11,7 +11,7 @@
 // worker holds what the Scheduler knows about a target.
 type worker struct {
 	Target
-	calls       int
+	running     []*Call
 	resultBytes int64 // result memory in use, as far as this process knows
 	// otherBytes is the memory taken by results of other collectors as of rejectedAt, when
 	// the target rejected pieces although it should have had free memory.
@@ -31,6 +31,18 @@
 	return 1 + (w.relativeLatency-1)*math.Exp(-now.Sub(w.latencyUpdatedAt).Seconds()/ratioDecay.Seconds())
 }
 
+// callLeft returns the time until the first running call at the target ends.
+func (w *worker) callLeft(now time.Time) time.Duration {
+	best := time.Duration(-1)
+	for _, c := range w.running {
+		left := max(c.StartedAt.Add(c.Expected).Sub(now), 0)
+		if best < 0 || left < best {
+			best = left
+		}
+	}
+	return max(best, 0)
+}
+
 // SetTargets replaces the targets. Calls at removed targets continue.
 func (s *Scheduler) SetTargets(targets []Target) {
 	for _, w := range s.workers {
@@ -50,7 +62,7 @@
 		switch {
 		case w.present:
 			s.order = append(s.order, w)
-		case w.calls == 0:
+		case len(w.running) == 0:
 			delete(s.workers, id)
 		}
 	}
@@ -77,7 +89,7 @@
 func (s *Scheduler) retainMemory(w *worker, c *Call, now time.Time) {
 	for i, p := range c.Pieces {
 		w.resultBytes += p.Job.ResultBytes
-		s.results[fmt.Sprintf("broken call %d, piece %d", c.ID, i)] = storedResult{worker: w, bytes: p.Job.ResultBytes, expires: now.Add(s.profile.ResultTTL)}
+		s.storeResult(fmt.Sprintf("broken call %d, piece %d", c.ID, i), w, p.Job.ResultBytes, now)
 	}
 }
 
@@ -92,7 +104,7 @@
 }
 
 func (s *Scheduler) isFree(w *worker, now time.Time) bool {
-	return w.calls < s.profile.MaxConcurrency && !now.Before(w.backoffUntil)
+	return len(w.running) < s.profile.MaxConcurrency && !now.Before(w.backoffUntil)
 }
 
 // chooseTarget returns the free target for the first job of the queue, or the time
@@ -173,7 +185,7 @@
 		if w == slow || w.ratio(now) >= slowRatio || w.failures > 0 {
 			continue
 		}
-		if s.callLeft(w.ID, now)+s.callTime(n) < there {
+		if w.callLeft(now)+s.callTime(n) < there {
 			return true
 		}
 	}
