gateway: Use the first catalog only once it is confirmed

Cause: a gateway that restarted served by the first catalog that a control VM sent. One that was cut off or behind gave it an old catalog, with keys that had been withdrawn, until a newer one arrived; during a cut that could be long.

Change: before the first catalog is in force, an unconfirmed one is a candidate. Control VMs end a watch when their version becomes confirmed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -109,6 +109,7 @@
 	mu            sync.Mutex
 	watchers      map[string]watcher
 	watchReceived chan struct{} // closed at the next watch
+	confirmations chan struct{} // closed when the stored version becomes confirmed
 	inactiveSince map[string]time.Time
 	// lastLeader is the leader's address at the last member check.
 	lastLeader string
@@ -122,7 +123,7 @@
 func New(o Options) *Directory {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Directory{
-		o: o, watchers: map[string]watcher{}, watchReceived: make(chan struct{}), inactiveSince: map[string]time.Time{},
+		o: o, watchers: map[string]watcher{}, watchReceived: make(chan struct{}), confirmations: make(chan struct{}), inactiveSince: map[string]time.Time{},
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 }
@@ -335,7 +336,23 @@
 	if err != nil {
 		return // Watch reports the missing confirmation by the age of the last one.
 	}
+	stored, _ := d.o.Store.Newest()
+	before := d.isConfirmed(stored)
 	d.confirmed.Store(&confirmation{version: r.GetVersion(), requestedAt: startedAt})
+	if !before && d.isConfirmed(stored) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		close(d.confirmations)
+		d.confirmations = make(chan struct{})
+	}
+}
+
+// nextConfirmation returns a channel that is closed when the stored version becomes
+// confirmed.
+func (d *Directory) nextConfirmation() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.confirmations
 }
 
 // isConfirmed reports whether a recent confirmation shows the stored version as the newest
@@ -397,7 +414,7 @@
 	s.d.recordWatcher(r)
 	wait := s.d.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWatchWait))
 	for {
-		tableChanged, catalogChanged := s.d.o.Table.Changed(), s.d.o.Store.Changed()
+		tableChanged, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Store.Changed(), s.d.nextConfirmation()
 		w := s.d.response(r)
 		if w.GetFull() || len(w.GetTargets()) > 0 || len(w.GetCatalog()) > 0 {
 			return w, nil
@@ -405,6 +422,9 @@
 		select {
 		case <-tableChanged:
 		case <-catalogChanged:
+		case <-confirmed:
+			// A process that starts uses its first catalog only once it is confirmed.
+			return s.d.response(r), nil
 		case <-wait:
 			return s.d.response(r), nil
 		case <-s.d.ctx.Done():
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -106,6 +106,31 @@
 	})
 }
 
+// Guards against a gateway that starts, has the catalog already, and waits for the end of its
+// watch to learn that it is confirmed.
+func TestWatchEndsWithTheConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(t)
+		s := &service{d: d}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		require.NoError(t, d.StoreCatalog(ctx, 3, []byte("three")))
+		d.confirmed.Store(nil)
+		w, err := s.Watch(ctx, &wire.WatchRequest{Process: "gateway", WaitMs: 100})
+		require.NoError(t, err)
+		require.False(t, w.GetConfirmed())
+		startedAt := time.Now()
+		go func() {
+			time.Sleep(confirmInterval)
+			d.confirm(ctx)
+		}()
+		w, err = s.Watch(ctx, &wire.WatchRequest{Process: "gateway", Epoch: w.GetEpoch(), Since: w.GetVersion(), CatalogVersion: 3, WaitMs: 2000})
+		require.NoError(t, err)
+		require.True(t, w.GetConfirmed())
+		require.LessOrEqual(t, time.Since(startedAt), 2*confirmInterval)
+	})
+}
+
 // Guards against a response from a VM that can't confirm whether its catalog is the newest
 // one.
 func TestReadWithoutQuorumIsRefused(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,8 +78,10 @@
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
 type Gateway struct {
-	o         Options
-	catalog   atomic.Pointer[catalog.Catalog]
+	o       Options
+	catalog atomic.Pointer[catalog.Catalog]
+	// candidate is the newest catalog that isn't confirmed, before the first one is in force.
+	candidate atomic.Pointer[catalog.Catalog]
 	confirmed atomic.Int64 // boot clock at which the catalog was the newest, ns
 	stopping  atomic.Bool
 	closing   atomic.Bool  // streams are refused
@@ -168,11 +170,26 @@
 // Catalog returns the catalog in force here, or nil.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
 
+// KnownVersion returns the highest version that this gateway has, which is in force or
+// waits to be confirmed.
+func (g *Gateway) KnownVersion() uint64 {
+	if c := g.candidate.Load(); c != nil {
+		return max(c.Version(), g.CatalogVersion())
+	}
+	return g.CatalogVersion()
+}
+
 // OnWatchResponse takes the catalog from an answer to a watch. A version that isn't
-// higher than the one in force changes nothing, so that a gateway never goes back.
+// higher than the one in force changes nothing, so that a gateway never goes back. The first
+// catalog has to be confirmed, because a gateway that restarts doesn't know what was in force
+// before: a control VM that is cut off or behind may still have keys that were withdrawn.
+// After startupTime an unconfirmed one is better than none.
 func (g *Gateway) OnWatchResponse(address string, w *wire.WatchResponse, began time.Time) {
-	if len(w.GetCatalog()) > 0 && w.GetCatalogVersion() > g.CatalogVersion() {
-		g.install(address, w)
+	if len(w.GetCatalog()) > 0 && w.GetCatalogVersion() > g.KnownVersion() {
+		g.receive(address, w)
+	}
+	if c := g.candidate.Load(); c != nil && (w.GetConfirmed() && w.GetCatalogVersion() == c.Version() || g.startupOver()) {
+		g.install(address, c)
 	}
 	if w.GetConfirmed() && w.GetCatalogVersion() == g.CatalogVersion() {
 		at := timer.SinceBoot() - g.o.Timers.Since(began)
@@ -180,14 +197,30 @@
 	}
 }
 
-func (g *Gateway) install(address string, w *wire.WatchResponse) {
+func (g *Gateway) startupOver() bool { return g.o.Timers.Since(g.startedAt) >= startupTime }
+
+func (g *Gateway) receive(address string, w *wire.WatchResponse) {
 	c, err := g.o.DecodeCatalog(w.GetCatalog())
 	if err != nil {
 		klog.ErrorS(err, "Catalog not readable", "version", w.GetCatalogVersion(), "from", address)
 		return
 	}
+	if g.catalog.Load() != nil || w.GetConfirmed() || g.startupOver() {
+		g.install(address, c)
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if c.Version() > g.KnownVersion() {
+		klog.InfoS("Catalog waits for its confirmation", "version", c.Version(), "from", address)
+		g.candidate.Store(c)
+	}
+}
+
+func (g *Gateway) install(address string, c *catalog.Catalog) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.candidate.Store(nil)
 	if c.Version() <= g.CatalogVersion() {
 		return
 	}
@@ -231,6 +264,9 @@
 	defer ticker.Stop()
 	for {
 		changed := g.o.Table.Changed()
+		if c := g.candidate.Load(); c != nil && g.startupOver() {
+			g.install("", c)
+		}
 		g.mu.Lock()
 		g.syncPools()
 		g.mu.Unlock()
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -72,7 +72,7 @@
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
 		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table,
-		CatalogVersion: func() uint64 { return g.CatalogVersion() },
+		CatalogVersion: func() uint64 { return g.KnownVersion() },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
