listener: Serve what has reached the process before a stop

Cause: a planned stop used http.Server.Shutdown, which returns without a response for a request that was read when the stop began, closes idle connections on which a request has arrived, and resets connections that wait in the queue of the listening socket.

Change: a server that stops ends each connection with its next response, accepts what waits (500 ms at most), closes the listening socket, and closes connections only after a response or while nothing has arrived on them. Shutdown follows when none is open.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -16,9 +16,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
 
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/timer"
 )
 
 const (
@@ -48,6 +48,7 @@
 	http     *http.Server
 	mu       sync.Mutex
 	listener net.Listener
+	draining *drainListener
 	done     chan struct{}
 }
 
@@ -61,6 +62,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         setState,
 	}}
 }
 
@@ -76,9 +78,10 @@
 		s.listener = l
 		s.mu.Unlock()
 	}
+	s.draining = newDrainListener(s.listener, timer.NewService(), s.options.MaxConns)
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(netutil.LimitListener(s.listener, s.options.MaxConns))
+		_ = s.http.Serve(s.draining)
 	}()
 	return nil
 }
@@ -93,9 +96,18 @@
 	return s.listener.Addr().String()
 }
 
-// Stop implements kernel.Stopper. Running requests may finish until ctx ends.
+// Stop implements kernel.Stopper. Requests that have reached the process are served, and
+// running ones may finish, until ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
+	s.http.SetKeepAlivesEnabled(false)
+	s.draining.awaitAccepted(ctx)
+	_ = s.draining.Close()
+	// Shutdown would drop requests that were read and not answered yet, so it follows when
+	// all connections are closed.
+	err := s.draining.awaitClosed(ctx)
+	if err == nil {
+		err = s.http.Shutdown(ctx)
+	}
 	if err != nil {
 		_ = s.http.Close()
 		err = errors.Wrapf(err, "shut down server on %s", s.Address())
