listener: Ignore a close only while the server stops

Cause: found when reading the change: an idle connection that reaches its idle timeout while a request arrives would have been kept open without being served.

Change: a close is ignored only after the stop has begun.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -149,7 +149,7 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// copyEvents passes on whole events as they arrive, and remembers the last one. A target may
+// copyEvents passes on whole events as they arrive, and records the last one. A target may
 // stop in the middle of an event: the rest is passed on only if the framing of the answer
 // shows that it is complete.
 func (x *exchange) copyEvents(resp *upstream.Response, w *eventWatch) error {
--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -37,8 +37,10 @@
 	slots  chan struct{} // one for each open connection
 	closed chan struct{}
 	once   sync.Once
-	mu     sync.Mutex
-	open   map[*drainConn]struct{}
+	// stopping is set when the server stops. Until then, a close is never ignored.
+	stopping atomic.Bool
+	mu       sync.Mutex
+	open     map[*drainConn]struct{}
 }
 
 // newDrainListener returns a listener that accepts at most maxConns connections at a time.
@@ -174,10 +176,11 @@
 	return n, err
 }
 
-// Close implements net.Conn. The first close of an idle connection on which a request has
-// arrived is ignored: the server serves the request and then closes the connection itself.
+// Close implements net.Conn. When the server stops it closes all idle connections. This first
+// close is ignored for a connection on which a request has arrived: the server serves the
+// request and then closes the connection itself.
 func (c *drainConn) Close() error {
-	if c.idle.Load() && (c.received.Load() || c.hasBytes()) && c.kept.CompareAndSwap(false, true) {
+	if c.listener.stopping.Load() && c.idle.Load() && (c.received.Load() || c.hasBytes()) && c.kept.CompareAndSwap(false, true) {
 		return nil
 	}
 	err := net.ErrClosed
--- a/internal/listener/drain_test.go
+++ b/internal/listener/drain_test.go
@@ -80,13 +80,15 @@
 	l := newDrainListener(base, timer.NewService(), 10)
 	defer func() { _ = l.Close() }()
 	for name, c := range map[string]struct {
-		send string
-		read bool
-		kept bool
+		send    string
+		read    bool
+		running bool
+		kept    bool
 	}{
 		"in the socket": {send: getRequest, kept: true},
 		"read":          {send: getRequest, read: true, kept: true},
 		"nothing":       {},
+		"not stopping":  {send: getRequest, running: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			client, err := net.Dial("tcp", base.Addr().String())
@@ -94,6 +96,7 @@
 			defer func() { _ = client.Close() }()
 			server, err := l.Accept()
 			require.NoError(t, err)
+			l.stopping.Store(!c.running)
 			setState(server, http.StateIdle)
 			_, err = io.WriteString(client, c.send)
 			require.NoError(t, err)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -99,6 +99,7 @@
 // Stop implements kernel.Stopper. Requests that have reached the process are served, and
 // running ones may finish, until ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
+	s.draining.stopping.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
 	s.draining.awaitAccepted(ctx)
 	_ = s.draining.Close()
