gateway: Break off a resumed stream whose next target fails

Change: once a caller has the header of an answer, an answer with another status is a failed attempt. The stream goes on elsewhere where attempts are left, and breaks off otherwise.

Result: TestFailureOfResumedStreamBreaksOff, with 500, 400 and 204, is red before.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -50,6 +50,13 @@
 	defer resp.Close()
 	first := x.g.o.Timers.Since(began)
 	in.free()
+	if x.started && resp.StatusCode != x.status {
+		// The caller has the status and events of an earlier target, so that the end of this
+		// answer would look like the end of the stream.
+		x.lastErr = resp.Status + " to a resumed stream"
+		pool.Finish(choice, routing.Failure{}, x.g.o.Timers.Now())
+		return x.brokenStream(ctx)
+	}
 	success := resp.StatusCode < http.StatusInternalServerError
 	if x.route.Kind() != catalog.Stream || !success {
 		return x.deliverWhole(pool, choice, resp, first, success)
