listener: Close the listening socket once

Change: the socket is closed once, and each close returns that result. Result: the new test fails without the change and passes with it, without a network.

--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -36,7 +36,9 @@
 	timers *timer.Service
 	slots  chan struct{} // one for each open connection
 	closed chan struct{}
-	once   sync.Once
+	// close closes the listening socket the first time and returns that result each time:
+	// both Server.Stop and the HTTP server close it.
+	close func() error
 	// stopping is set when the server stops. Until then, a close is never ignored.
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -45,7 +47,14 @@
 
 // newDrainListener returns a listener that accepts at most maxConns connections at a time.
 func newDrainListener(l net.Listener, ts *timer.Service, maxConns int) *drainListener {
-	return &drainListener{Listener: l, timers: ts, slots: make(chan struct{}, maxConns), closed: make(chan struct{}), open: map[*drainConn]struct{}{}}
+	closed := make(chan struct{})
+	return &drainListener{
+		Listener: l, timers: ts, slots: make(chan struct{}, maxConns), closed: closed, open: map[*drainConn]struct{}{},
+		close: sync.OnceValue(func() error {
+			close(closed)
+			return l.Close()
+		}),
+	}
 }
 
 // Accept implements net.Listener.
@@ -69,8 +78,7 @@
 
 // Close implements net.Listener.
 func (l *drainListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return l.close()
 }
 
 func (l *drainListener) remove(c *drainConn) {
