--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
@@ -124,7 +125,7 @@
 // Done implements kernel.Stopper.
 func (r *Collector) Done() <-chan struct{} { return r.done }
 
-// Handler returns the twirp server for gateways.
+// Handler returns the twirp server, which gateways used before package stagelink.
 func (r *Collector) Handler() http.Handler { return wire.NewBatchingServer(r) }
 
 // service returns the serviceCollector of a service, or nil when the catalog has no
@@ -186,7 +187,7 @@
 		s.update(func(sch *Scheduler) { sch.Cancel(j) })
 		return nil, ctx.Err()
 	case <-r.ctx.Done():
-		return &wire.RunStageResponse{Outcome: wire.StageOutcome_STAGE_OUTCOME_FAILED, Reason: "collector_stopping"}, nil
+		return &wire.RunStageResponse{Outcome: wire.StageOutcome_STAGE_OUTCOME_FAILED, Reason: stagelink.ReasonStopping}, nil
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,8 +62,8 @@
 	Watcher  *discovery.Watcher
 	Upstream *upstream.Pool
 	Metrics  *metrics.Metrics
-	// HTTP opens the connections to control VMs.
-	HTTP *http.Client
+	// Stages sends stages to control VMs.
+	Stages StageRunner
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -113,7 +112,7 @@
 		retries: budget.NewRetries(budget.RetryOptions{RetryRatio: o.RetryRatio, EntryRetryRatio: o.RetryRatio, IdleRetryRatio: o.RetryRatio, Burst: o.RetryBurst}),
 	}
 	g.confirmed.Store(-int64(time.Hour))
-	g.stages = newStageClient(ctx, o)
+	g.stages = newStageClient(ctx, o.Timers, o.Watcher, o.Stages)
 	return g
 }
 
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -10,6 +10,8 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomline/cardamomline/internal/stagelink"
+	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -355,43 +357,61 @@
 	return queueEstimate + b.CallOverhead + b.PieceTime*time.Duration(b.MaxBatchSize)/2
 }
 
+// StageRunner sends stages to collectors.
+type StageRunner interface {
+	RunStage(ctx context.Context, address string, r *wire.RunStageRequest) (*wire.RunStageResponse, error)
+	FreeResults(ctx context.Context, address string, r *wire.FreeResultsRequest) error
+}
+
+// CollectorList tells which collectors there are, the preferred one first, and how long each
+// of them responds.
+type CollectorList interface {
+	Collectors() []string
+	AvailabilityContext(address string) context.Context
+}
+
 // stageClient sends stages to the collectors on the control VMs. All gateways
 // choose the same collector for a service as long as they reach the same ones.
 type stageClient struct {
-	o     Options
-	ctx   context.Context
-	mu    sync.Mutex
-	given []*wire.PieceResult // to give up with the next message
-	wg    sync.WaitGroup
+	timers     *timer.Service
+	collectors CollectorList
+	runner     StageRunner
+	ctx        context.Context
+	mu         sync.Mutex
+	given      []*wire.PieceResult // to give up with the next message
+	wg         sync.WaitGroup
 }
 
-func newStageClient(ctx context.Context, o Options) *stageClient {
-	return &stageClient{o: o, ctx: ctx}
+func newStageClient(ctx context.Context, ts *timer.Service, l CollectorList, r StageRunner) *stageClient {
+	return &stageClient{ctx: ctx, timers: ts, collectors: l, runner: r}
 }
 
-// collector returns the control VM that collects the pieces of all services; nth
-// counts the ones that failed for this stage. One VM collects for all, because it
-// gives up the results of one stage as the next one fetches them.
-func (c *stageClient) collector(nth int) (string, bool) {
-	working := c.o.Watcher.Collectors()
-	if len(working) == 0 {
-		return "", false
+// collector returns the preferred control VM that isn't among the failed ones. One VM
+// collects the pieces of all services, because it gives up the results of one stage as the
+// next one fetches them.
+func (c *stageClient) collector(failed ...string) (string, bool) {
+	for _, address := range c.collectors.Collectors() {
+		if !slices.Contains(failed, address) {
+			return address, true
+		}
 	}
-	return working[nth%len(working)], true
+	return "", false
 }
 
 // run runs a stage at its collector, and at the next one when that fails: a piece
 // may be produced twice. The error is a *StageError or that of ctx.
 func (c *stageClient) run(ctx context.Context, req *wire.RunStageRequest) (*wire.RunStageResponse, error) {
 	last := &StageError{service: req.GetService(), reason: "no_collector", after: unsureRetry}
-	began := c.o.Timers.Now()
+	began := c.timers.Now()
 	objective, deadline := req.GetObjectiveLeftMs(), req.GetDeadlineLeftMs()
-	for nth := range maxCollectors {
-		address, ok := c.collector(nth)
+	var failed []string
+	broken := ""
+	for len(failed) < maxCollectors {
+		address, ok := c.collector(failed...)
 		if !ok {
 			return nil, last
 		}
-		spent := c.o.Timers.Since(began).Milliseconds()
+		spent := c.timers.Since(began).Milliseconds()
 		req.ObjectiveLeftMs, req.DeadlineLeftMs = objective-spent, deadline-spent
 		resp, err := c.runAt(ctx, address, req)
 		switch {
@@ -399,6 +419,12 @@
 			return nil, ctx.Err()
 		case err != nil:
 			klog.InfoS("Collector failed", "request", req.GetRequestId(), "service", req.GetService(), "collector", address, "cause", err.Error())
+			var link *stagelink.LinkError
+			if errors.As(err, &link) && broken != address && c.collectors.AvailabilityContext(address).Err() == nil {
+				broken = address // a collector that answers watches gets the stage once more
+				continue
+			}
+			failed = append(failed, address)
 			continue
 		case resp.GetOutcome() == wire.StageOutcome_STAGE_OUTCOME_DONE:
 			return resp, nil
@@ -407,21 +433,22 @@
 		if !slices.Contains(otherCollector, resp.GetReason()) {
 			return nil, last
 		}
+		failed = append(failed, address)
 	}
 	return nil, last
 }
 
 // otherCollector are the reasons of a collector that can't run any stage, but
 // another one may.
-var otherCollector = []string{"collector_stopping", "unknown_service"}
+var otherCollector = []string{stagelink.ReasonStopping, "unknown_service"}
 
 // runAt runs a stage at one collector, until that no longer answers watches.
 func (c *stageClient) runAt(ctx context.Context, address string, req *wire.RunStageRequest) (*wire.RunStageResponse, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(c.o.Watcher.AvailabilityContext(address), cancel)
+	stop := context.AfterFunc(c.collectors.AvailabilityContext(address), cancel)
 	defer stop()
-	return wire.NewBatchingProtobufClient("http://"+address, c.o.HTTP).RunStage(ctx, req)
+	return c.runner.RunStage(ctx, address, req)
 }
 
 // give gives up results that nobody needs any more, together with others that
@@ -440,20 +467,20 @@
 
 // sendFree tells the collector which results are given up.
 func (c *stageClient) sendFree() {
-	if err := c.o.Timers.Sleep(c.ctx, freeDelay); err != nil {
+	if err := c.timers.Sleep(c.ctx, freeDelay); err != nil {
 		return // the gateway stops; the results end by themselves
 	}
 	c.mu.Lock()
 	given := c.given
 	c.given = nil
 	c.mu.Unlock()
-	address, ok := c.collector(0)
+	address, ok := c.collector()
 	if !ok {
 		return // the results end by themselves after their lifetime
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, freeTimeout)
 	defer cancel()
-	if _, err := wire.NewBatchingProtobufClient("http://"+address, c.o.HTTP).FreeResults(ctx, &wire.FreeResultsRequest{Results: given}); err != nil {
+	if err := c.runner.FreeResults(ctx, address, &wire.FreeResultsRequest{Results: given}); err != nil {
 		klog.V(1).InfoS("Results not given up", "results", len(given), "cause", err.Error())
 	}
 }
--- /dev/null
+++ b/internal/gateway/stages_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cardamomline/cardamomline/internal/stagelink"
+	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// collectors is a CollectorList and a StageRunner. A collector in broken fails each stage, and
+// one in lost loses its connection with the next stage.
+type collectors struct {
+	list   []string
+	broken []string
+	lost   []string
+	silent []string // doesn't respond to watches
+	asked  []string
+}
+
+func (c *collectors) Collectors() []string { return c.list }
+
+func (c *collectors) AvailabilityContext(address string) context.Context {
+	if !slices.Contains(c.silent, address) {
+		return context.Background()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func (c *collectors) RunStage(_ context.Context, address string, _ *wire.RunStageRequest) (*wire.RunStageResponse, error) {
+	c.asked = append(c.asked, address)
+	if i := slices.Index(c.lost, address); i >= 0 {
+		c.lost = slices.Delete(c.lost, i, i+1)
+		return nil, &stagelink.LinkError{}
+	}
+	if slices.Contains(c.broken, address) {
+		// The watch of a collector that has ended breaks off as well, and it leaves the list.
+		c.list = slices.DeleteFunc(slices.Clone(c.list), func(a string) bool { return a == address })
+		c.silent = append(c.silent, address)
+		return nil, &stagelink.LinkError{}
+	}
+	return &wire.RunStageResponse{Outcome: wire.StageOutcome_STAGE_OUTCOME_DONE}, nil
+}
+
+func (c *collectors) FreeResults(context.Context, string, *wire.FreeResultsRequest) error { return nil }
+
+// Guards against gateways that spread their stages over several collectors after one has
+// failed, which then fill the memory of the targets against each other: all go to the next one
+// in the list, whether the failed one has left the list already or not. Guards also against a
+// stage that leaves a collector because one connection to it has ended.
+func TestFailedCollectorIsFollowedByTheNextOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		collectors collectors
+		asked      []string
+	}{
+		"works":           {collectors: collectors{}, asked: []string{"a"}},
+		"ended":           {collectors: collectors{broken: []string{"a"}}, asked: []string{"a", "b"}},
+		"two ended":       {collectors: collectors{broken: []string{"a", "b"}}, asked: []string{"a", "b", "c"}},
+		"connection lost": {collectors: collectors{lost: []string{"a"}}, asked: []string{"a", "a"}},
+		"lost twice":      {collectors: collectors{lost: []string{"a", "a"}}, asked: []string{"a", "a", "b"}},
+		"lost and silent": {collectors: collectors{lost: []string{"a"}, silent: []string{"a"}}, asked: []string{"a", "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.collectors.list = []string{"a", "b", "c"}
+				client := newStageClient(t.Context(), timer.NewService(), &c.collectors, &c.collectors)
+				startedAt := time.Now()
+				_, err := client.run(t.Context(), &wire.RunStageRequest{})
+				require.NoError(t, err)
+				require.Equal(t, c.asked, c.collectors.asked)
+				require.Zero(t, time.Since(startedAt))
+			})
+		})
+	}
+}
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomline/cardamomline/internal/listener"
 	"github.com/cardamomline/cardamomline/internal/metrics"
 	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -87,7 +88,9 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
+	stages := stagelink.NewServer(runner, t)
 	mux.Handle(wire.BatchingPathPrefix, runner.Handler())
+	mux.Handle(stagelink.Path, stages)
 	mux.Handle(wire.ReplicaPathPrefix, control.ReplicaHandler(node))
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: listener.NewAdminMux(m, d.Ready)}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
@@ -95,6 +98,7 @@
 	k.Register(NodeComponent, node)
 	k.Register(WatcherComponent, follower)
 	k.Register(ServerComponent, listener.New(listener.Options{Address: o.Internal, Handler: mux}))
+	k.Register(StagesComponent, stages)
 	k.Register(BatchingComponent, runner)
 	k.Register(CallerServerComponent, listener.New(listener.Options{Address: o.Public, Handler: o.Handler(d)}))
 	k.Register(DirectoryComponent, d)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cardamomline/cardamomline/internal/kernel"
 	"github.com/cardamomline/cardamomline/internal/listener"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -28,6 +29,7 @@
 	CallerServerComponent = "callers"
 	ReadinessComponent    = "readiness"
 	DrainComponent        = "drain"
+	StagesComponent       = "stages"
 )
 
 const (
@@ -69,6 +71,7 @@
 	k.Register(MetricsComponent, m)
 	client := control.NewHTTPClient(nil)
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
+	stages := stagelink.NewClient(stagelink.Options{Timers: t})
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
 		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table,
@@ -76,11 +79,12 @@
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
-		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, HTTP: client, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
+		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
 		Upstream: newUpstream(t, m), Seed: seed(o.Name), RetryRatio: o.RetryShare, RetryBurst: o.RetryBurst,
 	})
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: listener.NewAdminMux(m, g.Ready)}))
 	k.Register(WatcherComponent, follower)
+	k.Register(StagesComponent, stages)
 	k.Register(GatewayComponent, g)
 	k.Register(ReadinessComponent, listener.New(listener.Options{Address: o.Readiness, Handler: o.ReadinessHandler(g.Ready)}))
 	k.Register(CallerServerComponent, listener.New(listener.Options{Address: o.Callers, Handler: g, MaxConns: maxCallerConns}))
