discovery: Make a watch cost what has changed

Cause: after a restart of all machines, 3,000 targets announce themselves within a second before 300 watchers. Each announcement was a change that woke every watcher, each watch looked at all targets, each answer named all targets heard within 1.5 s (the largest part of a gateway's 187 kB a second at 300 machines), and gateways and collectors grouped all targets by address for each change and service. Change: changes are kept in the order of their versions; answers are collected for 100 ms unless a target leaves; lists of heard targets are sent as numbers once in a quarter of the heartbeat timeout and computed once for all watchers; live targets are grouped once for each version; gateways and collectors look at the targets at most every 50 ms.

--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -22,6 +22,9 @@
 	// targetRefreshInterval is how often the targets of each service are looked up when
 	// nothing changes, to find those whose heartbeat has timed out.
 	targetRefreshInterval = time.Second
+	// minRefreshInterval is the shortest time between two refreshes, which look at all
+	// targets.
+	minRefreshInterval = 50 * time.Millisecond
 	// activeTimeout is how long after the last stage a collector counts as in use.
 	// Gateways are notified within half a second.
 	activeTimeout = 2 * time.Second
@@ -149,6 +152,7 @@
 	s.publish()
 	r.services[name] = s
 	r.wg.Go(s.run)
+	r.wg.Go(s.followTargets)
 	return s
 }
 
@@ -354,10 +358,7 @@
 
 // run starts calls whenever something changes.
 func (s *serviceCollector) run() {
-	ticker := s.collector.o.Timers.Subscribe(targetRefreshInterval)
-	defer ticker.Stop()
 	for {
-		changed := s.collector.o.Table.Changed()
 		again := s.startCalls()
 		var timeout <-chan time.Time
 		if again > 0 {
@@ -366,10 +367,29 @@
 		select {
 		case <-s.notify:
 		case <-timeout:
-		case <-ticker.C():
-			s.refresh()
+		case <-s.collector.ctx.Done():
+			return
+		}
+	}
+}
+
+// followTargets refreshes the targets when they change and now and then.
+func (s *serviceCollector) followTargets() {
+	ticker := s.collector.o.Timers.Subscribe(targetRefreshInterval)
+	defer ticker.Stop()
+	for {
+		changed := s.collector.o.Table.Changed()
+		s.refresh()
+		select {
+		case s.notify <- struct{}{}:
+		default:
+		}
+		if err := s.collector.o.Timers.Sleep(s.collector.ctx, minRefreshInterval); err != nil {
+			return
+		}
+		select {
 		case <-changed:
-			s.refresh()
+		case <-ticker.C():
 		case <-s.collector.ctx.Done():
 			return
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -18,6 +18,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,9 +46,9 @@
 	leaderRetryDelay = 30 * time.Millisecond
 	// maxWatchWait limits how long a watch is held open.
 	maxWatchWait = 2 * time.Second
-	// announcementWindow is the age up to which an announcement is reported as recent.
-	// Watchers poll again within half of it.
-	announcementWindow = 1500 * time.Millisecond
+	// changeDelay is how long changes of targets that become ready are collected for a
+	// watcher. At a restart of a deployment thousands come within a second.
+	changeDelay = 100 * time.Millisecond
 	// watcherTimeout is how long a watcher counts as active after its last watch. A target
 	// that is draining or gone gets its response once all active watchers are notified.
 	watcherTimeout = 1500 * time.Millisecond
@@ -413,15 +414,24 @@
 func (s *service) Watch(ctx context.Context, r *wire.WatchRequest) (*wire.WatchResponse, error) {
 	s.d.recordWatcher(r)
 	wait := s.d.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWatchWait))
+	var collected <-chan time.Time // set once there are changes to send
 	for {
-		tableChanged, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Store.Changed(), s.d.nextConfirmation()
-		w := s.d.response(r)
-		if w.GetFull() || len(w.GetTargets()) > 0 || len(w.GetCatalog()) > 0 {
-			return w, nil
+		tableChanged, leaving, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
+		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince()); {
+		case w.GetFull() || s.d.hasCatalogFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
+			return s.d.response(r), nil
+		case len(w.GetTargets()) > 0 && collected == nil:
+			collected = s.d.o.Timers.After(changeDelay)
+		}
+		if collected != nil {
+			tableChanged = nil
 		}
 		select {
 		case <-tableChanged:
+		case <-leaving:
 		case <-catalogChanged:
+		case <-collected:
+			return s.d.response(r), nil
 		case <-confirmed:
 			// A process that starts uses its first catalog only once it is confirmed.
 			return s.d.response(r), nil
@@ -435,6 +445,16 @@
 	}
 }
 
+func isLeaving(t *wire.RegisteredTarget) bool {
+	return t.GetState() != wire.TargetState_TARGET_STATE_READY
+}
+
+// hasCatalogFor reports whether there is a newer catalog than a watcher has.
+func (d *Directory) hasCatalogFor(r *wire.WatchRequest) bool {
+	version, _ := d.o.Store.Newest()
+	return !r.GetPeer() && version > r.GetCatalogVersion()
+}
+
 func (d *Directory) recordWatcher(r *wire.WatchRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -449,7 +469,8 @@
 
 // response returns the changes that a watcher doesn't have yet.
 func (d *Directory) response(r *wire.WatchRequest) *wire.WatchResponse {
-	w := d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince(), announcementWindow, d.o.Timers.Now())
+	w := d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince())
+	d.o.Table.AddHeard(w, r.GetHeardFormat(), d.o.Timers.Now())
 	for _, m := range d.o.Node.Status().Members {
 		w.Control = append(w.Control, m.Member.GetAddress())
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,6 +78,50 @@
 	})
 }
 
+// Guards against an answer for each of the targets that announce themselves at a restart of a
+// deployment: 3,000 targets and 300 watchers make 900,000. Guards also against a target that
+// leaves meanwhile and is told late.
+func TestAnnouncementsOfARestartShareAnswers(t *testing.T) {
+	const targets, announceTime = 600, 1200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(t)
+		s := &service{d: d}
+		announced := func(id int, sequence uint64, state wire.TargetState) *wire.RegisteredTarget {
+			return &wire.RegisteredTarget{Id: strconv.Itoa(id), Service: "s", Address: "x:" + strconv.Itoa(id), BornMs: 1, Sequence: sequence, State: state}
+		}
+		go func() {
+			for i := range targets {
+				d.Announce(t.Context(), announced(i, 1, wire.TargetState_TARGET_STATE_READY))
+				time.Sleep(announceTime / targets)
+			}
+		}()
+		known, answers, r := map[string]bool{}, 0, &wire.WatchRequest{Process: "gateway", WaitMs: 500}
+		for len(known) < targets {
+			w, err := s.Watch(t.Context(), r)
+			require.NoError(t, err)
+			answers++
+			for _, target := range w.GetTargets() {
+				known[target.GetId()] = true
+			}
+			r.Epoch, r.Since = w.GetEpoch(), w.GetVersion()
+		}
+		require.LessOrEqual(t, answers, int(announceTime/changeDelay)+3)
+		startedAt := time.Now()
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			d.Announce(t.Context(), announced(targets, 1, wire.TargetState_TARGET_STATE_READY))
+			time.Sleep(10 * time.Millisecond)
+			d.Announce(t.Context(), announced(0, 2, wire.TargetState_TARGET_STATE_DRAINING))
+		}()
+		w, err := s.Watch(t.Context(), r)
+		require.NoError(t, err)
+		require.Len(t, w.GetTargets(), 2)
+		require.Equal(t, 20*time.Millisecond, time.Since(startedAt), "a target that leaves is told at once")
+		_, err = s.Watch(t.Context(), &wire.WatchRequest{Process: "gateway", Epoch: w.GetEpoch(), Since: w.GetVersion(), WaitMs: 1})
+		require.NoError(t, err)
+	})
+}
+
 // Guards against a target that waits for a watcher that has disappeared.
 func TestLostWatcherDelaysNoAnswerForLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -14,10 +14,12 @@
 //		// route to r
 //	}
 //	delta := t.ChangesSince(epoch, version)
+//	t.AddHeard(delta, format, now)
 package discovery
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -31,6 +33,14 @@
 // late announcement doesn't restore it. Announcements are late by seconds at most.
 const goneRetention = 2 * time.Minute
 
+const (
+	// heardCacheTime is how long a list of the targets that announced themselves is used.
+	heardCacheTime = 100 * time.Millisecond
+	// maxObsolete is the number of obsolete changes that are kept, in addition to the number
+	// of targets.
+	maxObsolete = 64
+)
+
 // Options configures a Table.
 type Options struct {
 	// HeartbeatTimeout is the time without an announcement after which a target is used
@@ -41,26 +51,57 @@
 // entry is a record with local timing information.
 type entry struct {
 	record                 *wire.RegisteredTarget
+	number                 uint32    // names the target in lists
 	version                uint64    // table version at the last change
 	lastAnnounced          time.Time // last time that any process reported an announcement
 	lastDirectAnnouncement time.Time // last announcement received by this process
 }
 
+// change is one change of a record. It is obsolete if the entry has changed again.
+type change struct {
+	version uint64
+	entry   *entry
+}
+
+// heardCache is a list of the targets that announced themselves here lately.
+type heardCache struct {
+	numbers []uint32
+	at      time.Time
+}
+
 // Table stores the newest record of each target. It is safe for concurrent use.
+//
+// At a restart of a deployment thousands of targets announce themselves within a second, and
+// hundreds of processes watch. What a watch costs therefore depends on what has changed, and
+// lists of all targets are computed once for many readers.
 type Table struct {
 	o       Options
 	epoch   string
 	mu      sync.Mutex
 	version uint64
 	entries map[string]*entry
+	changes []change // in the order of versions, with obsolete ones
+	numbers uint32   // numbers in use
+	heard   heardCache
+	// live holds the ready and draining targets by service; nil after a change.
+	live    map[string][]*entry
 	changed chan struct{}
+	leaving chan struct{}
 }
 
 // NewTable returns an empty Table.
 func NewTable(o Options) *Table {
-	return &Table{o: o, epoch: uuid.NewString(), entries: map[string]*entry{}, changed: make(chan struct{})}
+	return &Table{o: o, epoch: uuid.NewString(), entries: map[string]*entry{}, changed: make(chan struct{}), leaving: make(chan struct{})}
 }
 
+// heardInterval is the interval at which a watcher asks for the list of targets that
+// announced themselves. The heartbeat timeout of the targets is several times as long.
+func (t *Table) heardInterval() time.Duration { return t.o.HeartbeatTimeout / 4 }
+
+// heardWindow is the age up to which an announcement is listed: lists follow one another
+// within heardInterval and the duration of one watch.
+func (t *Table) heardWindow() time.Duration { return t.heardInterval() + 2*watchWait }
+
 // Announce processes an announcement received by this process. It reports whether the
 // record changed in more than its sequence.
 func (t *Table) Announce(r *wire.RegisteredTarget, now time.Time) bool {
@@ -110,9 +151,10 @@
 func (t *Table) merge(r *wire.RegisteredTarget, now time.Time) bool {
 	e := t.entries[r.GetId()]
 	if e == nil {
-		t.version++
-		t.entries[r.GetId()] = &entry{record: r, version: t.version, lastAnnounced: now}
-		t.notify()
+		t.numbers++
+		e = &entry{record: r, number: t.numbers, lastAnnounced: now}
+		t.entries[r.GetId()] = e
+		t.recordChange(e)
 		return true
 	}
 	if !newer(r, e.record) {
@@ -122,13 +164,32 @@
 	e.record = r
 	e.lastAnnounced = now
 	if changed {
-		t.version++
-		e.version = t.version
-		t.notify()
+		t.recordChange(e)
 	}
 	return changed
 }
 
+// recordChange gives an entry the next version; t.mu is held.
+func (t *Table) recordChange(e *entry) {
+	t.version++
+	e.version = t.version
+	if len(t.changes) > maxObsolete+2*len(t.entries) {
+		t.changes = slices.DeleteFunc(t.changes, t.isObsolete)
+	}
+	t.changes = append(t.changes, change{version: t.version, entry: e})
+	t.live = nil
+	close(t.changed)
+	t.changed = make(chan struct{})
+	if e.record.GetState() != wire.TargetState_TARGET_STATE_READY {
+		close(t.leaving)
+		t.leaving = make(chan struct{})
+	}
+}
+
+func (t *Table) isObsolete(c change) bool {
+	return c.entry.version != c.version || t.entries[c.entry.record.GetId()] != c.entry
+}
+
 // newer reports whether a is newer than b; both are records of the same target.
 func newer(a, b *wire.RegisteredTarget) bool {
 	if a.GetBornMs() != b.GetBornMs() {
@@ -153,11 +214,6 @@
 		a.GetSoftware() == b.GetSoftware()
 }
 
-func (t *Table) notify() {
-	close(t.changed)
-	t.changed = make(chan struct{})
-}
-
 // Changed returns a channel that is closed at the next change of a record.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
@@ -165,6 +221,13 @@
 	return t.changed
 }
 
+// Leaving returns a channel that is closed at the next change to a target that isn't ready.
+func (t *Table) Leaving() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving
+}
+
 // Version returns the table version, which increases with each change of a record.
 func (t *Table) Version() uint64 {
 	t.mu.Lock()
@@ -173,25 +236,65 @@
 }
 
 // ChangesSince returns the records that changed after the given version of the given epoch,
-// or all records if the epoch is a different one. It also returns the targets that
-// announced themselves here within the recent duration.
-func (t *Table) ChangesSince(epoch string, version uint64, recent time.Duration, now time.Time) *wire.WatchResponse {
+// or all records if the epoch is a different one.
+func (t *Table) ChangesSince(epoch string, version uint64) *wire.WatchResponse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := &wire.WatchResponse{Epoch: t.epoch, Version: t.version, Full: epoch != t.epoch}
-	for id, e := range t.entries {
-		if w.Full || e.version > version {
-			w.Targets = append(w.Targets, e.record)
-		}
-		if !e.lastDirectAnnouncement.IsZero() && now.Sub(e.lastDirectAnnouncement) <= recent && !isGone(e.record) {
-			w.Heard = append(w.Heard, id)
+	var changed []*entry
+	if w.Full {
+		changed = slices.Collect(maps.Values(t.entries))
+	} else {
+		for i := len(t.changes) - 1; i >= 0 && t.changes[i].version > version; i-- {
+			if c := t.changes[i]; !t.isObsolete(c) {
+				changed = append(changed, c.entry)
+			}
 		}
 	}
-	slices.SortFunc(w.Targets, func(a, b *wire.RegisteredTarget) int { return cmp.Compare(a.GetId(), b.GetId()) })
-	slices.Sort(w.Heard)
+	slices.SortFunc(changed, compareEntries)
+	for _, e := range changed {
+		w.Targets = append(w.Targets, e.record)
+		w.Numbers = append(w.Numbers, e.number)
+	}
 	return w
 }
 
+func compareEntries(a, b *entry) int { return cmp.Compare(a.record.GetId(), b.record.GetId()) }
+
+// AddHeard adds the targets that announced themselves here lately to a response, in a format.
+func (t *Table) AddHeard(w *wire.WatchResponse, f wire.HeardFormat, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch f {
+	case wire.HeardFormat_HEARD_FORMAT_NONE:
+	case wire.HeardFormat_HEARD_FORMAT_NUMBERS:
+		if t.heard.at.IsZero() || now.Sub(t.heard.at) > heardCacheTime {
+			t.heard = heardCache{at: now}
+			for _, e := range t.heardSince(now.Add(-t.heardWindow())) {
+				t.heard.numbers = append(t.heard.numbers, e.number)
+			}
+		}
+		w.HeardNumbers = t.heard.numbers
+	default:
+		w.Numbers = nil
+		for _, e := range t.heardSince(now.Add(-t.heardWindow())) {
+			w.Heard = append(w.Heard, e.record.GetId())
+		}
+	}
+}
+
+// heardSince returns the targets that announced themselves here since a time; t.mu is held.
+func (t *Table) heardSince(at time.Time) []*entry {
+	var list []*entry
+	for _, e := range t.entries {
+		if !e.lastDirectAnnouncement.IsZero() && !e.lastDirectAnnouncement.Before(at) && !isGone(e.record) {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, compareEntries)
+	return list
+}
+
 // LiveTarget is a target that is ready or draining.
 type LiveTarget struct {
 	record *wire.RegisteredTarget
@@ -209,23 +312,34 @@
 func (t *Table) Live(service string, now time.Time) []LiveTarget {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	newestByAddress := map[string]*wire.RegisteredTarget{}
-	for _, e := range t.entries {
-		if other := newestByAddress[e.record.GetAddress()]; !isGone(e.record) && (other == nil || other.GetBornMs() < e.record.GetBornMs()) {
-			newestByAddress[e.record.GetAddress()] = e.record
-		}
+	if t.live == nil {
+		t.live = t.groupLive()
 	}
-	var list []LiveTarget
-	for _, e := range t.entries {
-		if e.record.GetService() != service || isGone(e.record) || newestByAddress[e.record.GetAddress()] != e.record {
-			continue
-		}
+	list := make([]LiveTarget, 0, len(t.live[service]))
+	for _, e := range t.live[service] {
 		list = append(list, LiveTarget{record: e.record, silent: now.Sub(e.lastAnnounced) > t.o.HeartbeatTimeout})
 	}
-	slices.SortFunc(list, func(a, b LiveTarget) int { return cmp.Compare(a.record.GetId(), b.record.GetId()) })
 	return list
 }
 
+// groupLive returns the live targets by service; t.mu is held.
+func (t *Table) groupLive() map[string][]*entry {
+	newestByAddress := map[string]*entry{}
+	for _, e := range t.entries {
+		if other := newestByAddress[e.record.GetAddress()]; !isGone(e.record) && (other == nil || other.record.GetBornMs() < e.record.GetBornMs()) {
+			newestByAddress[e.record.GetAddress()] = e
+		}
+	}
+	live := map[string][]*entry{}
+	for _, e := range newestByAddress {
+		live[e.record.GetService()] = append(live[e.record.GetService()], e)
+	}
+	for _, list := range live {
+		slices.SortFunc(list, compareEntries)
+	}
+	return live
+}
+
 // Target returns the record of a target that is not gone.
 func (t *Table) Target(id string) (*wire.RegisteredTarget, bool) {
 	t.mu.Lock()
@@ -242,9 +356,10 @@
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, e := range t.entries {
-		if now.Sub(e.lastAnnounced) > goneRetention {
-			delete(t.entries, id)
-		}
+	before := len(t.entries)
+	maps.DeleteFunc(t.entries, func(_ string, e *entry) bool { return now.Sub(e.lastAnnounced) > goneRetention })
+	if len(t.entries) < before {
+		t.live = nil
+		t.changes = slices.DeleteFunc(t.changes, t.isObsolete)
 	}
 }
--- a/internal/discovery/table_test.go
+++ b/internal/discovery/table_test.go
@@ -103,16 +103,52 @@
 func TestSinceSendsOnlyChanges(t *testing.T) {
 	table := NewTable(Options{HeartbeatTimeout: time.Minute})
 	table.Announce(record("a", "x:1", 10, 1, ready), epochStart)
-	first := table.ChangesSince("", 0, time.Second, epochStart)
+	first := table.ChangesSince("", 0)
 	require.True(t, first.GetFull())
 	require.Len(t, first.GetTargets(), 1)
 	table.Announce(record("a", "x:1", 10, 2, ready), epochStart.Add(time.Second))
-	next := table.ChangesSince(first.GetEpoch(), first.GetVersion(), 500*time.Millisecond, epochStart.Add(time.Second))
+	next := table.ChangesSince(first.GetEpoch(), first.GetVersion())
+	table.AddHeard(next, wire.HeardFormat_HEARD_FORMAT_NAMES, epochStart.Add(time.Second))
 	require.Empty(t, next.GetTargets(), "only the sequence changed")
 	require.Equal(t, []string{"a"}, next.GetHeard())
 	table.Announce(record("a", "x:1", 10, 3, draining), epochStart.Add(time.Second))
-	require.Len(t, table.ChangesSince(first.GetEpoch(), first.GetVersion(), time.Second, epochStart).GetTargets(), 1)
-	require.True(t, table.ChangesSince("another", 99, time.Second, epochStart).GetFull())
+	require.Len(t, table.ChangesSince(first.GetEpoch(), first.GetVersion()).GetTargets(), 1)
+	require.True(t, table.ChangesSince("another", 99).GetFull())
+}
+
+// Guards against a watcher that misses a change, or a target that left, because obsolete
+// changes are removed, and against their number, which would grow with the changes.
+func TestWatcherHasAllChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table := NewTable(Options{HeartbeatTimeout: time.Minute})
+		follower := NewTable(Options{HeartbeatTimeout: time.Minute})
+		epoch, version := "", uint64(0)
+		now, born := epochStart, int64(1) // a target that left starts again as another incarnation
+		for i := range rapid.IntRange(1, 400).Draw(rt, "changes") {
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "id")
+			state := rapid.SampledFrom([]wire.TargetState{ready, draining}).Draw(rt, "state")
+			switch rapid.IntRange(0, 9).Draw(rt, "kind") {
+			case 0:
+				table.Leave(id, 0, now)
+				born++
+			case 1:
+				born++
+				now = now.Add(goneRetention / 2)
+				table.Expire(now)
+			default:
+				table.Announce(record(id, id+":1", born, uint64(i), state), now)
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "watch") == 0 {
+				w := table.ChangesSince(epoch, version)
+				epoch, version = w.GetEpoch(), w.GetVersion()
+				follower.Merge(w, now)
+				for id, e := range table.entries {
+					require.True(rt, sameState(e.record, follower.entries[id].record))
+				}
+			}
+			require.LessOrEqual(rt, len(table.changes), maxObsolete+2*len(table.entries)+1)
+		}
+	})
 }
 
 // Guards against a crashed target that remains selectable without being marked silent.
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -174,11 +174,13 @@
 func (w *Watcher) run(address string, vm *controlVM) {
 	client := wire.NewDirectoryProtobufClient("http://"+address, w.o.HTTP)
 	r := &wire.WatchRequest{Process: w.o.Process, Peer: w.o.CatalogVersion == nil, WaitMs: uint32(watchWait.Milliseconds())}
+	var heard heardList
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
 		}
 		startedAt := w.o.Timers.Now()
+		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
 		cancel()
@@ -190,6 +192,7 @@
 			continue
 		}
 		r.Epoch, r.Since = resp.GetEpoch(), resp.GetVersion()
+		heard.resolve(r.GetHeardFormat(), resp, w.o.Timers.Now())
 		w.o.Table.Merge(resp, w.o.Timers.Now())
 		w.handleResponse(address, vm, resp)
 		if w.o.OnResponse != nil {
@@ -198,6 +201,42 @@
 	}
 }
 
+// heardList translates the numbers with which a control VM names targets.
+type heardList struct {
+	epoch      string
+	names      map[uint32]string
+	receivedAt time.Time // of the last list
+}
+
+// format returns the format to ask for: a list is needed once in an interval.
+func (h *heardList) format(now time.Time, interval time.Duration) wire.HeardFormat {
+	if now.Sub(h.receivedAt) < interval {
+		return wire.HeardFormat_HEARD_FORMAT_NONE
+	}
+	return wire.HeardFormat_HEARD_FORMAT_NUMBERS
+}
+
+// resolve adds the names of the targets that a response lists by number. A control VM of an
+// older version lists names.
+func (h *heardList) resolve(f wire.HeardFormat, resp *wire.WatchResponse, now time.Time) {
+	if h.epoch != resp.GetEpoch() {
+		h.epoch, h.names = resp.GetEpoch(), map[uint32]string{}
+	}
+	for i, number := range resp.GetNumbers() {
+		if i < len(resp.GetTargets()) {
+			h.names[number] = resp.GetTargets()[i].GetId()
+		}
+	}
+	for _, number := range resp.GetHeardNumbers() {
+		if name, ok := h.names[number]; ok {
+			resp.Heard = append(resp.Heard, name)
+		}
+	}
+	if f == wire.HeardFormat_HEARD_FORMAT_NUMBERS {
+		h.receivedAt = now
+	}
+}
+
 // handleResponse records a response and watches the control VMs listed in it.
 func (w *Watcher) handleResponse(address string, vm *controlVM, resp *wire.WatchResponse) {
 	w.mu.Lock()
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -34,3 +36,106 @@
 	w.controlVMs["10.0.0.1:1"].responsive = false
 	require.Equal(t, []string{"10.0.0.2:1", "10.0.0.3:1"}, w.Collectors())
 }
+
+// Guards against sound targets that count as silent, and crashed ones that don't, because a
+// list of those that announced themselves is sent only now and then: announcements, answers
+// and clocks of the watches vary, and the watcher sees several control VMs.
+func TestRareListsTellSilentTargets(t *testing.T) {
+	const controlVMs, targets = 3, 40
+	for _, heartbeat := range []time.Duration{400 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(heartbeat.String(), func(t *testing.T) {
+			timeout := 5 * heartbeat
+			random := rand.New(rand.NewPCG(1, uint64(heartbeat)))
+			var vms [controlVMs]*Table
+			var lists [controlVMs]heardList
+			var next [controlVMs]time.Time
+			for i := range vms {
+				vms[i] = NewTable(Options{HeartbeatTimeout: timeout})
+			}
+			gateway := NewTable(Options{HeartbeatTimeout: timeout})
+			asked, answered := 0, 0
+			crashed := epochStart.Add(30 * time.Second)
+			for now := epochStart; now.Before(crashed.Add(timeout + 5*time.Second)); now = now.Add(10 * time.Millisecond) {
+				for i := range targets {
+					// Half of the targets crash, and all change their control VM now and then.
+					if (i%2 == 0 || now.Before(crashed)) && now.Sub(epochStart)%heartbeat == time.Duration(i)*10*time.Millisecond {
+						vm := vms[(i+int(now.Unix()/7))%controlVMs]
+						vm.Announce(record(fmt.Sprintf("t%02d", i), fmt.Sprintf("x:%d", i), 1, uint64(now.UnixMilli()), ready), now)
+					}
+				}
+				for i, vm := range vms {
+					if now.Before(next[i]) {
+						continue
+					}
+					next[i] = now.Add(time.Duration(1+random.IntN(int((watchWait+200*time.Millisecond)/(10*time.Millisecond)))) * 10 * time.Millisecond)
+					format := lists[i].format(now, gateway.heardInterval())
+					resp := vm.ChangesSince(lists[i].epoch, 0)
+					vm.AddHeard(resp, format, now)
+					lists[i].resolve(format, resp, now)
+					gateway.Merge(resp, now)
+					answered++
+					if format == wire.HeardFormat_HEARD_FORMAT_NUMBERS {
+						asked++
+					}
+				}
+				for _, l := range gateway.Live("s", now) {
+					if !l.Silent() {
+						continue
+					}
+					require.True(t, now.After(crashed), "%s at %s", l.Record().GetId(), now.Sub(epochStart))
+					require.EqualValues(t, 1, (l.Record().GetId()[2]-'0')%2, "%s is sound", l.Record().GetId())
+				}
+			}
+			end := crashed.Add(timeout + 5*time.Second)
+			silent := 0
+			for _, l := range gateway.Live("s", end) {
+				if l.Silent() {
+					silent++
+				}
+			}
+			require.Equal(t, targets/2, silent)
+			if heartbeat > time.Second {
+				require.Less(t, asked, answered/3, "most answers have no list")
+			}
+		})
+	}
+}
+
+// Guards against a list that names the wrong targets after a control VM has restarted, and
+// against numbers that are no target's.
+func TestNumbersBelongToTheirEpoch(t *testing.T) {
+	var h heardList
+	target := func(id string) []*wire.RegisteredTarget { return []*wire.RegisteredTarget{{Id: id}} }
+	first := &wire.WatchResponse{Epoch: "1", Targets: target("a"), Numbers: []uint32{7}, HeardNumbers: []uint32{7, 8}}
+	h.resolve(wire.HeardFormat_HEARD_FORMAT_NUMBERS, first, epochStart)
+	require.Equal(t, []string{"a"}, first.GetHeard())
+	restarted := &wire.WatchResponse{Epoch: "2", HeardNumbers: []uint32{7}}
+	h.resolve(wire.HeardFormat_HEARD_FORMAT_NUMBERS, restarted, epochStart)
+	require.Empty(t, restarted.GetHeard())
+	broken := &wire.WatchResponse{Epoch: "2", Numbers: []uint32{7}, HeardNumbers: []uint32{7}}
+	h.resolve(wire.HeardFormat_HEARD_FORMAT_NUMBERS, broken, epochStart)
+	require.Empty(t, broken.GetHeard())
+}
+
+// BenchmarkRestart measures what a control VM does for 300 watchers while 3,000 targets
+// announce themselves after a restart of a deployment.
+func BenchmarkRestart(b *testing.B) {
+	const watchers, targets, watchEvery = 300, 3000, 250
+	for b.Loop() {
+		table := NewTable(Options{HeartbeatTimeout: 6 * time.Second})
+		since := table.ChangesSince("", 0).GetEpoch()
+		var versions [watchers]uint64
+		for i := range targets {
+			table.Announce(record(fmt.Sprintf("i-%08d", i), fmt.Sprintf("10.0.0.1:%d", i), 1, 1, ready), epochStart)
+			if i%watchEvery != 0 {
+				continue
+			}
+			for w := range watchers {
+				resp := table.ChangesSince(since, versions[w])
+				table.AddHeard(resp, wire.HeardFormat_HEARD_FORMAT_NUMBERS, epochStart.Add(time.Duration(i)*time.Millisecond))
+				versions[w] = resp.GetVersion()
+			}
+			table.Live("s", epochStart)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	freshBound = 1800 * time.Millisecond
 	// poolPeriod is how often targets that fell silent are looked for.
 	poolPeriod = 500 * time.Millisecond
+	// syncInterval is the shortest time between two updates of the pools. Each of them looks
+	// at all targets, and at a restart of a deployment all of them change.
+	syncInterval = 50 * time.Millisecond
 	// engineOutlier is the multiple of the median latency above which an engine is
 	// ejected. At 3, bursts of long prompts ejected half of the engines.
 	engineOutlier = 6
@@ -269,6 +272,9 @@
 		g.mu.Lock()
 		g.syncPools()
 		g.mu.Unlock()
+		if err := g.o.Timers.Sleep(g.ctx, syncInterval); err != nil {
+			return
+		}
 		select {
 		case <-changed:
 		case <-ticker.C():
