discovery: End a target that leaves through a restarted control VM

Change: the record of an unnamed end ends the incarnation that a process knows, unless it learned of that less than 2 s ago.

--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -36,6 +36,9 @@
 const (
 	// heardCacheTime is how long a list of the targets that announced themselves is used.
 	heardCacheTime = 100 * time.Millisecond
+	// minIncarnationAge is the time for which an incarnation has to be known before the end of
+	// an unnamed one ends it: it may have followed the one that ended.
+	minIncarnationAge = 2 * time.Second
 	// maxObsolete is the number of obsolete changes that are kept, in addition to the number
 	// of targets.
 	maxObsolete = 64
@@ -53,6 +56,7 @@
 	record                 *wire.RegisteredTarget
 	number                 uint32    // names the target in lists
 	version                uint64    // table version at the last change
+	firstSeen              time.Time // when this process learned of the incarnation
 	lastAnnounced          time.Time // last time that any process reported an announcement
 	lastDirectAnnouncement time.Time // last announcement received by this process
 }
@@ -114,16 +118,15 @@
 	return changed
 }
 
-// Leave marks a target as gone. A bornMs of 0 selects the incarnation known here.
+// Leave marks a target as gone. A bornMs of 0 selects the incarnation known here. If there is
+// none, because this process has restarted, each process that merges the record ends the
+// incarnation that it knows.
 func (t *Table) Leave(id string, bornMs int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	gone := &wire.RegisteredTarget{Id: id, BornMs: bornMs, State: wire.TargetState_TARGET_STATE_GONE}
 	if e := t.entries[id]; e != nil && (bornMs == 0 || bornMs == e.record.GetBornMs()) {
-		gone.BornMs = e.record.GetBornMs()
-		gone.Service = e.record.GetService()
-		gone.Address = e.record.GetAddress()
-		gone.Sequence = e.record.GetSequence()
+		gone = endOf(e.record)
 	}
 	changed := t.merge(gone, now)
 	if e := t.entries[id]; e != nil && e.record == gone {
@@ -152,15 +155,21 @@
 	e := t.entries[r.GetId()]
 	if e == nil {
 		t.numbers++
-		e = &entry{record: r, number: t.numbers, lastAnnounced: now}
+		e = &entry{record: r, number: t.numbers, firstSeen: now, lastAnnounced: now}
 		t.entries[r.GetId()] = e
 		t.recordChange(e)
 		return true
 	}
+	if isGone(r) && r.GetBornMs() == 0 && !isGone(e.record) && now.Sub(e.firstSeen) >= minIncarnationAge {
+		r = endOf(e.record)
+	}
 	if !newer(r, e.record) {
 		return false
 	}
 	changed := !sameState(r, e.record)
+	if r.GetBornMs() != e.record.GetBornMs() {
+		e.firstSeen = now
+	}
 	e.record = r
 	e.lastAnnounced = now
 	if changed {
@@ -190,6 +199,13 @@
 	return c.entry.version != c.version || t.entries[c.entry.record.GetId()] != c.entry
 }
 
+// endOf returns the record with which an incarnation ends.
+func endOf(r *wire.RegisteredTarget) *wire.RegisteredTarget {
+	return &wire.RegisteredTarget{
+		Id: r.GetId(), Service: r.GetService(), Address: r.GetAddress(), BornMs: r.GetBornMs(), Sequence: r.GetSequence(), State: wire.TargetState_TARGET_STATE_GONE,
+	}
+}
+
 // newer reports whether a is newer than b; both are records of the same target.
 func newer(a, b *wire.RegisteredTarget) bool {
 	if a.GetBornMs() != b.GetBornMs() {
