upstream: Limit what is read from targets and peers on the product's own face

Cause: an agent read a stream of tokens or comments without end until the deadline of its call, and processes read responses and requests of each other without a limit; only heads were limited there. Change: LimitBody fails beyond a limit, so that a body that is cut there never looks complete; the agent allows a stream 64 MiB and an answer 4 MiB, calls between processes 64 MiB in both directions.

--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -22,6 +22,7 @@
 
 const (
 	maxTargetResponseBytes = 4 << 20
+	maxTargetStreamBytes   = 64 << 20
 	targetIdleConns        = 256
 	targetDialTimeout      = 300 * time.Millisecond
 	targetQueryTimeout     = time.Second
@@ -173,7 +174,7 @@
 		return errors.Wrapf(err, "target %s", t.url)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxTargetResponseBytes))
+	b, err := io.ReadAll(upstream.LimitBody(resp.Body, maxTargetResponseBytes))
 	if err != nil {
 		return errors.Wrapf(err, "target %s", t.url)
 	}
@@ -350,9 +351,9 @@
 }
 
 func readResponse(ctx context.Context, body io.Reader, req *wire.AttemptRequest, result *wire.AttemptResult) {
-	b, err := io.ReadAll(io.LimitReader(body, maxTargetResponseBytes))
+	b, err := io.ReadAll(upstream.LimitBody(body, maxTargetResponseBytes))
 	if err != nil {
-		result.Error = interruptionReason(ctx)
+		setReadError(ctx, result, err)
 		return
 	}
 	decodeResponse(b, req, result)
@@ -379,7 +380,7 @@
 // readEvents reads server-sent events until the event "done". Tokens must arrive in order,
 // without a gap or a repetition; otherwise the attempt fails.
 func readEvents(ctx context.Context, body io.Reader, req *wire.AttemptRequest, result *wire.AttemptResult, onToken func(*wire.Token)) {
-	scanner := bufio.NewScanner(body)
+	scanner := bufio.NewScanner(upstream.LimitBody(body, maxTargetStreamBytes))
 	scanner.Buffer(nil, maxEventLineBytes)
 	event := ""
 	next := req.GetFromOffset()
@@ -408,6 +409,17 @@
 			return
 		}
 	}
-	result.Error = interruptionReason(ctx)
+	setReadError(ctx, result, scanner.Err())
 	result.Canceled = errors.Is(ctx.Err(), context.Canceled)
 }
+
+// setReadError records why a response ended early: the target sent too much, or the call was
+// interrupted.
+func setReadError(ctx context.Context, result *wire.AttemptResult, err error) {
+	var large *upstream.BodyTooLargeError
+	if errors.As(err, &large) || errors.Is(err, bufio.ErrTooLong) {
+		result.Error = ErrorTargetFailed + ": " + err.Error()
+		return
+	}
+	result.Error = interruptionReason(ctx)
+}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -18,6 +18,9 @@
 	// dropped messages.
 	sendQueueSize = 256
 	sendTimeout   = 2 * time.Second
+	// MaxMessageBytes limits a request or response between processes. The largest ones carry
+	// a manifest or the changes of all targets; snapshots are sent in parts.
+	MaxMessageBytes = 64 << 20
 )
 
 // Transport sends the replicated log's messages over twirp. Each peer has its own queue and
@@ -40,12 +43,12 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: upstream.NewLimitedTransport(&http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
-	}}
+	}, MaxMessageBytes)}
 }
 
 // NewTransport returns a Transport that uses the dialer, or the network if it is nil.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -40,6 +40,8 @@
 	Listener net.Listener
 	// MaxConns limits the open connections; defaults to 8192.
 	MaxConns int
+	// MaxBodyBytes limits the body of a request; 0 leaves that to the handler.
+	MaxBodyBytes int64
 }
 
 // Server is an HTTP server that starts and stops with its kernel.
@@ -57,6 +59,9 @@
 	if o.MaxConns == 0 {
 		o.MaxConns = defaultMaxConns
 	}
+	if o.MaxBodyBytes > 0 {
+		o.Handler = http.MaxBytesHandler(o.Handler, o.MaxBodyBytes)
+	}
 	return &Server{options: o, listener: o.Listener, done: make(chan struct{}), http: &http.Server{
 		Handler:           o.Handler,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -97,7 +97,7 @@
 	k.Register(TransportComponent, link)
 	k.Register(NodeComponent, node)
 	k.Register(WatcherComponent, follower)
-	k.Register(ServerComponent, listener.New(listener.Options{Address: o.Internal, Handler: mux}))
+	k.Register(ServerComponent, listener.New(listener.Options{Address: o.Internal, Handler: mux, MaxBodyBytes: control.MaxMessageBytes}))
 	k.Register(StagesComponent, stages)
 	k.Register(BatchingComponent, runner)
 	k.Register(CallerServerComponent, listener.New(listener.Options{Address: o.Public, Handler: o.Handler(d)}))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -212,7 +212,7 @@
 		return err
 	}
 	b.admin(a.Ready)
-	b.k.Register(ServerComponent, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: a.Handler()}))
+	b.k.Register(ServerComponent, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: a.Handler(), MaxBodyBytes: control.MaxMessageBytes}))
 	b.k.Register(ConfigComponent, watcher)
 	b.k.Register(AgentComponent, a)
 	return nil
@@ -254,7 +254,7 @@
 	b.k.Register(TransportComponent, link)
 	b.k.Register(NodeComponent, node)
 	b.k.Register(RosterComponent, ros)
-	b.k.Register(ServerComponent, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: c.Handler()}))
+	b.k.Register(ServerComponent, listener.New(listener.Options{Address: b.s.Listen(), Listener: b.o.Listener, Handler: c.Handler(), MaxBodyBytes: control.MaxMessageBytes}))
 	b.k.Register(ControlComponent, c)
 	b.k.Register(PlacementComponent, runner)
 	return nil
