batching: Leave room for the next call, and keep only large results in their domain

Change: the results of one call take up to half of the memory, the first job excepted; the domain counts for jobs with inputs or with 256 KiB of results; a queue is short below a call for five targets. Tests: TestCallsLeaveRoomForTheNextOne, TestFetchedResultsMakeRoom, TestLargeResultsStayInTheirDomain.

--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -167,6 +167,15 @@
 // hasResults reports whether results of other stages wait for the job.
 func (j *Job) hasResults() bool { return len(j.Inputs) > 0 || j.Begun }
 
+// isRemoteAt reports whether running the job at a target of a failure domain moves much data
+// between domains: that of its inputs, or that of its results to their reader.
+func (j *Job) isRemoteAt(domain string) bool {
+	if j.FailureDomain == domain {
+		return false
+	}
+	return len(j.Inputs) > 0 || j.ResultBytes*int64(j.Pieces) >= minRemoteBytes
+}
+
 // countOnPath counts the job's later pieces at their services, once.
 func (j *Job) countOnPath() {
 	if !j.countedOnPath {
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -39,6 +39,12 @@
 	// localDomainWait is how long a request waits for a target of its own failure domain
 	// while only others are free.
 	localDomainWait = 150 * time.Millisecond
+	// minRemoteBytes is the size of all results of a job above which a target of its failure
+	// domain is preferred. Smaller ones cost less than the wait.
+	minRemoteBytes = 256 << 10
+	// targetsPerCall is the number of targets for each full call in a queue that counts as
+	// short.
+	targetsPerCall = 5
 	// crowdedCalls is the number of queued full calls per target above which no request
 	// waits for a target of its own failure domain, because it would be late.
 	crowdedCalls = 2
@@ -295,16 +301,23 @@
 
 // startCall builds a call from the first jobs for which the target has free memory.
 // Jobs of the target's failure domain go before others of about the same urgency. A
-// job is split only when it is the first or larger than a call.
+// job is split only when it is the first or larger than a call. The results of one call take
+// up to half of the memory, so that the next call finds room while they wait for their
+// readers: a target with larger calls idles meanwhile.
 func (s *Scheduler) startCall(w *worker, now time.Time) *Call {
 	c := &Call{Target: w.Target, StartedAt: now, worker: w}
 	first := s.jobs[0]
+	resultBytes := int64(0)
 	for _, j := range s.jobsFor(w) {
 		space := s.profile.MaxBatchSize - len(c.Pieces)
 		if s.profile.ResultBytes > 0 && j.ResultBytes > 0 {
-			space = min(space, int(s.freeMemory(w, now)/j.ResultBytes))
+			room := s.freeMemory(w, now)
+			if len(c.Pieces) > 0 {
+				room = min(room, s.profile.ResultBytes/2-resultBytes)
+			}
+			space = min(space, int(room/j.ResultBytes))
 		}
-		remote := j.FailureDomain != w.FailureDomain && j != first && !s.isCrowded() && s.mayWaitForLocal(j, now)
+		remote := j.isRemoteAt(w.FailureDomain) && j != first && !s.isCrowded() && s.mayWaitForLocal(j, now)
 		whole := len(j.queue) <= space || j == first || len(j.queue) > s.profile.MaxBatchSize
 		if space <= 0 || remote || !whole || j.group == groupHeldBack {
 			continue
@@ -318,6 +331,7 @@
 		j.countOnPath()
 		s.waiting -= n
 		w.resultBytes += int64(n) * j.ResultBytes
+		resultBytes += int64(n) * j.ResultBytes
 	}
 	s.jobs = slices.DeleteFunc(s.jobs, func(j *Job) bool { return len(j.queue) == 0 })
 	s.nextID++
@@ -337,7 +351,7 @@
 // jobsFor returns the jobs in the order in which a target runs them.
 func (s *Scheduler) jobsFor(w *worker) []*Job {
 	at := func(j *Job) time.Time {
-		if j.FailureDomain != w.FailureDomain {
+		if j.isRemoteAt(w.FailureDomain) {
 			return j.sortTime.Add(remoteDomainDelay)
 		}
 		return j.sortTime
--- a/internal/batching/simulation_test.go
+++ b/internal/batching/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,8 +15,9 @@
 
 // Stage services from the users' data sheets.
 var (
-	invoicing   = catalog.BatchProfile{MaxConcurrency: 1, QueueLimit: 2, MaxBatchSize: 8, CallOverhead: 200 * time.Millisecond, PieceTime: 21 * time.Millisecond, ResultBytes: 18e6, ResultTTL: 4 * time.Second}
-	bargeRoster = catalog.BatchProfile{MaxConcurrency: 1, QueueLimit: 2, MaxBatchSize: 22, CallOverhead: 200 * time.Millisecond, PieceTime: 7800 * time.Microsecond, ResultBytes: 3e6, ResultTTL: 4 * time.Second}
+	invoicing      = catalog.BatchProfile{MaxConcurrency: 1, QueueLimit: 2, MaxBatchSize: 8, CallOverhead: 200 * time.Millisecond, PieceTime: 21 * time.Millisecond, ResultBytes: 18e6, ResultTTL: 4 * time.Second}
+	largeInvoicing = catalog.BatchProfile{MaxConcurrency: 1, QueueLimit: 2, MaxBatchSize: 10, CallOverhead: 200 * time.Millisecond, PieceTime: 17 * time.Millisecond, ResultBytes: 22e6, ResultTTL: 4 * time.Second}
+	bargeRoster    = catalog.BatchProfile{MaxConcurrency: 1, QueueLimit: 2, MaxBatchSize: 22, CallOverhead: 200 * time.Millisecond, PieceTime: 7800 * time.Microsecond, ResultBytes: 3e6, ResultTTL: 4 * time.Second}
 )
 
 // event is a function that runs at a simulated time.
@@ -73,7 +75,10 @@
 	// slow is the factor by which calls take longer at a target.
 	slow map[string]float64
 	// hold is how long results are needed after their job is done.
-	hold        time.Duration
+	hold time.Duration
+	// fetch is the time after which they have been fetched, and are released where memory is
+	// short; 0 means that they are held.
+	fetch       time.Duration
 	resultBytes map[string]int64
 	calls       map[string]int
 	// pieces counts the pieces of calls, and outcomes counts jobs by outcome.
@@ -160,6 +165,12 @@
 		case o.Kind != Done:
 			w.refusals = append(w.refusals, w.now.Sub(startedAt))
 		}
+		if w.fetch > 0 {
+			w.at(w.fetch, func() {
+				low := w.s.LowMemoryTargets()
+				w.free(slices.DeleteFunc(slices.Clone(o.Results), func(r Result) bool { return !low[r.Target] }))
+			})
+		}
 		w.at(w.hold, func() { w.free(o.Results) })
 	}, w.now)
 }
@@ -211,6 +222,85 @@
 	require.Greater(t, w.pieces, 6*70, "the targets were kept busy")
 }
 
+// Load pattern: a burst of summaries while engines read prompts for half a second, so that the
+// results are needed for longer than a call takes. Guards against targets that idle because
+// results that were fetched fill their memory, and against results that are released where
+// there is room for them.
+func TestFetchedResultsMakeRoom(t *testing.T) {
+	const targets, seconds = 5, 6
+	w := newSimulation(t, largeInvoicing, targets)
+	w.hold, w.fetch = 500*time.Millisecond, 120*time.Millisecond
+	w.arrive(80, seconds*time.Second, func() *Job { return w.job(2, 1_500_000, 800*time.Millisecond, 4*time.Second) })
+	w.run(seconds * time.Second)
+	// The memory holds 14 results: those of a call wait while the next call makes seven.
+	capacity := seconds * targets * 14 / (2*200*time.Millisecond + 14*17*time.Millisecond).Seconds()
+	require.Greater(t, float64(w.pieces), 0.9*capacity)
+
+	calm := newSimulation(t, largeInvoicing, targets)
+	calm.hold, calm.fetch = w.hold, w.fetch
+	calm.at(0, func() { calm.add(calm.job(2, 1_500_000, 800*time.Millisecond, 4*time.Second)) })
+	calm.run(600 * time.Millisecond)
+	require.NotEmpty(t, calm.s.results, "another attempt finds the results")
+	calm.run(time.Second)
+	require.Empty(t, calm.s.results)
+}
+
+// Load pattern: the same burst without a release before the end. Guards against calls whose
+// results fill the memory, so that the target idles until they are released.
+func TestCallsLeaveRoomForTheNextOne(t *testing.T) {
+	const targets, seconds = 5, 6
+	w := newSimulation(t, largeInvoicing, targets)
+	w.hold = 400 * time.Millisecond
+	w.arrive(80, seconds*time.Second, func() *Job { return w.job(2, 1_500_000, 800*time.Millisecond, 4*time.Second) })
+	w.run(seconds * time.Second)
+	// Two calls of seven pieces run until the results of the first are released.
+	capacity := seconds * targets * 14 / (200*time.Millisecond + 7*17*time.Millisecond + w.hold).Seconds()
+	require.Greater(t, float64(w.pieces), 0.9*capacity)
+}
+
+// Load pattern: summaries and the first stages of drafts at 45 targets in five failure domains,
+// on a calm day. Guards against large results that are made in another domain than that of
+// their engine although a target there is free soon, and against small ones that wait for it.
+func TestLargeResultsStayInTheirDomain(t *testing.T) {
+	const domains, seconds = 5, 20
+	w := newSimulation(t, largeInvoicing, 0)
+	var targets []Target
+	for i := range 9 * domains {
+		targets = append(targets, Target{ID: fmt.Sprint("t", i), FailureDomain: fmt.Sprint("d", i%domains)})
+	}
+	w.s.SetTargets(targets)
+	w.hold = 300 * time.Millisecond
+	remote, all, waited, drafts := 0, 0, time.Duration(0), 0
+	arrive := func(perSecond float64, pieces int, bytes int64, done func(*Job, Outcome)) {
+		w.arrive(perSecond, seconds*time.Second, func() *Job {
+			j := w.job(pieces, bytes, 900*time.Millisecond, 4*time.Second)
+			j.FailureDomain = fmt.Sprint("d", w.random.IntN(domains))
+			w.at(0, func() {
+				onFinish := j.onFinish
+				j.onFinish = func(o Outcome) { done(j, o); onFinish(o) }
+			})
+			return j
+		})
+	}
+	arrive(300, 2, 1_500_000, func(j *Job, o Outcome) {
+		for _, r := range o.Results {
+			all++
+			if r.FailureDomain != j.FailureDomain {
+				remote++
+			}
+		}
+	})
+	arrive(400, 1, 8_000, func(_ *Job, o Outcome) {
+		drafts++
+		waited += o.Waited
+	})
+	w.run((seconds + 4) * time.Second)
+	require.Equal(t, w.n > 0, all > 0)
+	require.Less(t, float64(remote), 0.2*float64(all), "results in another domain")
+	require.Less(t, waited/time.Duration(drafts), localDomainWait/3)
+	require.Greater(t, float64(w.inTime), 0.99*float64(w.outcomes[Done]))
+}
+
 // Load pattern: the collector was suspended while calls ran. Guards against targets
 // that count as slow for good because one call appeared to take seconds.
 func TestSlownessIsForgotten(t *testing.T) {
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -126,7 +126,7 @@
 		if w.ratio(now) >= slowRatio {
 			score = w.ratio(now)
 		}
-		if w.FailureDomain != j.FailureDomain {
+		if j.isRemoteAt(w.FailureDomain) {
 			score += 0.5
 		}
 		if best == nil || score < bestScore {
@@ -142,7 +142,7 @@
 	if best.ratio(now) >= slowRatio && s.fasterTargetSoon(best, now) {
 		return nil, 0
 	}
-	if wait := localDomainWait - now.Sub(j.queuedAt); best.FailureDomain != j.FailureDomain && wait > 0 && s.waiting < s.profile.MaxBatchSize && s.hasDomain(j.FailureDomain, now) {
+	if wait := localDomainWait - now.Sub(j.queuedAt); j.isRemoteAt(best.FailureDomain) && wait > 0 && s.hasShortQueue() && s.hasDomain(j.FailureDomain, now) {
 		return nil, wait
 	}
 	return best, 0
@@ -171,6 +171,12 @@
 	return free >= min(need, s.profile.ResultBytes/2)
 }
 
+// hasShortQueue reports whether so little is queued that a job may wait for a target of its
+// failure domain: less than a call for a few targets.
+func (s *Scheduler) hasShortQueue() bool {
+	return s.waiting < s.profile.MaxBatchSize*max(len(s.order)/targetsPerCall, 1)
+}
+
 // hasDomain reports whether a failure domain has a target that is not slow or failing.
 func (s *Scheduler) hasDomain(domain string, now time.Time) bool {
 	return slices.ContainsFunc(s.order, func(w *worker) bool { return w.FailureDomain == domain && w.failures == 0 && w.ratio(now) < slowRatio })
