--- a/internal/stagelink/link.go
+++ b/internal/stagelink/link.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 
-	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -45,7 +44,7 @@
 	switch {
 	case err != nil:
 		l.queued.Truncate(before)
-		return errors.Wrap(err, "encode frame")
+		return &FrameError{reason: "not encoded: " + err.Error()}
 	case n > maxFrameBytes:
 		l.queued.Truncate(before)
 		return &FrameError{reason: "too large to be sent"}
--- a/internal/stagelink/stagelink_test.go
+++ b/internal/stagelink/stagelink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -385,3 +387,36 @@
 		})
 	}
 }
+
+// FuzzFrames guards against a control VM that fails, blocks or runs a stage twice because of what
+// arrives on a connection for stages.
+func FuzzFrames(f *testing.F) {
+	frame := func(frames ...*wire.StageFrame) []byte {
+		var b bytes.Buffer
+		for _, frame := range frames {
+			_, err := protodelim.MarshalTo(&b, frame)
+			require.NoError(f, err)
+		}
+		return b.Bytes()
+	}
+	run := &wire.StageFrame{Call: 1, Content: &wire.StageFrame_Run{Run: stage("a", 0)}}
+	f.Add(frame(run))
+	f.Add(frame(run, run))
+	f.Add(frame(run, &wire.StageFrame{Call: 1, Content: &wire.StageFrame_Cancel{}}))
+	f.Add(frame(&wire.StageFrame{Content: &wire.StageFrame_Ping{}}, &wire.StageFrame{Content: &wire.StageFrame_Free{}}, &wire.StageFrame{}))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		client, server := net.Pipe()
+		s := NewServer(instant{}, timer.NewService())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ss := &session{server: s, link: newLink(server, bufio.NewReader(server), timer.NewService()), ctx: ctx, cancel: cancel, running: map[uint64]context.CancelFunc{}}
+		s.wg.Add(1)
+		go ss.serve()
+		go func() { _, _ = io.Copy(io.Discard, client) }()
+		_, _ = client.Write(data)
+		require.NoError(t, client.Close())
+		s.wg.Wait()
+		require.Empty(t, ss.running)
+	})
+}
