gateway: Hold results while engines fetch them late

Also the results of a stage that ended while it was canceled stayed until the end of their lifetime. Change: once an engine has missed results after an early release, a gateway reports none as fetched for 5 s and logs it; the time of a stream counts from its beginning until its first event; a response to a canceled stage has its results released.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -177,13 +177,15 @@
 }
 
 // awaitFetch reports the inputs of an attempt as fetched, unless the attempt ends or its answer
-// begins first.
+// begins first. Engines without free slots fetch later: once one of them missed results, none
+// are reported for a while.
 func (x *exchange) awaitFetch(ctx context.Context, in *inputs, begun <-chan struct{}) {
-	if len(in.handles()) == 0 {
+	if len(in.handles()) == 0 || x.g.sinceStart() < time.Duration(x.g.holdResults.Load()) {
 		return
 	}
 	select {
 	case <-x.g.o.Timers.After(fetchTime):
+		x.released.Store(true)
 		in.fetched(ctx)
 	case <-begun:
 	case <-ctx.Done():
@@ -266,6 +268,10 @@
 	case a.Misdirected:
 		pool.Finish(choice, routing.Draining{}, now)
 	case resp.StatusCode == http.StatusConflict && !x.regained:
+		if x.released.Load() {
+			x.g.holdResults.Store(int64(x.g.sinceStart() + holdTime))
+			klog.InfoS("Results released too early", "request", x.r.ID, "target", choice.Target, "hold_ms", holdTime.Milliseconds())
+		}
 		pool.Finish(choice, routing.Canceled{}, now)
 		x.regained = true
 		x.tried = slices.DeleteFunc(x.tried, func(t string) bool { return t == choice.Target })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	weights   map[string]map[string]float64 // by route and failure domain
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
+	// holdResults is the time since startedAt until which results are held to the end, in ns.
+	holdResults atomic.Int64
 	// installed is closed with the first catalog.
 	installed chan struct{}
 	startedAt time.Time
@@ -199,7 +201,9 @@
 	}
 }
 
-func (g *Gateway) startupOver() bool { return g.o.Timers.Since(g.startedAt) >= startupTime }
+func (g *Gateway) startupOver() bool { return g.sinceStart() >= startupTime }
+
+func (g *Gateway) sinceStart() time.Duration { return g.o.Timers.Since(g.startedAt) }
 
 func (g *Gateway) receive(address string, w *wire.WatchResponse) {
 	c, err := g.o.DecodeCatalog(w.GetCatalog())
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,13 +47,14 @@
 	// timeoutFirst says that the route's timeout ends the request.
 	timeoutFirst bool
 
-	home     string    // failure domain of the target that the request will go to
-	regained bool      // the results of the stages were made again for a target
-	ran      int       // targets on which the request may have run
-	tried    []string  // targets that were chosen
-	status   int       // of the answer; 0 when the connection was closed without one
-	started  bool      // the answer's header has been sent
-	eventAt  time.Time // when the last event of a stream was passed on
+	home     string      // failure domain of the target that the request will go to
+	released atomic.Bool // the collector may have released the results of the stages early
+	regained bool        // the results of the stages were made again for a target
+	ran      int         // targets on which the request may have run
+	tried    []string    // targets that were chosen
+	status   int         // of the answer; 0 when the connection was closed without one
+	started  bool        // the answer's header has been sent
+	eventAt  time.Time   // when the last event of a stream was passed on
 	reason   string
 	stagesT  time.Duration
 	firstT   time.Duration // until the answer began; 0 when it didn't
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -33,6 +33,9 @@
 	stageRounds = 2
 	// reasonInputGone is the collector's reason for a lost result.
 	reasonInputGone = "input_gone"
+	// holdTime is how long results are held to the end after an engine missed results that
+	// were released early: it has no free slots.
+	holdTime = 5 * time.Second
 	// collectorResponseTime is the time in which a collector that works answers a watch. A
 	// connection to it is known to be silent after a longer time.
 	collectorResponseTime = 700 * time.Millisecond
@@ -311,7 +314,7 @@
 // some events: callers abandon a stream after a time without one.
 func (x *exchange) nextEventBy() time.Time {
 	by, since := x.deadline, x.began
-	if x.started {
+	if x.eventAt.After(since) {
 		since = x.eventAt
 	}
 	if p := x.route.ClientEventTimeout(); p > 0 && since.Add(p).Before(by) {
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -23,6 +23,8 @@
 	lost   []string
 	silent []string // doesn't respond to watches
 	asked  []string
+	// fetched counts the messages that results have been fetched.
+	fetched int
 }
 
 func (c *collectors) Collectors() []string { return c.list }
@@ -55,7 +57,12 @@
 	return &wire.RunStageResponse{Outcome: wire.StageOutcome_STAGE_OUTCOME_DONE}, nil
 }
 
-func (c *collectors) FreeResults(context.Context, string, *wire.FreeResultsRequest) error { return nil }
+func (c *collectors) FreeResults(_ context.Context, _ string, r *wire.FreeResultsRequest) error {
+	if r.GetFetched() {
+		c.fetched++
+	}
+	return nil
+}
 
 // Guards against gateways that spread their stages over several collectors after one has
 // failed, which then fill the memory of the targets against each other: all go to the next one
@@ -101,8 +108,40 @@
 	require.NoError(t, err)
 	x := &exchange{route: cat.Routes()[0], began: began, deadline: began.Add(20 * time.Second)}
 	require.Equal(t, began.Add(4*time.Second), x.nextEventBy())
-	x.started, x.eventAt = true, began.Add(9*time.Second)
+	x.started = true
+	require.Equal(t, began.Add(4*time.Second), x.nextEventBy(), "only the header was passed on")
+	x.eventAt = began.Add(9 * time.Second)
 	require.Equal(t, began.Add(13*time.Second), x.nextEventBy())
 	x.eventAt = began.Add(18 * time.Second)
 	require.Equal(t, x.deadline, x.nextEventBy())
 }
+
+// Load pattern: engines without free slots fetch the results of stages late. Guards against
+// results that are released before, so that the stages of every request run twice while the
+// engines are busy.
+func TestResultsAreHeldWhileEnginesFetchLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts, list := timer.NewService(), &collectors{list: []string{"a"}}
+		g := &Gateway{o: Options{Timers: ts}, startedAt: ts.Now()}
+		in := &inputs{client: newStageClient(t.Context(), ts, list, list)}
+		in.add(0, []*wire.PieceResult{{Handle: "h"}})
+		in.last = []*wire.PieceResult{{Handle: "h"}}
+		attempt := func() bool {
+			x := &exchange{g: g}
+			before := list.fetched
+			x.awaitFetch(t.Context(), in, make(chan struct{}))
+			require.Equal(t, x.released.Load(), list.fetched > before)
+			return list.fetched > before
+		}
+		require.True(t, attempt())
+		g.holdResults.Store(int64(g.sinceStart() + holdTime))
+		require.False(t, attempt())
+		time.Sleep(holdTime)
+		require.True(t, attempt())
+		answered := make(chan struct{})
+		close(answered)
+		before := list.fetched
+		(&exchange{g: g}).awaitFetch(t.Context(), in, answered)
+		require.Equal(t, before, list.fetched, "results of an answer that has begun are given up in full")
+	})
+}
--- a/internal/stagelink/client.go
+++ b/internal/stagelink/client.go
@@ -309,16 +309,21 @@
 	klog.InfoS("Connection for stages closed", "collector", s.address, "waiting", s.load(), "cause", s.link.cause().Error())
 }
 
-// take hands a response to its stage. One for a stage that was canceled is dropped.
+// take hands a response to its stage. The results of a stage that was canceled meanwhile are
+// released, because nobody else knows them.
 func (s *clientSession) take(f *wire.StageFrame) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.receivedAt = s.timers.Now()
-	if r := f.GetResponse(); r != nil {
-		if answered := s.waiting[f.GetCall()]; answered != nil {
-			delete(s.waiting, f.GetCall())
-			answered <- r
-		}
+	r := f.GetResponse()
+	if r == nil {
+		return
+	}
+	if answered := s.waiting[f.GetCall()]; answered != nil {
+		delete(s.waiting, f.GetCall())
+		answered <- r
+	} else if len(r.GetResults()) > 0 {
+		_ = s.link.send(&wire.StageFrame{Content: &wire.StageFrame_Free{Free: &wire.FreeResultsRequest{Results: r.GetResults()}}}) // they expire by themselves
 	}
 }
 
