gateway: Let callers return when a started system serves

Change: in the first 1.3 s of a process the time to return lies after these, spread over 0.4 s. Result: TestCallersReturnWhenAStartedSystemServes is red without the change (by reading: 0.3 s always).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,11 @@
 	startupTime      = 3 * time.Second
 	catalogWait      = 800 * time.Millisecond
 	catalogWaitShare = 1.0 / 8
+	// electionTime is the time from a start of all machines until there is a leader and its
+	// catalog is confirmed. Callers that are refused before return after it, spread over
+	// startupSpread, because most of them return only once.
+	electionTime  = 1300 * time.Millisecond
+	startupSpread = 400 * time.Millisecond
 )
 
 // Options holds what a Gateway needs; all are required.
@@ -259,6 +265,16 @@
 	return g.catalog.Load()
 }
 
+// catalogRetry returns the time after which a caller may come back that was refused because
+// there is no catalog.
+func (g *Gateway) catalogRetry() time.Duration {
+	left := electionTime - g.sinceStart()
+	if left <= 0 {
+		return unsureRetry
+	}
+	return max(left, unsureRetry) + rand.N(startupSpread)
+}
+
 // isFresh says whether the catalog was the newest one a short time ago.
 func (g *Gateway) isFresh() bool {
 	return timer.SinceBoot()-time.Duration(g.confirmed.Load()) <= freshBound
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -97,7 +97,7 @@
 	x.r = r
 	c := x.g.awaitCatalog(x.in.Context(), r.ClientTimeout)
 	if c == nil {
-		x.refuse("no_catalog", unsureRetry)
+		x.refuse("no_catalog", x.g.catalogRetry())
 		return false
 	}
 	route, ok := c.Route(hostName(x.in.Host), x.in.URL.Path)
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -145,3 +145,26 @@
 		require.Equal(t, before, list.fetched, "results of an answer that has begun are given up in full")
 	})
 }
+
+// Load pattern: all machines start again under load, and most callers return once. Guards
+// against callers that return before the control VMs have a leader, and are refused again, and
+// against a burst of all of them at one moment.
+func TestCallersReturnWhenAStartedSystemServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := timer.NewService()
+		g := &Gateway{o: Options{Timers: ts}, startedAt: ts.Now()}
+		var earliest, latest time.Duration
+		for ; g.sinceStart() < electionTime-unsureRetry; time.Sleep(time.Millisecond) {
+			at := g.sinceStart() + g.catalogRetry()
+			require.GreaterOrEqual(t, at, electionTime)
+			require.LessOrEqual(t, at, electionTime+startupSpread)
+			if earliest == 0 || at < earliest {
+				earliest = at
+			}
+			latest = max(latest, at)
+		}
+		require.Greater(t, latest-earliest, startupSpread/2)
+		time.Sleep(startupTime)
+		require.Equal(t, unsureRetry, g.catalogRetry(), "no restart of all machines takes that long")
+	})
+}
