gateway: Hold results only when engines miss many of them

Change: earlyRelease holds results when more than a tenth of the early releases were missed, three at least.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -177,15 +177,15 @@
 }
 
 // awaitFetch reports the inputs of an attempt as fetched, unless the attempt ends or its answer
-// begins first. Engines without free slots fetch later: once one of them missed results, none
-// are reported for a while.
+// begins first.
 func (x *exchange) awaitFetch(ctx context.Context, in *inputs, begun <-chan struct{}) {
-	if len(in.handles()) == 0 || x.g.sinceStart() < time.Duration(x.g.holdResults.Load()) {
+	if len(in.handles()) == 0 || !x.g.release.allowed(x.g.o.Timers.Now()) {
 		return
 	}
 	select {
 	case <-x.g.o.Timers.After(fetchTime):
 		x.released.Store(true)
+		x.g.release.recordRelease()
 		in.fetched(ctx)
 	case <-begun:
 	case <-ctx.Done():
@@ -268,9 +268,8 @@
 	case a.Misdirected:
 		pool.Finish(choice, routing.Draining{}, now)
 	case resp.StatusCode == http.StatusConflict && !x.regained:
-		if x.released.Load() {
-			x.g.holdResults.Store(int64(x.g.sinceStart() + holdTime))
-			klog.InfoS("Results released too early", "request", x.r.ID, "target", choice.Target, "hold_ms", holdTime.Milliseconds())
+		if x.released.Load() && x.g.release.recordMiss(now) {
+			klog.InfoS("Results are held to the end", "request", x.r.ID, "target", choice.Target, "hold_ms", holdTime.Milliseconds())
 		}
 		pool.Finish(choice, routing.Canceled{}, now)
 		x.regained = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,8 +103,7 @@
 	weights   map[string]map[string]float64 // by route and failure domain
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
-	// holdResults is the time since startedAt until which results are held to the end, in ns.
-	holdResults atomic.Int64
+	release   earlyRelease
 	// installed is closed with the first catalog.
 	installed chan struct{}
 	startedAt time.Time
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -33,9 +33,6 @@
 	stageRounds = 2
 	// reasonInputGone is the collector's reason for a lost result.
 	reasonInputGone = "input_gone"
-	// holdTime is how long results are held to the end after an engine missed results that
-	// were released early: it has no free slots.
-	holdTime = 5 * time.Second
 	// collectorResponseTime is the time in which a collector that works answers a watch. A
 	// connection to it is known to be silent after a longer time.
 	collectorResponseTime = 700 * time.Millisecond
