--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -79,6 +79,7 @@
 		pool.Finish(choice, routing.Canceled{}, now)
 	default:
 		pool.Finish(choice, routing.Failure{}, now)
+		x.logBrokenAttempt(choice)
 	}
 	return x.brokenStream(ctx)
 }
@@ -112,6 +113,7 @@
 	if err != nil {
 		x.lastErr = err.Error()
 		pool.Finish(choice, routing.Failure{}, now)
+		x.logBrokenAttempt(choice)
 		return mayHaveRun
 	}
 	x.sendHeader(resp)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -113,9 +113,14 @@
 	if n <= 0 {
 		return ""
 	}
-	ids := make([]string, n)
+	return promptIDs(x.r.Prompt[:n])
+}
+
+// promptIDs returns the ids of parts of a prompt, separated by commas.
+func promptIDs(parts []PromptPart) string {
+	ids := make([]string, len(parts))
 	for i := range ids {
-		ids[i] = x.r.Prompt[i].ID
+		ids[i] = parts[i].ID
 	}
 	return strings.Join(ids, ",")
 }
@@ -251,6 +256,7 @@
 	} else {
 		pool.Finish(choice, routing.Failure{}, now)
 		x.g.o.Upstream.CloseIdle(choice.Address)
+		x.logBrokenAttempt(choice)
 	}
 	if !sent {
 		return notRun
@@ -259,6 +265,17 @@
 	return mayHaveRun
 }
 
+// logBrokenAttempt writes a line for an attempt without a whole answer. The prompt's parts
+// show what the requests that a target leaves unanswered have in common.
+func (x *exchange) logBrokenAttempt(choice routing.Choice) {
+	since := x.eventAt
+	if since.IsZero() {
+		since = x.began
+	}
+	klog.InfoS("Attempt broken", "request", x.r.ID, "route", x.route.Name(), "target", choice.Target, "incarnation", choice.Incarnation,
+		"prompt", promptIDs(x.r.Prompt), "answer_begun", !x.eventAt.IsZero(), "since_event_ms", x.g.o.Timers.Since(since).Milliseconds(), "cause", x.lastErr)
+}
+
 // notRunThere judges a refusal by the target.
 func (x *exchange) notRunThere(pool *routing.Pool, choice routing.Choice, resp *upstream.Response, a ResponseMetadata) verdict {
 	resp.Drain()
