--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -54,6 +54,9 @@
 	watcherTimeout = 1500 * time.Millisecond
 	// notifyTimeout limits the wait for the watchers; a target waits 1 s for its response.
 	notifyTimeout = 500 * time.Millisecond
+	// recordTimeout limits the wait for the record of a target that leaves. A VM that has
+	// restarted gets the records from the others within two round trips.
+	recordTimeout = 300 * time.Millisecond
 	// memberCheckInterval is the interval at which the leader checks the members, and
 	// replaceTimeout the time without activity after which a member that isn't needed is
 	// removed.
@@ -184,14 +187,38 @@
 	}
 }
 
-// Leave marks a target as gone and notifies the watchers like Announce.
+// Leave marks a target as gone and notifies the watchers like Announce. If the call doesn't
+// name the incarnation, Leave waits until this VM knows the target: the record of an unnamed
+// end would be replaced by the one of the target as soon as another VM sends it.
 func (d *Directory) Leave(ctx context.Context, id string, bornMs int64) {
+	if bornMs == 0 {
+		d.awaitRecord(ctx, id)
+	}
 	if d.o.Table.Leave(id, bornMs, d.o.Timers.Now()) {
 		klog.InfoS("Target left", "target", id, "born_ms", bornMs)
 	}
 	d.notifyWatchers(ctx)
 }
 
+// awaitRecord waits until the table has a record of a target, or for recordTimeout.
+func (d *Directory) awaitRecord(ctx context.Context, id string) {
+	expired := d.o.Timers.After(recordTimeout)
+	for {
+		changed := d.o.Table.Changed()
+		if d.o.Table.Knows(id) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			klog.InfoS("Target leaves that this VM doesn't know", "target", id)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // notifyWatchers waits until every watcher has requested the changes after the newest one,
 // which it does once it has processed that one.
 func (d *Directory) notifyWatchers(ctx context.Context) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -78,6 +78,30 @@
 	})
 }
 
+// Guards against a target that left and is used again, because the control VM that it told had
+// restarted and receives the target's record from another VM only afterwards.
+func TestTargetStaysGoneWhenItsRecordArrivesLater(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"at once": 0, "after a round trip": 20 * time.Millisecond, "after a second watch": 250 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDirectory(t)
+				left := make(chan struct{})
+				go func() {
+					defer close(left)
+					d.Leave(t.Context(), "a", 0)
+				}()
+				synctest.Wait()
+				time.Sleep(delay)
+				d.o.Table.Merge(&wire.WatchResponse{Full: true, Targets: []*wire.RegisteredTarget{
+					{Id: "a", Service: "s", Address: "x:1", BornMs: 5, Sequence: 9, State: wire.TargetState_TARGET_STATE_READY},
+				}}, time.Now())
+				<-left
+				require.Empty(t, d.o.Table.Live("s", time.Now()))
+			})
+		})
+	}
+}
+
 // Guards against an answer for each of the targets that announce themselves at a restart of a
 // deployment: 3,000 targets and 300 watchers make 900,000. Guards also against a target that
 // leaves meanwhile and is told late.
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -367,6 +367,13 @@
 	return e.record, true
 }
 
+// Knows reports whether there is a record of a target, which may be gone.
+func (t *Table) Knows(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[id] != nil
+}
+
 // Expire removes targets whose last announcement, or whose end, was reported longer ago
 // than goneRetention.
 func (t *Table) Expire(now time.Time) {
