--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -40,9 +40,9 @@
 // TargetClient runs calls at targets and translates to their protocol.
 type TargetClient interface {
 	// Run runs one call; it returns CallFailed when ctx ends first.
-	Run(ctx context.Context, c *Call, now time.Time) CallOutcome
+	Run(ctx context.Context, c *Call, now time.Time) (CallOutcome, discovery.Notice)
 	// ReleaseResults releases results at a target.
-	ReleaseResults(ctx context.Context, t Target, handles []string) error
+	ReleaseResults(ctx context.Context, t Target, handles []string) (discovery.Notice, error)
 }
 
 // Options holds the dependencies of a Collector.
@@ -264,7 +264,7 @@
 		if !ok {
 			continue // the results are lost with the target
 		}
-		r.queueRelease(Target{ID: id, Address: t.GetAddress(), FailureDomain: t.GetFailureDomain()}, handles, r.service(t.GetService()))
+		r.queueRelease(Target{ID: id, Address: t.GetAddress(), FailureDomain: t.GetFailureDomain(), Started: time.UnixMilli(t.GetBornMs())}, handles, r.service(t.GetService()))
 	}
 }
 
@@ -301,7 +301,9 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
 	defer cancel()
-	if err := r.o.TargetClient.ReleaseResults(ctx, t, g.handles); err != nil {
+	notice, err := r.o.TargetClient.ReleaseResults(ctx, t, g.handles)
+	r.recordNotice(t, notice)
+	if err != nil {
 		// The results expire at the end of their lifetime.
 		klog.V(1).InfoS("Releasing results failed", "target", t.ID, "results", len(g.handles), "cause", err.Error())
 		return
@@ -311,6 +313,16 @@
 	}
 }
 
+// recordNotice records what a target said of itself in a response. It reports whether that
+// changes how the target may be used.
+func (r *Collector) recordNotice(t Target, n discovery.Notice) bool {
+	changed := r.o.Table.RecordNotice(t.ID, t.Started.UnixMilli(), n, r.o.Timers.Now())
+	if changed {
+		klog.InfoS("Target takes no calls", "target", t.ID, "leaving", n.Leaving(), "pause_ms", n.Pause().Milliseconds())
+	}
+	return changed
+}
+
 // update runs f on the scheduler and notifies the loop.
 func (s *serviceCollector) update(f func(*Scheduler)) {
 	s.mu.Lock()
@@ -340,7 +352,7 @@
 	var ready, silent []Target
 	for _, l := range s.collector.o.Table.Live(s.name, now) {
 		rec := l.Record()
-		if rec.GetState() != wire.TargetState_TARGET_STATE_READY {
+		if l.Leaving() {
 			continue
 		}
 		t := Target{ID: rec.GetId(), Address: rec.GetAddress(), FailureDomain: rec.GetFailureDomain(), Started: time.UnixMilli(rec.GetBornMs())}
@@ -450,7 +462,10 @@
 func (s *serviceCollector) runCall(c *Call) {
 	ctx, cancel := context.WithTimeout(s.collector.ctx, c.Timeout())
 	defer cancel()
-	o := s.collector.o.TargetClient.Run(ctx, c, c.StartedAt)
+	o, notice := s.collector.o.TargetClient.Run(ctx, c, c.StartedAt)
+	if s.collector.recordNotice(c.Target, notice) {
+		s.refresh() // before the call ends, so that its target gets no other one
+	}
 	took := s.collector.o.Timers.Since(c.StartedAt)
 	outcome := "answered"
 	var made, gone, late, noRoom, failed int
--- a/internal/batching/collector_test.go
+++ b/internal/batching/collector_test.go
@@ -23,15 +23,15 @@
 	released []string
 }
 
-func (c *recordingClient) Run(context.Context, *Call, time.Time) CallOutcome {
-	return CallRejected{}
+func (c *recordingClient) Run(context.Context, *Call, time.Time) (CallOutcome, discovery.Notice) {
+	return CallRejected{}, discovery.Notice{}
 }
 
-func (c *recordingClient) ReleaseResults(_ context.Context, _ Target, handles []string) error {
+func (c *recordingClient) ReleaseResults(_ context.Context, _ Target, handles []string) (discovery.Notice, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.released = append(c.released, handles...)
-	return nil
+	return discovery.Notice{}, nil
 }
 
 func (c *recordingClient) list() []string {
--- /dev/null
+++ b/internal/discovery/notice.go
@@ -0,0 +1,90 @@
+package discovery
+
+import (
+	"maps"
+	"time"
+)
+
+// maxPause limits the time for which a target is left alone at its own request.
+const maxPause = 24 * time.Hour
+
+// Notice is what a target says of itself in an answer to a request. It concerns only the
+// process that receives the answer; announcements to control VMs concern all.
+type Notice struct {
+	leaving bool
+	pause   time.Duration
+}
+
+// NewNotice returns a Notice. A leaving target takes no new requests, and one with a pause
+// none for that time.
+func NewNotice(leaving bool, pause time.Duration) Notice {
+	return Notice{leaving: leaving, pause: min(max(pause, 0), maxPause)}
+}
+
+// Leaving reports whether the target leaves.
+func (n Notice) Leaving() bool { return n.leaving }
+
+// Pause returns the time for which the target takes no requests from this process.
+func (n Notice) Pause() time.Duration { return n.pause }
+
+// incarnation identifies one process of a target.
+type incarnation struct {
+	id     string
+	bornMs int64
+}
+
+// standing is what an incarnation has said in its answers so far.
+type standing struct {
+	leaving     bool
+	pausedUntil time.Time
+	receivedAt  time.Time
+}
+
+// RecordNotice records what an incarnation of a target said in an answer. It holds whatever
+// the target announces afterwards, until the target starts again. RecordNotice reports whether
+// it changes how the target may be used.
+func (t *Table) RecordNotice(id string, bornMs int64, n Notice, now time.Time) bool {
+	if !n.leaving && n.pause <= 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := incarnation{id: id, bornMs: bornMs}
+	before, known := t.notices[key]
+	if !known {
+		t.dropNotices(now)
+	}
+	after := standing{leaving: before.leaving || n.leaving, pausedUntil: before.pausedUntil, receivedAt: now}
+	if until := now.Add(n.pause); n.pause > 0 && until.After(after.pausedUntil) {
+		after.pausedUntil = until
+	}
+	t.notices[key] = after
+	if after.leaving == before.leaving && after.pausedUntil.Equal(before.pausedUntil) {
+		return false
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return true
+}
+
+// PauseLeft returns the time for which a target still takes no requests from this process; 0
+// if it takes them.
+func (t *Table) PauseLeft(id string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return 0
+	}
+	return max(t.notices[incarnation{id: id, bornMs: e.record.GetBornMs()}].pausedUntil.Sub(now), 0)
+}
+
+// dropNotices drops the notices of incarnations that have ended, and pauses that are over;
+// t.mu is held.
+func (t *Table) dropNotices(now time.Time) {
+	maps.DeleteFunc(t.notices, func(k incarnation, s standing) bool {
+		e := t.entries[k.id]
+		current := e != nil && e.record.GetBornMs() == k.bornMs
+		return !current && now.Sub(s.receivedAt) > goneRetention && now.After(s.pausedUntil) || !s.leaving && now.After(s.pausedUntil)
+	})
+}
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -87,6 +87,8 @@
 	changes []change // in the order of versions, with obsolete ones
 	numbers uint32   // numbers in use
 	heard   heardCache
+	// notices holds what targets said to this process in their answers.
+	notices map[incarnation]standing
 	// live holds the ready and draining targets by service; nil after a change.
 	live    map[string][]*entry
 	changed chan struct{}
@@ -95,7 +97,7 @@
 
 // NewTable returns an empty Table.
 func NewTable(o Options) *Table {
-	return &Table{o: o, epoch: uuid.NewString(), entries: map[string]*entry{}, changed: make(chan struct{}), leaving: make(chan struct{})}
+	return &Table{o: o, epoch: uuid.NewString(), entries: map[string]*entry{}, notices: map[incarnation]standing{}, changed: make(chan struct{}), leaving: make(chan struct{})}
 }
 
 // heardInterval is the interval at which a watcher asks for the list of targets that
@@ -313,13 +315,24 @@
 
 // LiveTarget is a target that is ready or draining.
 type LiveTarget struct {
-	record *wire.RegisteredTarget
-	silent bool
+	record   *wire.RegisteredTarget
+	silent   bool
+	standing standing
 }
 
 // Record returns the target's own record.
 func (l LiveTarget) Record() *wire.RegisteredTarget { return l.record }
 
+// Leaving reports whether the target is draining, by its announcements or by an answer to this
+// process.
+func (l LiveTarget) Leaving() bool {
+	return l.standing.leaving || l.record.GetState() != wire.TargetState_TARGET_STATE_READY
+}
+
+// PausedUntil returns the end of the time for which the target takes no requests from this
+// process, or a time in the past.
+func (l LiveTarget) PausedUntil() time.Time { return l.standing.pausedUntil }
+
 // Silent reports whether no announcement was received within the heartbeat timeout.
 func (l LiveTarget) Silent() bool { return l.silent }
 
@@ -333,7 +346,7 @@
 	}
 	list := make([]LiveTarget, 0, len(t.live[service]))
 	for _, e := range t.live[service] {
-		list = append(list, LiveTarget{record: e.record, silent: now.Sub(e.lastAnnounced) > t.o.HeartbeatTimeout})
+		list = append(list, LiveTarget{record: e.record, silent: now.Sub(e.lastAnnounced) > t.o.HeartbeatTimeout, standing: t.notices[incarnation{id: e.record.GetId(), bornMs: e.record.GetBornMs()}]})
 	}
 	return list
 }
--- a/internal/discovery/table_test.go
+++ b/internal/discovery/table_test.go
@@ -178,3 +178,43 @@
 	table.Merge(&wire.WatchResponse{Heard: []string{"a"}}, epochStart.Add(7*time.Second))
 	require.False(t, table.Live("s", epochStart.Add(8*time.Second))[0].Silent(), "another control VM receives its announcements")
 }
+
+// Guards against an incarnation that is used although it said in an answer that it leaves, or
+// before the end of a pause, whatever is announced, merged and dropped in between.
+func TestNoticesHoldUntilTheNextIncarnation(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table, now := NewTable(Options{HeartbeatTimeout: time.Minute}), epochStart
+		said := map[incarnation]standing{}
+		rt.Repeat(map[string]func(*rapid.T){
+			"announce": func(rt *rapid.T) {
+				r := record(rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "id"), "", rapid.Int64Range(1, 3).Draw(rt, "born"),
+					rapid.Uint64Range(1, 9).Draw(rt, "sequence"), rapid.SampledFrom([]wire.TargetState{ready, ready, draining, gone}).Draw(rt, "state"))
+				r.Address = r.GetId() + ":1"
+				table.Announce(r, now)
+			},
+			"answer": func(rt *rapid.T) {
+				key := incarnation{id: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "id"), bornMs: rapid.Int64Range(1, 3).Draw(rt, "born")}
+				n := NewNotice(rapid.Bool().Draw(rt, "leaving"), time.Duration(rapid.IntRange(0, 5).Draw(rt, "pause"))*time.Second)
+				table.RecordNotice(key.id, key.bornMs, n, now)
+				s := said[key]
+				s.leaving = s.leaving || n.Leaving()
+				if until := now.Add(n.Pause()); until.After(s.pausedUntil) {
+					s.pausedUntil = until
+				}
+				said[key] = s
+			},
+			"time": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(rt, "ms")) * time.Millisecond)
+				table.Expire(now)
+			},
+			"": func(rt *rapid.T) {
+				for _, l := range table.Live("s", now) {
+					s := said[incarnation{id: l.Record().GetId(), bornMs: l.Record().GetBornMs()}]
+					if s.leaving && !l.Leaving() || s.pausedUntil.After(now) && !l.PausedUntil().Equal(s.pausedUntil) {
+						rt.Fatalf("%v is used: said %+v", l.Record(), s)
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/cardamomline/cardamomline/internal/discovery"
 )
 
 // Request is what a caller's request says beside its method, path and body.
@@ -58,6 +60,8 @@
 	Misdirected bool
 	// Leaving says that the target closes the connection.
 	ConnectionClosing bool
+	// Notice is what the target says of itself.
+	Notice discovery.Notice
 }
 
 // BadRequestError reports a caller's request that can't be understood.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -168,6 +168,7 @@
 		return x.noAnswer(ctx, pool, choice, err)
 	}
 	a := x.g.o.Codec.DecodeResponse(resp.Response)
+	x.g.recordNotice(choice, a.Notice)
 	if a.NotExecuted || a.Misdirected {
 		return x.notRunThere(pool, choice, resp, a)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -393,7 +393,7 @@
 		r := l.Record()
 		list = append(list, routing.Target{
 			Name: r.GetId(), Address: r.GetAddress(), Incarnation: incarnation(r), FailureDomain: r.GetFailureDomain(),
-			Slots: int(r.GetSlots()), Draining: r.GetState() == wire.TargetState_TARGET_STATE_DRAINING, HeartbeatTimedOut: l.Silent() && !allSilent,
+			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent,
 		})
 	}
 	return list
@@ -403,6 +403,23 @@
 	return time.UnixMilli(r.GetBornMs()).UTC().Format(time.RFC3339Nano)
 }
 
+// recordNotice records what a target said of itself in an answer. No request is sent to it
+// from now on if it leaves, or for the time that it asks for.
+func (g *Gateway) recordNotice(c routing.Choice, n discovery.Notice) {
+	born, err := time.Parse(time.RFC3339Nano, c.Incarnation)
+	if err != nil {
+		klog.ErrorS(err, "Incarnation not readable", "target", c.Target, "incarnation", c.Incarnation)
+		return
+	}
+	if !g.o.Table.RecordNotice(c.Target, born.UnixMilli(), n, g.o.Timers.Now()) {
+		return
+	}
+	klog.InfoS("Target takes no requests", "target", c.Target, "leaving", n.Leaving(), "pause_ms", n.Pause().Milliseconds())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.syncPools()
+}
+
 func (g *Gateway) tickPools() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
