--- a/internal/batching/capacity.go
+++ b/internal/batching/capacity.go
@@ -76,7 +76,7 @@
 // stages that follow.
 func (s *Scheduler) waitBehind(j *Job, q queueAhead, o capacityEstimate) time.Duration {
 	if o.rate <= 0 {
-		return s.profile.CallOverhead
+		return max(s.profile.CallOverhead, o.free)
 	}
 	wait := o.free
 	if over := q.pieces + j.Pieces - s.profile.MaxBatchSize; over > 0 {
--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -289,11 +289,13 @@
 	r.wg.Go(func() { r.sendRelease(t) })
 }
 
-// sendRelease sends the batched releases of a target. The memory counts as free once
-// the target has responded.
+// sendRelease sends the batched releases of a target, after a pause for which the target has
+// asked. The memory counts as free once the target has responded.
 func (r *Collector) sendRelease(t Target) {
-	if err := r.o.Timers.Sleep(r.ctx, releaseDelay); err != nil {
-		return // shutting down
+	for wait := releaseDelay; wait > 0; wait = r.o.Table.PauseLeft(t.ID, r.o.Timers.Now()) {
+		if err := r.o.Timers.Sleep(r.ctx, wait); err != nil {
+			return // shutting down
+		}
 	}
 	r.mu.Lock()
 	g := r.pendingReleases[t]
@@ -355,7 +357,7 @@
 		if l.Leaving() {
 			continue
 		}
-		t := Target{ID: rec.GetId(), Address: rec.GetAddress(), FailureDomain: rec.GetFailureDomain(), Started: time.UnixMilli(rec.GetBornMs())}
+		t := Target{ID: rec.GetId(), Address: rec.GetAddress(), FailureDomain: rec.GetFailureDomain(), Started: time.UnixMilli(rec.GetBornMs()), PausedUntil: l.PausedUntil()}
 		if l.Silent() {
 			silent = append(silent, t)
 		} else {
--- a/internal/batching/collector_test.go
+++ b/internal/batching/collector_test.go
@@ -66,3 +66,63 @@
 		require.NoError(t, m.Close())
 	})
 }
+
+// noticeClient is a TargetClient whose targets answer calls with notices and no result.
+type noticeClient struct {
+	recordingClient
+	notices map[string]discovery.Notice
+	calls   map[string][]time.Duration // since began, by target
+	began   time.Time
+}
+
+func (c *noticeClient) Run(_ context.Context, call *Call, now time.Time) (CallOutcome, discovery.Notice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[call.Target.ID] = append(c.calls[call.Target.ID], now.Sub(c.began))
+	return CallRejected{}, c.notices[call.Target.ID]
+}
+
+// Guards against stage calls and releases at a target that leaves or has asked for a pause, by
+// its answers alone: it announces itself as ready all the while. Stages that can only run at
+// paused targets are rejected at once.
+func TestCollectorLeavesTargetsAloneThatSaySo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cat, err := catalog.New(catalog.Input{Version: 1, Services: []catalog.ServiceInput{{Name: "s", Batch: &invoicing}}})
+		require.NoError(t, err)
+		table := discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute})
+		client := &noticeClient{began: time.Now(), calls: map[string][]time.Duration{}, notices: map[string]discovery.Notice{
+			"leaving": discovery.NewNotice(true, 0), "paused": discovery.NewNotice(false, 3*time.Second),
+		}}
+		m := metrics.New("test")
+		r := NewCollector(Options{Timers: timer.NewService(), Table: table, TargetClient: client, Metrics: m, Catalog: func() *catalog.Catalog { return cat }})
+		var wg sync.WaitGroup
+		for n := range 120 {
+			for _, id := range []string{"leaving", "paused"} {
+				table.Announce(&wire.RegisteredTarget{Id: id, Service: "s", Address: id + ":1", State: wire.TargetState_TARGET_STATE_READY, BornMs: 1, Sequence: uint64(n + 1)}, time.Now())
+			}
+			wg.Go(func() {
+				startedAt := time.Now()
+				resp, err := r.RunStage(t.Context(), &wire.RunStageRequest{RequestId: "r", Service: "s", Pieces: 1, ResultBytes: 1, ObjectiveLeftMs: 900, DeadlineLeftMs: 1000})
+				require.NoError(t, err)
+				require.NotEqual(t, wire.StageOutcome_STAGE_OUTCOME_DONE, resp.GetOutcome())
+				if left := 3*time.Second - startedAt.Sub(client.began); left > 1500*time.Millisecond && startedAt.Sub(client.began) > 200*time.Millisecond {
+					require.Less(t, time.Since(startedAt), 100*time.Millisecond, "rejected at once")
+				}
+			})
+			r.release([]Result{{Handle: "paused/1", Target: "paused"}})
+			time.Sleep(50 * time.Millisecond)
+			if now := time.Since(client.began); now > 300*time.Millisecond && now < 2900*time.Millisecond {
+				require.LessOrEqual(t, len(client.list()), 2, "released in the pause")
+			}
+		}
+		wg.Wait()
+		require.NoError(t, r.Stop(t.Context()))
+		require.NoError(t, m.Close())
+		require.Len(t, client.calls["leaving"], 1)
+		calls := client.calls["paused"]
+		require.GreaterOrEqual(t, len(calls), 2, "used again after the pause")
+		for i, at := range calls[1:] {
+			require.GreaterOrEqual(t, at-calls[i], 3*time.Second)
+		}
+	})
+}
--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -12,6 +12,8 @@
 	FailureDomain string
 	// Started distinguishes incarnations of a target that restarts under the same ID.
 	Started time.Time
+	// PausedUntil is when the target takes calls again that asked for a pause.
+	PausedUntil time.Time
 }
 
 // Job is one stage of one request.
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -375,7 +375,7 @@
 		}
 		s.recordCall(w, c, o, now)
 	case CallRejected:
-		w.backoffUntil = now.Add(rejectedBackoff)
+		w.backOff(now.Add(rejectedBackoff))
 		s.requeue(w, c, false)
 	case CallFailed:
 		pause := initialBackoff
@@ -383,7 +383,7 @@
 			pause = min(2*pause, maxBackoff)
 		}
 		w.failures++
-		w.backoffUntil = now.Add(pause)
+		w.backOff(now.Add(pause))
 		s.retainMemory(w, c, now)
 		s.requeue(w, c, true)
 	}
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -31,6 +31,13 @@
 	return 1 + (w.relativeLatency-1)*math.Exp(-now.Sub(w.latencyUpdatedAt).Seconds()/ratioDecay.Seconds())
 }
 
+// backOff starts no call at the target until a time. It doesn't shorten a longer pause.
+func (w *worker) backOff(until time.Time) {
+	if until.After(w.backoffUntil) {
+		w.backoffUntil = until
+	}
+}
+
 // callLeft returns the time until the first running call at the target ends.
 func (w *worker) callLeft(now time.Time) time.Duration {
 	best := time.Duration(-1)
@@ -55,6 +62,7 @@
 			s.workers[t.ID] = w
 		}
 		w.Target = t
+		w.backOff(t.PausedUntil)
 		w.present = true
 	}
 	s.order = s.order[:0]
@@ -225,7 +233,7 @@
 		return
 	}
 	if o.count(PieceFailed) > 0 {
-		w.backoffUntil = now.Add(rejectedBackoff)
+		w.backOff(now.Add(rejectedBackoff))
 		return
 	}
 	if now.Sub(c.StartedAt) > c.Timeout() {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -53,7 +53,7 @@
 	x.g.retries.Request(x.service)
 	pool := x.g.pool(x.service)
 	if pool == nil {
-		x.refuse("no_target", fullRetry)
+		x.refuse("no_target", x.g.targetRetry(x.service))
 		return
 	}
 	for {
@@ -64,7 +64,7 @@
 		choice, err := pool.Pick(x.routingRequest(), x.g.o.Timers.Now())
 		if err != nil {
 			x.lastErr = err.Error()
-			x.refuse("no_target", fullRetry)
+			x.refuse("no_target", x.g.targetRetry(x.service))
 			return
 		}
 		x.tried = append(x.tried, choice.Target)
@@ -136,7 +136,7 @@
 		x.fail(http.StatusBadGateway, "attempts_spent")
 		return false
 	case len(x.tried) >= maxChoices:
-		x.refuse("no_other_target", fullRetry)
+		x.refuse("no_other_target", x.g.targetRetry(x.service))
 		return false
 	}
 	cause := budget.Cause(budget.RefusedCall{Retryable: true})
@@ -151,7 +151,7 @@
 		return true
 	}
 	x.lastErr = string(d.Reason) + " after " + x.lastErr
-	x.refuse("retry_budget", fullRetry)
+	x.refuse("retry_budget", x.g.targetRetry(x.service))
 	return false
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -393,7 +393,7 @@
 		r := l.Record()
 		list = append(list, routing.Target{
 			Name: r.GetId(), Address: r.GetAddress(), Incarnation: incarnation(r), FailureDomain: r.GetFailureDomain(),
-			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent,
+			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent, Paused: l.PausedUntil().After(now),
 		})
 	}
 	return list
@@ -420,6 +420,27 @@
 	g.syncPools()
 }
 
+// targetRetry returns the time after which a caller may come back that was refused because no
+// target of a service takes its request: when the first one takes requests again, if all of
+// them have asked for a pause.
+func (g *Gateway) targetRetry(service string) time.Duration {
+	now := g.o.Timers.Now()
+	first := time.Duration(0)
+	for _, l := range g.o.Table.Live(service, now) {
+		if l.Leaving() || l.Silent() {
+			continue
+		}
+		left := l.PausedUntil().Sub(now)
+		if left <= 0 {
+			return fullRetry
+		}
+		if first == 0 || left < first {
+			first = left
+		}
+	}
+	return max(first, fullRetry)
+}
+
 func (g *Gateway) tickPools() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/routing/errors.go
+++ b/internal/routing/errors.go
@@ -12,6 +12,7 @@
 	ShortageAllExcluded  Shortage = "all_targets_tried"
 	ShortageAllDraining  Shortage = "all_targets_leaving"
 	ShortageAllTimedOut  Shortage = "all_targets_silent"
+	ShortageAllPaused    Shortage = "all_targets_paused"
 	ShortageAllEjected   Shortage = "all_targets_ejected"
 	ShortageNoneSuitable Shortage = "no_suitable_target"
 )
@@ -27,6 +28,7 @@
 	leaving  int
 	silent   int
 	notReady int
+	paused   int
 	ejected  int
 	excluded int
 }
@@ -39,8 +41,8 @@
 
 // Error implements error.
 func (e *NoTargetError) Error() string {
-	return fmt.Sprintf("no target of service %s for model %q: %s (known %d, without the model %d, leaving %d, silent %d, not ready %d, ejected %d, already tried %d)",
-		e.service, e.model, e.shortage, e.known, e.noModel, e.leaving, e.silent, e.notReady, e.ejected, e.excluded)
+	return fmt.Sprintf("no target of service %s for model %q: %s (known %d, without the model %d, leaving %d, silent %d, not ready %d, paused %d, ejected %d, already tried %d)",
+		e.service, e.model, e.shortage, e.known, e.noModel, e.leaving, e.silent, e.notReady, e.paused, e.ejected, e.excluded)
 }
 
 // classify sets the shortage from the counts.
@@ -55,6 +57,8 @@
 		e.shortage = ShortageAllDraining
 	case e.silent == serving:
 		e.shortage = ShortageAllTimedOut
+	case e.paused == serving:
+		e.shortage = ShortageAllPaused
 	case e.ejected == serving:
 		e.shortage = ShortageAllEjected
 	case e.excluded == serving:
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -276,6 +276,8 @@
 			e.silent++
 		case StateNotReady:
 			e.notReady++
+		case StatePaused:
+			e.paused++
 		case StateEjected:
 			e.ejected++
 		case StateUsable:
--- a/internal/routing/status.go
+++ b/internal/routing/status.go
@@ -25,6 +25,7 @@
 	StateDraining          TargetState = "leaving"
 	StateHeartbeatTimedOut TargetState = "silent"
 	StateNotReady          TargetState = "not_ready"
+	StatePaused            TargetState = "paused"
 	StateEjected           TargetState = "ejected"
 )
 
@@ -36,6 +37,8 @@
 		return StateHeartbeatTimedOut
 	case t.NotReady:
 		return StateNotReady
+	case t.Paused:
+		return StatePaused
 	case t.health.ejected:
 		return StateEjected
 	}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -17,6 +17,7 @@
 	Draining          bool
 	HeartbeatTimedOut bool
 	NotReady          bool
+	Paused            bool // it takes no calls for a while, at its own request
 }
 
 // LoadReport is a load report of a target.
@@ -114,7 +115,7 @@
 
 // available reports whether membership allows calls to the target.
 func (t *target) available() bool {
-	return !t.Draining && !t.leaving && !t.HeartbeatTimedOut && !t.NotReady
+	return !t.Draining && !t.leaving && !t.HeartbeatTimedOut && !t.NotReady && !t.Paused
 }
 
 func (t *target) serves(model string) bool {
