--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -33,7 +33,7 @@
 	eventTimeoutMargin = 250 * time.Millisecond
 )
 
-// errTruncatedEvent reports a stream that ended within an event.
+// errTruncatedEvent reports a stream that ended within an event, or before the first one.
 var errTruncatedEvent = errors.New("the stream ended within an event")
 
 // EventTooLargeError reports an event of a stream that exceeds maxEventBytes.
@@ -185,7 +185,7 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) > 0 && resp.EndsWithConnection():
+		case errors.Is(err, io.EOF) && resp.EndsWithConnection() && (len(pending) > 0 || x.expectsEvent()):
 			return errTruncatedEvent
 		case errors.Is(err, io.EOF):
 			x.sendHeader(resp)
@@ -199,6 +199,10 @@
 	}
 }
 
+// expectsEvent reports whether a stream can't be complete yet: no event has been passed on, and
+// the caller doesn't resume a stream whose last event it may have.
+func (x *exchange) expectsEvent() bool { return x.eventAt.IsZero() && x.r.ResumeAfter == "" }
+
 // lastEventEnd returns the position after the last blank line, which ends an event, or 0.
 func lastEventEnd(b []byte) int {
 	end := 0
