--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -30,6 +30,7 @@
 
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -92,6 +93,8 @@
 	Voters int
 	// CollectorUptime returns how long this VM has been collecting the pieces of stages.
 	CollectorUptime func() time.Duration
+	// Quarantine holds the parts of prompts that crash engines.
+	Quarantine *quarantine.Register
 }
 
 // confirmation is the newest version confirmed by a quorum.
@@ -440,22 +443,25 @@
 // Watch implements wire.Directory.
 func (s *service) Watch(ctx context.Context, r *wire.WatchRequest) (*wire.WatchResponse, error) {
 	s.d.recordWatcher(r)
+	s.d.o.Quarantine.Merge(discovery.DecodeParts(r.GetParts(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	wait := s.d.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWatchWait))
 	var collected <-chan time.Time // set once there are changes to send
 	for {
+		partsChanged := s.d.o.Quarantine.Changed()
 		tableChanged, leaving, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
 		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince()); {
 		case w.GetFull() || s.d.hasCatalogFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
 			return s.d.response(r), nil
-		case len(w.GetTargets()) > 0 && collected == nil:
+		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r)) && collected == nil:
 			collected = s.d.o.Timers.After(changeDelay)
 		}
 		if collected != nil {
-			tableChanged = nil
+			tableChanged, partsChanged = nil, nil
 		}
 		select {
 		case <-tableChanged:
 		case <-leaving:
+		case <-partsChanged:
 		case <-catalogChanged:
 		case <-collected:
 			return s.d.response(r), nil
@@ -482,6 +488,23 @@
 	return !r.GetPeer() && version > r.GetCatalogVersion()
 }
 
+// hasPartsFor reports whether parts of prompts have changed since a gateway's last watch.
+func (d *Directory) hasPartsFor(r *wire.WatchRequest) bool {
+	if r.GetPeer() {
+		return false
+	}
+	return d.o.Quarantine.Version() > d.partsSince(r)
+}
+
+// partsSince returns the version of the parts that a watcher has; 0 if it has those of an
+// earlier process of this VM.
+func (d *Directory) partsSince(r *wire.WatchRequest) uint64 {
+	if r.GetEpoch() != d.o.Table.Epoch() {
+		return 0
+	}
+	return r.GetPartsSince()
+}
+
 func (d *Directory) recordWatcher(r *wire.WatchRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -504,6 +527,8 @@
 	if r.GetPeer() {
 		return w
 	}
+	records, partsVersion := d.o.Quarantine.ChangesSince(d.partsSince(r))
+	w.Parts, w.PartsVersion = discovery.EncodeParts(records, d.o.Timers.Now()), partsVersion
 	version, document := d.o.Store.Newest()
 	w.CatalogVersion = version
 	if d.o.CollectorUptime != nil {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +17,7 @@
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/journal"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -32,7 +37,7 @@
 	})
 	require.NoError(t, err)
 	m := metrics.New("test")
-	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1})
+	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1, Quarantine: quarantine.NewRegister("vm-1")})
 	require.NoError(t, node.Start(t.Context()))
 	t.Cleanup(func() {
 		require.NoError(t, node.Stop(context.Background()))
@@ -102,6 +107,55 @@
 	}
 }
 
+// Guards against gateways that don't learn within the users' bound which part of a prompt
+// crashes engines, of which each of them has seen one, and after a control VM has started again
+// and has lost its records.
+func TestGatewaysLearnOfCrashesThatOthersSaw(t *testing.T) {
+	const bound = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		var vm atomic.Pointer[http.Handler]
+		start := func() {
+			h := newDirectory(t).Handler()
+			vm.Store(&h)
+		}
+		start()
+		client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			w := httptest.NewRecorder()
+			(*vm.Load()).ServeHTTP(w, r)
+			return w.Result(), nil
+		})}
+		var gateways []*quarantine.Register
+		for n := range 5 {
+			q := quarantine.NewRegister(fmt.Sprint("gateway-", n))
+			gateways = append(gateways, q)
+			table := discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute})
+			w := discovery.NewWatcher(discovery.WatcherOptions{
+				Timers: timer.NewService(), HTTP: client, Process: fmt.Sprint("gateway-", n), Seeds: []string{"vm-1"}, Table: table, Quarantine: q,
+				CatalogVersion: func() uint64 { return 0 },
+			})
+			require.NoError(t, w.Start(t.Context()))
+			defer func() { require.NoError(t, w.Stop(context.Background())) }()
+		}
+		for round, part := range []string{"p", "after a restart"} {
+			for n, q := range gateways {
+				time.Sleep(300 * time.Millisecond)
+				q.RecordCrash(fmt.Sprint("engine-", round, n), []quarantine.Part{quarantine.NewPart(part, 1)}, time.Now(), time.Now())
+				if n == 2 && round == 1 {
+					start()
+				}
+			}
+			time.Sleep(bound)
+			for _, q := range gateways {
+				require.True(t, q.Check([]string{part}, time.Now()).Blocked(), part)
+			}
+		}
+	})
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 // Guards against an answer for each of the targets that announce themselves at a restart of a
 // deployment: 3,000 targets and 300 watchers make 900,000. Guards also against a target that
 // leaves meanwhile and is told late.
--- /dev/null
+++ b/internal/discovery/parts.go
@@ -0,0 +1,81 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/cardamomline/cardamomline/internal/quarantine"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+// maxParts bounds the parts that are read from one message.
+const maxParts = 1024
+
+// EncodeParts returns the message form of records. Processes have clocks of their own, so that
+// times travel as ages.
+func EncodeParts(records []quarantine.Record, now time.Time) []*wire.PromptPart {
+	list := make([]*wire.PromptPart, 0, len(records))
+	for _, r := range records {
+		p := &wire.PromptPart{Id: r.Part().ID(), Position: uint32(r.Position())}
+		for _, c := range r.Crashes() {
+			p.Crashes = append(p.Crashes, &wire.EngineCrash{Engine: c.Engine(), Observer: c.Observer(), AgeMs: age(c.At(), now)})
+		}
+		if at := r.BegunAt(); !at.IsZero() {
+			begun := age(at, now)
+			p.BegunMs = &begun
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+func age(at, now time.Time) uint64 { return uint64(max(now.Sub(at).Milliseconds(), 0)) }
+
+// DecodeParts returns the records of a message.
+func DecodeParts(parts []*wire.PromptPart, now time.Time) []quarantine.Record {
+	at := func(ageMs uint64) time.Time { return now.Add(-time.Duration(min(ageMs, maxAgeMs)) * time.Millisecond) }
+	parts = parts[:min(len(parts), maxParts)]
+	list := make([]quarantine.Record, 0, len(parts))
+	for _, p := range parts {
+		var crashes []quarantine.Crash
+		for _, c := range p.GetCrashes() {
+			crashes = append(crashes, quarantine.NewCrash(c.GetEngine(), c.GetObserver(), at(c.GetAgeMs())))
+		}
+		var begunAt time.Time
+		if p.BegunMs != nil {
+			begunAt = at(p.GetBegunMs())
+		}
+		list = append(list, quarantine.NewRecord(quarantine.NewPart(p.GetId(), int(p.GetPosition())), crashes, begunAt))
+	}
+	return list
+}
+
+// maxAgeMs bounds the age of what another process has observed.
+const maxAgeMs = 24 * 60 * 60 * 1000
+
+// partsExchange is the state of the exchange of records with one control VM.
+type partsExchange struct {
+	sent, sending uint64 // versions of the own observations that it has, and gets now
+}
+
+// request adds to a watch what this process has observed since the last one.
+func (x *partsExchange) request(r *wire.WatchRequest, q *quarantine.Register, now time.Time) {
+	if q == nil {
+		return
+	}
+	records, version := q.ObservedSince(x.sent)
+	r.Parts, x.sending = EncodeParts(records, now), version
+}
+
+// receive merges the records of a response. A control VM that has started again gets all
+// observations once more.
+func (x *partsExchange) receive(r *wire.WatchRequest, resp *wire.WatchResponse, q *quarantine.Register, now time.Time) {
+	if q == nil {
+		return
+	}
+	x.sent = x.sending
+	if r.GetEpoch() != "" && r.GetEpoch() != resp.GetEpoch() {
+		x.sent = 0
+	}
+	r.PartsSince = resp.GetPartsVersion()
+	q.Merge(DecodeParts(resp.GetParts(), now), now)
+}
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -246,6 +246,9 @@
 	return t.leaving
 }
 
+// Epoch identifies this table, which starts anew with its process.
+func (t *Table) Epoch() string { return t.epoch }
+
 // Version returns the table version, which increases with each change of a record.
 func (t *Table) Version() uint64 {
 	t.mu.Lock()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
@@ -44,6 +45,8 @@
 	// CatalogVersion returns the stored catalog version, so that the document is sent only
 	// if there is a newer one. It is nil on a control VM.
 	CatalogVersion func() uint64
+	// Quarantine holds the parts of prompts that crash engines. It is nil on a control VM.
+	Quarantine *quarantine.Register
 	// OnResponse is called with each response and the time at which its watch started.
 	OnResponse func(address string, resp *wire.WatchResponse, startedAt time.Time)
 }
@@ -183,11 +186,13 @@
 	client := wire.NewDirectoryProtobufClient("http://"+address, w.o.HTTP)
 	r := &wire.WatchRequest{Process: w.o.Process, Peer: w.o.CatalogVersion == nil, WaitMs: uint32(watchWait.Milliseconds())}
 	var heard heardList
+	var parts partsExchange
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
 		}
 		startedAt := w.o.Timers.Now()
+		parts.request(r, w.o.Quarantine, startedAt)
 		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
@@ -199,6 +204,7 @@
 			_ = w.o.Timers.Sleep(w.ctx, watchRetryDelay)
 			continue
 		}
+		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
 		r.Epoch, r.Since = resp.GetEpoch(), resp.GetVersion()
 		heard.resolve(r.GetHeardFormat(), resp, w.o.Timers.Now())
 		w.o.Table.Merge(resp, w.o.Timers.Now())
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -66,6 +66,7 @@
 	w.stop()
 	now := x.g.o.Timers.Now()
 	if err == nil {
+		x.recordBegun()
 		pool.Finish(choice, routing.Success{Latency: first, Expected: x.expectedFirst()}, now)
 		x.reason = "answered"
 		return answered
@@ -80,6 +81,9 @@
 	default:
 		pool.Finish(choice, routing.Failure{}, now)
 		x.logBrokenAttempt(choice)
+		if !x.survived {
+			x.g.crashes.recordBroken(choice, x.r.Prompt, err)
+		}
 	}
 	return x.brokenStream(ctx)
 }
@@ -114,6 +118,7 @@
 		x.lastErr = err.Error()
 		pool.Finish(choice, routing.Failure{}, now)
 		x.logBrokenAttempt(choice)
+		x.g.crashes.recordBroken(choice, x.r.Prompt, err)
 		return mayHaveRun
 	}
 	x.sendHeader(resp)
@@ -131,6 +136,7 @@
 		x.breakOff("answer_broken")
 	}
 	if success {
+		x.recordBegun()
 		x.g.times.observe(x.route.Name(), first)
 		pool.Finish(choice, routing.Success{Latency: first, Expected: x.g.times.expected(x.route.Name(), x.route.Objective())}, now)
 	} else {
@@ -179,7 +185,14 @@
 			}
 			if hasData(events) {
 				w.progress()
-				x.eventAt = x.g.o.Timers.Now()
+				now := x.g.o.Timers.Now()
+				if x.eventAt.IsZero() {
+					x.firstEventAt = now
+				}
+				x.eventAt = now
+				if now.Sub(x.firstEventAt) >= survivalTime {
+					x.recordBegun()
+				}
 			}
 			x.noteEvents(events)
 			pending = append(pending[:0], pending[end:]...)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -61,6 +61,9 @@
 			x.giveUp()
 			return
 		}
+		if x.refuseBlocked() {
+			return
+		}
 		choice, err := pool.Pick(x.routingRequest(), x.g.o.Timers.Now())
 		if err != nil {
 			x.lastErr = err.Error()
@@ -135,6 +138,9 @@
 	case ran && x.ran >= x.route.MaxAttempts():
 		x.fail(http.StatusBadGateway, "attempts_spent")
 		return false
+	case ran && x.g.o.Quarantine.Suspected(sharedParts(x.r.Prompt), x.g.o.Timers.Now()):
+		x.fail(http.StatusBadGateway, "part_may_crash_engines")
+		return false
 	case len(x.tried) >= maxChoices:
 		x.refuse("no_other_target", x.g.targetRetry(x.service))
 		return false
@@ -258,6 +264,7 @@
 		pool.Finish(choice, routing.Failure{}, now)
 		x.g.o.Upstream.CloseIdle(choice.Address)
 		x.logBrokenAttempt(choice)
+		x.g.crashes.recordBroken(choice, x.r.Prompt, err)
 	}
 	if !sent {
 		return notRun
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
@@ -73,6 +74,8 @@
 	Metrics  *metrics.Metrics
 	// Stages sends stages to control VMs.
 	Stages StageRunner
+	// Quarantine holds the parts of prompts that crash engines.
+	Quarantine *quarantine.Register
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -104,6 +107,7 @@
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
 	release   earlyRelease
+	crashes   *crashDetector
 	// installed is closed with the first catalog.
 	installed chan struct{}
 	startedAt time.Time
@@ -122,6 +126,7 @@
 		retries: budget.NewRetries(budget.RetryOptions{RetryRatio: o.RetryRatio, EntryRetryRatio: o.RetryRatio, IdleRetryRatio: o.RetryRatio, Burst: o.RetryBurst}),
 	}
 	g.confirmed.Store(-int64(time.Hour))
+	g.crashes = newCrashDetector(g)
 	g.stages = newStageClient(ctx, o.Timers, o.Watcher, o.Stages)
 	return g
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,11 +55,16 @@
 	status   int         // of the answer; 0 when the connection was closed without one
 	started  bool        // the answer's header has been sent
 	eventAt  time.Time   // when the last event of a stream was passed on
-	reason   string
-	stagesT  time.Duration
-	firstT   time.Duration // until the answer began; 0 when it didn't
-	target   string
-	lastErr  string
+	// firstEventAt is when the first one was passed on, and survived says that the engine has
+	// not crashed shortly afterwards.
+	firstEventAt time.Time
+	survived     bool
+	trial        bool // the request is let through although it has a blocked part
+	reason       string
+	stagesT      time.Duration
+	firstT       time.Duration // until the answer began; 0 when it didn't
+	target       string
+	lastErr      string
 }
 
 // ServeHTTP implements http.Handler.
@@ -82,6 +87,9 @@
 			return
 		}
 	}
+	if x.refuseBlocked() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(in.Context(), x.deadline)
 	defer cancel()
 	x.run(ctx)
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -83,8 +83,10 @@
 	runner := batching.NewCollector(batching.Options{
 		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, TargetClient: o.Target(newUpstream(t, m)),
 	})
+	parts := newQuarantine(o.Name, m)
 	d := directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
+		Quarantine: parts,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
@@ -92,7 +94,9 @@
 	mux.Handle(wire.BatchingPathPrefix, runner.Handler())
 	mux.Handle(stagelink.Path, stages)
 	mux.Handle(wire.ReplicaPathPrefix, control.ReplicaHandler(node))
-	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: listener.NewAdminMux(m, d.Ready)}))
+	admin := listener.NewAdminMux(m, d.Ready)
+	parts.RegisterAdminHandlers(admin, t.Now)
+	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
 	k.Register(NodeComponent, node)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cardamomline/cardamomline/internal/kernel"
 	"github.com/cardamomline/cardamomline/internal/listener"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
@@ -72,17 +73,20 @@
 	client := control.NewHTTPClient(nil)
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
 	stages := stagelink.NewClient(stagelink.Options{Timers: t})
+	parts := newQuarantine(o.Name, m)
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
-		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table,
+		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts,
 		CatalogVersion: func() uint64 { return g.KnownVersion() },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
-		Upstream: newUpstream(t, m), Seed: seed(o.Name), RetryRatio: o.RetryShare, RetryBurst: o.RetryBurst,
+		Upstream: newUpstream(t, m), Quarantine: parts, Seed: seed(o.Name), RetryRatio: o.RetryShare, RetryBurst: o.RetryBurst,
 	})
-	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: listener.NewAdminMux(m, g.Ready)}))
+	admin := listener.NewAdminMux(m, g.Ready)
+	parts.RegisterAdminHandlers(admin, t.Now)
+	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(WatcherComponent, follower)
 	k.Register(StagesComponent, stages)
 	k.Register(GatewayComponent, g)
@@ -92,6 +96,20 @@
 	return k
 }
 
+// newQuarantine returns a register that logs and counts the parts of prompts that it blocks.
+func newQuarantine(name string, m *metrics.Metrics) *quarantine.Register {
+	q := quarantine.NewRegister(name)
+	q.OnChange(func(part string, blocked bool, crashes int) {
+		reason := "unblocked"
+		if blocked {
+			reason = "blocked"
+		}
+		klog.InfoS("Prompt part "+reason, "part", part, "crashes", crashes)
+		m.CountReason("prompt_parts", reason)
+	})
+	return q
+}
+
 func newUpstream(t *timer.Service, m *metrics.Metrics) *upstream.Pool {
 	return upstream.NewPool(upstream.Options{Timers: t, OnDial: func(string) { m.Count("target_connections", 1) }})
 }
--- /dev/null
+++ b/internal/quarantine/register_test.go
@@ -0,0 +1,323 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// prompt is a request of the simulation; its parts end with one of its own.
+type prompt struct {
+	ids     []string
+	deadly  bool
+	gateway int
+	engine  int
+	sentAt  time.Time
+	beginAt time.Time
+	begun   bool
+}
+
+func (p *prompt) shared() []string { return p.ids[:len(p.ids)-1] }
+
+func (p *prompt) parts() []Part {
+	var list []Part
+	for i, id := range p.shared() {
+		list = append(list, NewPart(id, i))
+	}
+	return list
+}
+
+// deployment simulates gateways that exchange records by way of control VMs, and engines that
+// crash when they begin to answer a request with the deadly part, or for another reason.
+type deployment struct {
+	rng         *rand.Rand
+	now         time.Time
+	gateways    []*Register
+	controlVMs  []*Register
+	sent, got   [][]uint64 // versions, by gateway and control VM
+	incarnation []int      // of the engines
+	downUntil   []time.Time
+	running     []*prompt
+	crashes     int
+	fifthAt     time.Time
+	lateSends   int
+	sound       [2]int // sound requests with the first part of the deadly ones: sent, blocked
+	restartVM   bool
+}
+
+func newDeployment(seed uint64, gateways, controlVMs, engines int) *deployment {
+	d := &deployment{rng: rand.New(rand.NewPCG(seed, 0)), now: epochStart, incarnation: make([]int, engines), downUntil: make([]time.Time, engines)}
+	for i := range gateways {
+		d.gateways = append(d.gateways, NewRegister(fmt.Sprint("gateway-", i)))
+		d.sent, d.got = append(d.sent, make([]uint64, controlVMs)), append(d.got, make([]uint64, controlVMs))
+	}
+	for i := range controlVMs {
+		d.controlVMs = append(d.controlVMs, NewRegister(fmt.Sprint("vm-", i)))
+	}
+	return d
+}
+
+// arrive sends a request by a random gateway to a random engine that is up.
+func (d *deployment) arrive(ids []string, deadly bool) {
+	p := &prompt{ids: append(ids, fmt.Sprint("own-", d.rng.Uint64())), deadly: deadly, gateway: d.rng.IntN(len(d.gateways)), sentAt: d.now}
+	blocked := d.gateways[p.gateway].Check(p.shared(), d.now).Blocked()
+	if !deadly && ids[0] == "first" {
+		d.sound[0]++
+		if blocked {
+			d.sound[1]++
+		}
+	}
+	if blocked {
+		return
+	}
+	p.engine = d.rng.IntN(len(d.incarnation))
+	for range len(d.incarnation) {
+		if d.now.After(d.downUntil[p.engine]) {
+			break
+		}
+		p.engine = (p.engine + 1) % len(d.incarnation)
+	}
+	if deadly && !d.fifthAt.IsZero() && d.now.Sub(d.fifthAt) > contactTime {
+		d.lateSends++
+	}
+	p.beginAt = d.now.Add(time.Duration(80+d.rng.IntN(400)) * time.Millisecond)
+	d.running = append(d.running, p)
+}
+
+// contactTime is the users' bound after the fifth crash.
+const contactTime = 3 * time.Second
+
+// crash ends an engine: each gateway records the requests without an answer.
+func (d *deployment) crash(engine int) {
+	name := fmt.Sprintf("engine-%d/%d", engine, d.incarnation[engine])
+	d.incarnation[engine]++
+	d.downUntil[engine] = d.now.Add(3 * time.Second)
+	byGateway := map[int][]Part{}
+	var left []*prompt
+	for _, p := range d.running {
+		switch {
+		case p.engine != engine:
+			left = append(left, p)
+		case !p.begun || d.now.Sub(p.beginAt) < 300*time.Millisecond:
+			byGateway[p.gateway] = append(byGateway[p.gateway], p.parts()...)
+		}
+	}
+	d.running = left
+	for g, parts := range byGateway {
+		d.gateways[g].RecordCrash(name, parts, d.now, d.now)
+	}
+}
+
+// step lets the time pass.
+func (d *deployment) step(dt time.Duration) {
+	d.now = d.now.Add(dt)
+	var dead []int
+	left := d.running[:0]
+	for _, p := range d.running {
+		switch {
+		case !p.begun && d.now.After(p.beginAt):
+			p.begun = true
+			if p.deadly {
+				dead = append(dead, p.engine)
+			}
+			left = append(left, p)
+		case p.begun && d.now.Sub(p.beginAt) >= 300*time.Millisecond:
+			d.gateways[p.gateway].RecordBegun(p.shared(), d.now)
+		default:
+			left = append(left, p)
+		}
+	}
+	d.running = left
+	for _, engine := range dead {
+		if !d.now.After(d.downUntil[engine]) {
+			continue
+		}
+		d.crash(engine)
+		if d.crashes++; d.crashes == 5 {
+			d.fifthAt = d.now
+		}
+	}
+	for g, q := range d.gateways {
+		for v, vm := range d.controlVMs {
+			if d.rng.Float64() > dt.Seconds()/0.35 {
+				continue // a watch takes up to 0.6 s
+			}
+			records, version := q.ObservedSince(d.sent[g][v])
+			d.sent[g][v] = version
+			vm.Merge(records, d.now)
+			records, version = vm.ChangesSince(d.got[g][v])
+			d.got[g][v] = version
+			q.Merge(records, d.now)
+		}
+	}
+}
+
+// Guards against more than three requests with the deadly part after the time in which gateways
+// learn of the fifth crash, and against sound requests with the same first part that are
+// refused: 3, 12 and 103 gateways, engines that crash for other reasons, alone and several at
+// once, and a control VM that starts again and has lost its records.
+func TestDeadlyPartIsBlockedAndSoundOnesAreNot(t *testing.T) {
+	for _, size := range []struct {
+		gateways, controlVMs, engines int
+		rate, deadlyShare             float64 // requests a second
+		seeds                         uint64
+	}{{3, 3, 12, 38, 0.05, 8}, {12, 3, 40, 150, 0.05, 6}, {103, 5, 180, 500, 0.02, 2}} {
+		for seed := range size.seeds {
+			t.Run(fmt.Sprintf("%d gateways, seed %d", size.gateways, seed), func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(seed, size.gateways, size.controlVMs, size.engines)
+				const dt = 10 * time.Millisecond
+				for n := 0; n < 2500; n++ {
+					for arrivals := size.rate * dt.Seconds(); arrivals > 0; arrivals-- {
+						if d.rng.Float64() > arrivals {
+							break
+						}
+						first := "first"
+						if d.rng.Float64() < 0.5 {
+							first = fmt.Sprint("other-", d.rng.IntN(20))
+						}
+						document := fmt.Sprint("document-", int(200*d.rng.Float64()*d.rng.Float64()))
+						switch {
+						case n > 300 && d.rng.Float64() < size.deadlyShare:
+							d.arrive([]string{"first", document, "deadly"}, true)
+						case d.rng.Float64() < 0.5:
+							d.arrive([]string{first, document}, false)
+						default:
+							d.arrive([]string{first, document, fmt.Sprint("third-", d.rng.IntN(1000))}, false)
+						}
+					}
+					if d.rng.Float64() < dt.Seconds()/2 {
+						for range 1 + 2*d.rng.IntN(2) {
+							d.crash(d.rng.IntN(size.engines))
+						}
+					}
+					if n == 700 {
+						d.controlVMs[0] = NewRegister("vm-0")
+						for g := range d.gateways {
+							d.sent[g][0], d.got[g][0] = 0, 0
+						}
+					}
+					d.step(dt)
+				}
+				require.GreaterOrEqual(t, d.crashes, 3)
+				require.LessOrEqual(t, d.lateSends, 3, "requests with the deadly part after the bound")
+				require.Less(t, d.sound[1], d.sound[0]/2, "sound requests refused")
+				for _, q := range d.gateways {
+					require.False(t, q.Check([]string{"first"}, d.now).Blocked(), "the first part is sound")
+				}
+			})
+		}
+	}
+}
+
+// Guards against registers that judge differently because they received the same records in
+// another order or more than once, and against one that exceeds its bounds.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) Record {
+			var begunAt time.Time
+			if rapid.Bool().Draw(rt, "begun") {
+				begunAt = epochStart.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(rt, "begun at")) * time.Millisecond)
+			}
+			engine := rapid.IntRange(0, 9).Draw(rt, "engine")
+			crash := NewCrash(fmt.Sprint(engine), fmt.Sprint(engine), epochStart.Add(time.Duration(engine)*time.Second))
+			return NewRecord(NewPart(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "part"), 0), []Crash{crash}, begunAt)
+		}), 0, 30).Draw(rt, "records")
+		again := rapid.Permutation(append(append([]Record(nil), records...), records...)).Draw(rt, "order")
+		now := epochStart.Add(20 * time.Second)
+		a, b := NewRegister("a"), NewRegister("a")
+		a.Merge(records, now)
+		b.Merge(again, now)
+		if x, y := fmt.Sprint(statuses(a, now)), fmt.Sprint(statuses(b, now)); x != y {
+			rt.Fatalf("%s and %s", x, y)
+		}
+	})
+	q := NewRegister("a")
+	for n := range 3 * maxRecords {
+		now := epochStart.Add(time.Duration(n) * time.Second)
+		q.RecordCrash(fmt.Sprint("engine-", n), []Part{NewPart(fmt.Sprint("part-", n), 0), NewPart("deadly", 1)}, now, now)
+		q.RecordBegun([]string{fmt.Sprint("sound-", n)}, now)
+	}
+	require.LessOrEqual(t, len(q.entries), maxRecords)
+	require.LessOrEqual(t, len(q.known)+len(q.older), 2*maxKnown)
+	require.True(t, q.Check([]string{"deadly"}, epochStart.Add(3*maxRecords*time.Second)).Blocked())
+	records, version := q.ChangesSince(0)
+	require.Len(t, records, maxExchanged)
+	records, _ = q.ChangesSince(version)
+	require.NotEmpty(t, records, "the rest follows")
+}
+
+// statuses leaves out what depends on when a record arrived.
+func statuses(q *Register, now time.Time) []string {
+	var list []string
+	for _, s := range q.Status(now) {
+		list = append(list, fmt.Sprint(s.Record().Part().ID(), s.Counted(), s.Blocked(), s.Record().BegunAt()))
+	}
+	return list
+}
+
+// Guards against a block that never ends, one that ends for all gateways and requests at once,
+// and trials that come too often: the gateway that saw the newest crash lets one request through,
+// later each time, and an answer or an operator ends the block everywhere.
+func TestBlockedPartIsTriedWithCare(t *testing.T) {
+	now := epochStart
+	a, b := NewRegister("a"), NewRegister("b")
+	exchange := func() {
+		for from, to := range map[*Register]*Register{a: b, b: a} {
+			records, _ := from.ChangesSince(0)
+			to.Merge(records, now)
+		}
+	}
+	for n := range 3 {
+		now = now.Add(time.Second)
+		a.RecordCrash(fmt.Sprint("engine-", n), []Part{NewPart("p", 1)}, now, now)
+	}
+	exchange()
+	ids := []string{"first", "p"}
+	trials := func(d time.Duration) (n int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Second) {
+			for _, q := range []*Register{b, a} {
+				v := q.Check(ids, now)
+				require.True(t, q == a || v.Blocked(), "only the gateway that saw the crash tries")
+				require.True(t, !v.Blocked() || v.RetryAfter() > 0 && v.Part() == "p")
+				if !v.Blocked() {
+					n++
+				}
+			}
+			if n > 0 {
+				return n
+			}
+		}
+		return n
+	}
+	require.Zero(t, trials(firstTrial-2*time.Second))
+	require.Equal(t, 1, trials(5*time.Second))
+	require.True(t, a.Check(ids, now.Add(time.Second)).Blocked(), "one request at a time")
+	a.RecordCrash("engine-4", []Part{NewPart("p", 1)}, now, now)
+	exchange()
+	require.Zero(t, trials(2*firstTrial-2*time.Second))
+	require.Equal(t, 1, trials(5*time.Second))
+	a.RecordBegun(ids, now)
+	exchange()
+	for _, q := range []*Register{a, b} {
+		require.False(t, q.Check(ids, now).Blocked(), "an answer has begun")
+		require.Empty(t, q.Status(now))
+	}
+	for n := range 3 {
+		now = now.Add(time.Second)
+		b.RecordCrash(fmt.Sprint("engine-1", n), []Part{NewPart("q", 1)}, now, now)
+	}
+	exchange()
+	now = now.Add(judgeDelay)
+	require.True(t, a.Check([]string{"q"}, now).Blocked())
+	require.True(t, a.Lift("q", now))
+	require.False(t, a.Lift("unknown", now))
+	exchange()
+	require.False(t, b.Check([]string{"q"}, now).Blocked())
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -225,12 +225,28 @@
 		}
 		_ = cn.net.Close()
 	}
-	nc, err := p.dial.DialContext(ctx, "tcp", c.Address)
+	return p.open(ctx, c.Address)
+}
+
+// Probe reports whether a target accepts connections, and keeps the connection for a call. The
+// error is that of the dialer.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	cn, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(address, cn, defaultIdleTimeout)
+	return nil
+}
+
+// open returns a new connection.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	nc, err := p.dial.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	if p.o.OnDial != nil {
-		p.o.OnDial(c.Address)
+		p.o.OnDial(address)
 	}
 	head := &headLimiter{r: nc}
 	return &conn{net: nc, head: head, r: bufio.NewReaderSize(head, readBufferSize)}, nil
