--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -321,3 +323,28 @@
 	exchange()
 	require.False(t, b.Check([]string{"q"}, now).Blocked())
 }
+
+// Guards against an operator who can't see what is held against a part, or can't end it.
+func TestOperatorSeesAndLiftsBlocks(t *testing.T) {
+	q, now := NewRegister("gateway-1"), epochStart
+	mux := http.NewServeMux()
+	q.RegisterAdminHandlers(mux, func() time.Time { return now })
+	call := func(method, path string) (int, string) {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+		return w.Code, w.Body.String()
+	}
+	_, list := call(http.MethodGet, "/quarantine")
+	require.JSONEq(t, "[]", list)
+	for n := range 3 {
+		now = now.Add(time.Second)
+		q.RecordCrash(fmt.Sprint("engine-", n), []Part{NewPart("p", 1)}, now, now)
+	}
+	_, list = call(http.MethodGet, "/quarantine")
+	require.JSONEq(t, `[{"part":"p","position":1,"blocked":true,"counted_crashes":3,"engines":["engine-0","engine-1","engine-2"],"newest_crash_at":"2026-01-01T00:00:03Z","trial_at":"2026-01-01T00:01:03Z"}]`, list)
+	status, _ := call(http.MethodDelete, "/quarantine/other")
+	require.Equal(t, http.StatusNotFound, status)
+	status, _ = call(http.MethodDelete, "/quarantine/p")
+	require.Equal(t, http.StatusOK, status)
+	require.False(t, q.Check([]string{"p"}, now).Blocked())
+}
