--- a/internal/discovery/notice.go
+++ b/internal/discovery/notice.go
@@ -27,6 +27,9 @@
 // Pause returns the time for which the target takes no requests from this process.
 func (n Notice) Pause() time.Duration { return n.pause }
 
+// IsEmpty reports whether the target says neither.
+func (n Notice) IsEmpty() bool { return !n.leaving && n.pause <= 0 }
+
 // incarnation identifies one process of a target.
 type incarnation struct {
 	id     string
@@ -44,7 +47,7 @@
 // the target announces afterwards, until the target starts again. RecordNotice reports whether
 // it changes how the target may be used.
 func (t *Table) RecordNotice(id string, bornMs int64, n Notice, now time.Time) bool {
-	if !n.leaving && n.pause <= 0 {
+	if n.IsEmpty() {
 		return false
 	}
 	t.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -422,6 +422,9 @@
 // recordNotice records what a target said of itself in an answer. No request is sent to it
 // from now on if it leaves, or for the time that it asks for.
 func (g *Gateway) recordNotice(c routing.Choice, n discovery.Notice) {
+	if n.IsEmpty() {
+		return
+	}
 	born, err := time.Parse(time.RFC3339Nano, c.Incarnation)
 	if err != nil {
 		klog.ErrorS(err, "Incarnation not readable", "target", c.Target, "incarnation", c.Incarnation)
