--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -490,7 +490,7 @@
 
 // hasPartsFor reports whether parts of prompts have changed since a gateway's last watch.
 func (d *Directory) hasPartsFor(r *wire.WatchRequest) bool {
-	if r.GetPeer() {
+	if r.GetPeer() || r.PartsSince == nil {
 		return false
 	}
 	return d.o.Quarantine.Version() > d.partsSince(r)
--- a/internal/discovery/parts.go
+++ b/internal/discovery/parts.go
@@ -62,6 +62,9 @@
 	if q == nil {
 		return
 	}
+	if r.PartsSince == nil {
+		r.PartsSince = new(uint64)
+	}
 	records, version := q.ObservedSince(x.sent)
 	r.Parts, x.sending = EncodeParts(records, now), version
 }
@@ -76,6 +79,6 @@
 	if r.GetEpoch() != "" && r.GetEpoch() != resp.GetEpoch() {
 		x.sent = 0
 	}
-	r.PartsSince = resp.GetPartsVersion()
+	*r.PartsSince = resp.GetPartsVersion()
 	q.Merge(DecodeParts(resp.GetParts(), now), now)
 }
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -383,6 +383,18 @@
 	return e.record, true
 }
 
+// HasLeft reports whether an incarnation has ended or is draining, by announcements or by an
+// answer to this process.
+func (t *Table) HasLeft(id string, bornMs int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || e.record.GetBornMs() != bornMs || e.record.GetState() != wire.TargetState_TARGET_STATE_READY {
+		return true
+	}
+	return t.notices[incarnation{id: id, bornMs: bornMs}].leaving
+}
+
 // Knows reports whether there is a record of a target, which may be gone.
 func (t *Table) Knows(id string) bool {
 	t.mu.Lock()
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -27,8 +27,8 @@
 )
 
 // crashDetector finds out which requests an engine had in hand when it crashed. A lost
-// connection alone shows no crash: engines close connections, and networks break. It is safe
-// for concurrent use.
+// connection alone shows no crash: engines close connections, and networks break. Nor is it one
+// when an engine ends that has said that it leaves. It is safe for concurrent use.
 type crashDetector struct {
 	g       *Gateway
 	mu      sync.Mutex
@@ -42,7 +42,7 @@
 // recordBroken records that an engine ended the connection of a request whose answer had not
 // begun, or only just.
 func (d *crashDetector) recordBroken(c routing.Choice, prompt []PromptPart, cause error) {
-	if len(prompt) < 2 || !isConnectionLost(cause) {
+	if len(prompt) < 2 || !isConnectionLost(cause) || d.g.o.Table.HasLeft(c.Target, bornMs(c)) {
 		return
 	}
 	engine := c.Target + "/" + c.Incarnation
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -419,18 +419,23 @@
 	return time.UnixMilli(r.GetBornMs()).UTC().Format(time.RFC3339Nano)
 }
 
+// bornMs returns the start of a chosen target's process in Unix milliseconds.
+func bornMs(c routing.Choice) int64 {
+	born, err := time.Parse(time.RFC3339Nano, c.Incarnation)
+	if err != nil {
+		klog.ErrorS(err, "Incarnation not readable", "target", c.Target, "incarnation", c.Incarnation)
+		return 0
+	}
+	return born.UnixMilli()
+}
+
 // recordNotice records what a target said of itself in an answer. No request is sent to it
 // from now on if it leaves, or for the time that it asks for.
 func (g *Gateway) recordNotice(c routing.Choice, n discovery.Notice) {
 	if n.IsEmpty() {
 		return
 	}
-	born, err := time.Parse(time.RFC3339Nano, c.Incarnation)
-	if err != nil {
-		klog.ErrorS(err, "Incarnation not readable", "target", c.Target, "incarnation", c.Incarnation)
-		return
-	}
-	if !g.o.Table.RecordNotice(c.Target, born.UnixMilli(), n, g.o.Timers.Now()) {
+	if !g.o.Table.RecordNotice(c.Target, bornMs(c), n, g.o.Timers.Now()) {
 		return
 	}
 	klog.InfoS("Target takes no requests", "target", c.Target, "leaving", n.Leaving(), "pause_ms", n.Pause().Milliseconds())
