budget: Share the retry budget of a service between the gateways

Cause: each gateway took a fixed eighth of the slack of the fleet, whatever the number of gateways, and took it again after each start. The class of fault is a limit of the whole system that each process applies to itself.

Change: budget.SharedRetries. A gateway earns repeats by its own requests, which end within seconds, and has an equal part of the slack, half of it held and half of it refilled within a window. It holds nothing after a start. The number of gateways comes from the control VMs. Fractions of a repeat are decided by random thresholds, so that the sum doesn't depend on the number of gateways. Half of the reserve is kept for requests that would fail otherwise.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,6 +55,9 @@
 	watcherTimeout = 1500 * time.Millisecond
 	// notifyTimeout limits the wait for the watchers; a target waits 1 s for its response.
 	notifyTimeout = 500 * time.Millisecond
+	// countDelay is the time after its start in which a control VM gets a watch from every
+	// gateway. Until then it doesn't say how many there are.
+	countDelay = 2 * time.Second
 	// recordTimeout limits the wait for the record of a target that leaves. A VM that has
 	// restarted gets the records from the others within two round trips.
 	recordTimeout = 300 * time.Millisecond
@@ -107,6 +110,7 @@
 type watcher struct {
 	since     uint64
 	lastWatch time.Time
+	peer      bool
 }
 
 // Directory serves targets and the catalog. It is safe for concurrent use.
@@ -120,6 +124,7 @@
 	inactiveSince map[string]time.Time
 	// lastLeader is the leader's address at the last member check.
 	lastLeader string
+	startedAt  time.Time
 	ctx        context.Context
 	cancel     context.CancelFunc
 	wg         sync.WaitGroup
@@ -131,7 +136,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Directory{
 		o: o, watchers: map[string]watcher{}, watchReceived: make(chan struct{}), confirmations: make(chan struct{}), inactiveSince: map[string]time.Time{},
-		ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		startedAt: o.Timers.Now(), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 }
 
@@ -512,11 +517,29 @@
 	if r.GetEpoch() == "" {
 		since = 0
 	}
-	d.watchers[r.GetProcess()] = watcher{since: since, lastWatch: d.o.Timers.Now()}
+	d.watchers[r.GetProcess()] = watcher{since: since, lastWatch: d.o.Timers.Now(), peer: r.GetPeer()}
 	close(d.watchReceived)
 	d.watchReceived = make(chan struct{})
 }
 
+// gateways returns the number of gateways that watch this VM, or 0 if it has just started and
+// doesn't know all of them.
+func (d *Directory) gateways() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.o.Timers.Now()
+	if now.Sub(d.startedAt) < countDelay {
+		return 0
+	}
+	n := 0
+	for _, w := range d.watchers {
+		if !w.peer && now.Sub(w.lastWatch) <= watcherTimeout {
+			n++
+		}
+	}
+	return n
+}
+
 // response returns the changes that a watcher doesn't have yet.
 func (d *Directory) response(r *wire.WatchRequest) *wire.WatchResponse {
 	w := d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince())
@@ -535,6 +558,9 @@
 		w.CollectingMs = uint32(d.o.CollectorUptime().Milliseconds())
 	}
 	w.Confirmed = d.isConfirmed(version)
+	if w.Confirmed {
+		w.Gateways = uint32(d.gateways())
+	}
 	if version > r.GetCatalogVersion() {
 		w.Catalog = document
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -83,6 +83,32 @@
 	})
 }
 
+// Guards against gateways that take too large a part of what they share, because a control VM
+// counts only those that have already reached it after its start, or that reach a minority.
+func TestGatewaysAreCountedOnceAllAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(t)
+		s := &service{d: d}
+		watch := func(process string, peer bool) uint32 {
+			w, err := s.Watch(t.Context(), &wire.WatchRequest{Process: process, Peer: peer})
+			require.NoError(t, err)
+			return w.GetGateways()
+		}
+		require.Zero(t, watch("a", false))
+		time.Sleep(countDelay)
+		require.Zero(t, watch("a", false), "not confirmed")
+		require.NoError(t, d.StoreCatalog(t.Context(), 1, []byte("{}")))
+		confirm := func() { d.confirm(t.Context()) }
+		confirm()
+		watch("b", false)
+		watch("vm-2", true)
+		require.EqualValues(t, 3, watch("c", false))
+		time.Sleep(watcherTimeout + time.Millisecond)
+		confirm()
+		require.EqualValues(t, 1, watch("c", false), "the others have left")
+	})
+}
+
 // Guards against a target that left and is used again, because the control VM that it told had
 // restarted and receives the target's record from another VM only afterwards.
 func TestTargetStaysGoneWhenItsRecordArrivesLater(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,9 +82,8 @@
 	FailureDomain string
 	// Seed of the random choices.
 	Seed uint64
-	// RetryShare and RetryBurst bound the requests that are sent again.
-	RetryRatio float64
-	RetryBurst float64
+	// Retries limits the requests that are sent again.
+	Retries *budget.SharedRetries
 }
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
@@ -98,7 +97,6 @@
 	closing   atomic.Bool  // streams are refused
 	refusing  atomic.Bool  // all requests are refused
 	streams   atomic.Int64 // being served
-	retries   *budget.Retries
 	stages    *stageClient
 	times     *latencies
 	patience  *patience
@@ -129,7 +127,6 @@
 	g := &Gateway{
 		o: o, pools: map[string]*routing.Pool{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
-		retries: budget.NewRetries(budget.RetryOptions{RetryRatio: o.RetryRatio, EntryRetryRatio: o.RetryRatio, IdleRetryRatio: o.RetryRatio, Burst: o.RetryBurst}),
 	}
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
 	g.serving, g.endAll = context.WithCancel(context.Background())
@@ -210,6 +207,9 @@
 // before: a control VM that is cut off or behind may still have keys that were withdrawn.
 // After startupTime an unconfirmed one is better than none.
 func (g *Gateway) OnWatchResponse(address string, w *wire.WatchResponse, began time.Time) {
+	if n := int(w.GetGateways()); g.o.Retries.SetMembers(n, g.o.Timers.Now()) {
+		klog.InfoS("Gateways share the retry budget", "gateways", n, "from", address)
+	}
 	if len(w.GetCatalog()) > 0 && w.GetCatalogVersion() > g.KnownVersion() {
 		g.receive(address, w)
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomline/cardamomline/internal/budget"
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/control"
 	"github.com/cardamomline/cardamomline/internal/discovery"
@@ -55,11 +56,10 @@
 	Admin         string // IP:port for metrics and health
 	Seeds         []string
 	Heartbeat     time.Duration // heartbeat period of the targets
-	// RetryShare and RetryBurst limit the retries of this gateway.
-	RetryShare float64
-	RetryBurst float64
-	Codec      gateway.Codec
-	Decode     func(document []byte) (*catalog.Catalog, error)
+	// Retries limits the requests that all gateways together send again.
+	Retries budget.SharedOptions
+	Codec   gateway.Codec
+	Decode  func(document []byte) (*catalog.Catalog, error)
 	// ReadinessHandler returns the handler for the load balancer's checks.
 	ReadinessHandler func(listener.ReadyFunc) http.Handler
 }
@@ -81,7 +81,7 @@
 	})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
-		Upstream: newUpstream(t, m), Quarantine: parts, Seed: seed(o.Name), RetryRatio: o.RetryShare, RetryBurst: o.RetryBurst,
+		Upstream: newUpstream(t, m), Quarantine: parts, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
