pacing: Keep the requests of all gateways to the limits that targets name

Cause: nothing read Server-Limit. Ruled out: requests that were chosen before the limit was named, since a target is chosen after the stages. A limit that each gateway keeps to alone would not do either: a limit may be smaller than the number of gateways.

Change: package pacing. The gateway that hears a limit tells the control VMs with its watch, and they tell the others. All gateways choose the same few senders of a target by a hash, each of which has an equal part; the others use other targets. A looser limit, or its end, counts only if its request was sent after the stricter one had arrived. The pool passes over targets at their limit, gives places back that weren't used, and refused callers learn when to return. A collector pauses after each call to a target with a limit.

--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -14,6 +14,7 @@
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -38,6 +39,11 @@
 	releaseDelay = 10 * time.Millisecond
 	// releaseTimeout limits a request that releases results.
 	releaseTimeout = time.Second
+	// limitPauseFactor is the pause after a call to a target that names a limit, in mean times
+	// between the requests that it takes, and maxLimitPause the longest one: without any call
+	// nobody would hear that the limit has ended.
+	limitPauseFactor = 1.5
+	maxLimitPause    = 4 * time.Second
 )
 
 // TargetClient runs calls at targets and translates to their protocol.
@@ -344,6 +350,9 @@
 // recordNotice records what a target said of itself in a response. It reports whether that
 // changes how the target may be used.
 func (r *Collector) recordNotice(t Target, n discovery.Notice) bool {
+	if l, ok := n.Limit().(pacing.RequestRate); ok {
+		n = discovery.NewNotice(n.Leaving(), max(n.Pause(), limitPause(l)))
+	}
 	changed := r.o.Table.RecordNotice(t.ID, t.Started.UnixMilli(), n, r.o.Timers.Now())
 	if changed {
 		klog.InfoS("Target takes no calls", "target", t.ID, "leaving", n.Leaving(), "pause_ms", n.Pause().Milliseconds())
@@ -351,6 +360,15 @@
 	return changed
 }
 
+// limitPause returns the pause after each call to a target that names a limit. One collector
+// calls a target; after a pause both a stage and a release of results may follow.
+func limitPause(l pacing.RequestRate) time.Duration {
+	if l.PerSecond <= 0 {
+		return maxLimitPause
+	}
+	return min(time.Duration(limitPauseFactor/l.PerSecond*float64(time.Second)), maxLimitPause)
+}
+
 // update runs f on the scheduler and notifies the loop.
 func (s *serviceCollector) update(f func(*Scheduler)) {
 	s.mu.Lock()
--- a/internal/batching/collector_test.go
+++ b/internal/batching/collector_test.go
@@ -14,6 +14,7 @@
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -84,8 +85,8 @@
 	return CallRejected{}, c.notices[call.Target.ID]
 }
 
-// Guards against stage calls and releases at a target that leaves or has asked for a pause, by
-// its answers alone: it announces itself as ready all the while. Stages that can only run at
+// Guards against stage calls and releases at a target that leaves, has asked for a pause or has
+// named a limit, by its answers alone: it announces itself as ready all the while. Stages that can only run at
 // paused targets are rejected at once.
 func TestCollectorLeavesTargetsAloneThatSaySo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -94,12 +95,14 @@
 		table := discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute})
 		client := &noticeClient{began: time.Now(), calls: map[string][]time.Duration{}, notices: map[string]discovery.Notice{
 			"leaving": discovery.NewNotice(true, 0), "paused": discovery.NewNotice(false, 3*time.Second),
+			// Both a call and a release may follow a pause.
+			"limited": discovery.NewNotice(false, 0).WithLimit(pacing.RequestRate{PerSecond: 0.5}),
 		}}
 		m := metrics.New("test")
 		r := NewCollector(Options{Timers: timer.NewService(), Table: table, TargetClient: client, Metrics: m, Catalog: func() *catalog.Catalog { return cat }})
 		var wg sync.WaitGroup
 		for n := range 120 {
-			for _, id := range []string{"leaving", "paused"} {
+			for _, id := range []string{"leaving", "paused", "limited"} {
 				table.Announce(&wire.RegisteredTarget{Id: id, Service: "s", Address: id + ":1", State: wire.TargetState_TARGET_STATE_READY, BornMs: 1, Sequence: uint64(n + 1)}, time.Now())
 			}
 			wg.Go(func() {
@@ -126,6 +129,11 @@
 		for i, at := range calls[1:] {
 			require.GreaterOrEqual(t, at-calls[i], 3*time.Second)
 		}
+		calls = client.calls["limited"]
+		require.GreaterOrEqual(t, len(calls), 2, "used within its limit")
+		for i, at := range calls[1:] {
+			require.GreaterOrEqual(t, at-calls[i], 3*time.Second)
+		}
 	})
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net/http"
 	"slices"
@@ -23,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
@@ -30,6 +32,7 @@
 
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -98,6 +101,8 @@
 	CollectorUptime func() time.Duration
 	// Quarantine holds the parts of prompts that crash engines.
 	Quarantine *quarantine.Register
+	// Limits holds the limits that targets name.
+	Limits *pacing.Register
 }
 
 // confirmation is the newest version confirmed by a quorum.
@@ -110,7 +115,7 @@
 type watcher struct {
 	since     uint64
 	lastWatch time.Time
-	peer      bool
+	gatewayID uint64 // 0 for a control VM
 }
 
 // Directory serves targets and the catalog. It is safe for concurrent use.
@@ -449,24 +454,26 @@
 func (s *service) Watch(ctx context.Context, r *wire.WatchRequest) (*wire.WatchResponse, error) {
 	s.d.recordWatcher(r)
 	s.d.o.Quarantine.Merge(discovery.DecodeParts(r.GetParts(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
+	s.d.o.Limits.Merge(discovery.DecodeLimits(r.GetLimits(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	wait := s.d.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWatchWait))
 	var collected <-chan time.Time // set once there are changes to send
 	for {
-		partsChanged := s.d.o.Quarantine.Changed()
+		partsChanged, limitsChanged := s.d.o.Quarantine.Changed(), s.d.o.Limits.Changed()
 		tableChanged, leaving, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
 		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince()); {
 		case w.GetFull() || s.d.hasCatalogFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
 			return s.d.response(r), nil
-		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r)) && collected == nil:
+		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r) || s.d.hasLimitsFor(r)) && collected == nil:
 			collected = s.d.o.Timers.After(changeDelay)
 		}
 		if collected != nil {
-			tableChanged, partsChanged = nil, nil
+			tableChanged, partsChanged, limitsChanged = nil, nil, nil
 		}
 		select {
 		case <-tableChanged:
 		case <-leaving:
 		case <-partsChanged:
+		case <-limitsChanged:
 		case <-catalogChanged:
 		case <-collected:
 			return s.d.response(r), nil
@@ -501,6 +508,23 @@
 	return d.o.Quarantine.Version() > d.partsSince(r)
 }
 
+// hasLimitsFor reports whether limits of targets have changed since a gateway's last watch.
+func (d *Directory) hasLimitsFor(r *wire.WatchRequest) bool {
+	if r.GetPeer() || r.LimitsSince == nil {
+		return false
+	}
+	return d.o.Limits.Version() > d.limitsSince(r)
+}
+
+// limitsSince returns the version of the limits that a watcher has; 0 if it has those of an
+// earlier process of this VM.
+func (d *Directory) limitsSince(r *wire.WatchRequest) uint64 {
+	if r.GetEpoch() != d.o.Table.Epoch() {
+		return 0
+	}
+	return r.GetLimitsSince()
+}
+
 // partsSince returns the version of the parts that a watcher has; 0 if it has those of an
 // earlier process of this VM.
 func (d *Directory) partsSince(r *wire.WatchRequest) uint64 {
@@ -513,31 +537,48 @@
 func (d *Directory) recordWatcher(r *wire.WatchRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	since := r.GetSince()
+	w := watcher{since: r.GetSince(), lastWatch: d.o.Timers.Now()}
 	if r.GetEpoch() == "" {
-		since = 0
+		w.since = 0
 	}
-	d.watchers[r.GetProcess()] = watcher{since: since, lastWatch: d.o.Timers.Now(), peer: r.GetPeer()}
+	if !r.GetPeer() {
+		w.gatewayID = pacing.MemberID(r.GetProcess())
+	}
+	d.watchers[r.GetProcess()] = w
 	close(d.watchReceived)
 	d.watchReceived = make(chan struct{})
 }
 
-// gateways returns the number of gateways that watch this VM, or 0 if it has just started and
-// doesn't know all of them.
-func (d *Directory) gateways() int {
+// gateways returns the ids of the gateways that watch this VM, sorted. There are none if it has
+// just started and doesn't know all of them.
+func (d *Directory) gateways() []uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.o.Timers.Now()
 	if now.Sub(d.startedAt) < countDelay {
-		return 0
+		return nil
 	}
-	n := 0
+	var ids []uint64
 	for _, w := range d.watchers {
-		if !w.peer && now.Sub(w.lastWatch) <= watcherTimeout {
-			n++
+		if w.gatewayID != 0 && now.Sub(w.lastWatch) <= watcherTimeout {
+			ids = append(ids, w.gatewayID)
 		}
 	}
-	return n
+	slices.Sort(ids)
+	return ids
+}
+
+// digest identifies a list of gateways; 0 if it is empty.
+func digest(ids []uint64) uint64 {
+	if len(ids) == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	for _, id := range ids {
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, id))
+	}
+	return max(d.Sum64(), 1)
 }
 
 // response returns the changes that a watcher doesn't have yet.
@@ -552,6 +593,8 @@
 	}
 	records, partsVersion := d.o.Quarantine.ChangesSince(d.partsSince(r))
 	w.Parts, w.PartsVersion = discovery.EncodeParts(records, d.o.Timers.Now()), partsVersion
+	statements, limitsVersion := d.o.Limits.ChangesSince(d.limitsSince(r))
+	w.Limits, w.LimitsVersion = discovery.EncodeLimits(statements, d.o.Timers.Now()), limitsVersion
 	version, document := d.o.Store.Newest()
 	w.CatalogVersion = version
 	if d.o.CollectorUptime != nil {
@@ -559,7 +602,11 @@
 	}
 	w.Confirmed = d.isConfirmed(version)
 	if w.Confirmed {
-		w.Gateways = uint32(d.gateways())
+		ids := d.gateways()
+		w.Gateways, w.GatewaysDigest = uint32(len(ids)), digest(ids)
+		if w.GatewaysDigest != r.GetGatewaysDigest() {
+			w.GatewayIds = ids
+		}
 	}
 	if version > r.GetCatalogVersion() {
 		w.Catalog = document
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -17,6 +17,7 @@
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/journal"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -37,7 +38,7 @@
 	})
 	require.NoError(t, err)
 	m := metrics.New("test")
-	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1, Quarantine: quarantine.NewRegister("vm-1")})
+	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1, Quarantine: quarantine.NewRegister("vm-1"), Limits: pacing.NewRegister("vm-1")})
 	require.NoError(t, node.Start(t.Context()))
 	t.Cleanup(func() {
 		require.NoError(t, node.Stop(context.Background()))
@@ -293,3 +294,61 @@
 		require.ErrorAs(t, err, &unconfirmed)
 	})
 }
+
+// Guards against gateways that send more to a target than it takes because they don't hear of a
+// limit, or of its end, that only another one has heard, also from a control VM that restarts.
+func TestGatewaysLearnOfLimitsThatOthersHeard(t *testing.T) {
+	const bound = 3 * time.Second // users' bound
+	synctest.Test(t, func(t *testing.T) {
+		vm := newDirectory(t)
+		handler := vm.Handler()
+		client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, r)
+			return w.Result(), nil
+		})}
+		var gateways []*pacing.Register
+		for n := range 5 {
+			p := pacing.NewRegister(fmt.Sprint("gateway-", n))
+			gateways = append(gateways, p)
+			w := discovery.NewWatcher(discovery.WatcherOptions{
+				Timers: timer.NewService(), HTTP: client, Process: fmt.Sprint("gateway-", n), Seeds: []string{"vm-1"},
+				Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Limits: p, CatalogVersion: func() uint64 { return 1 },
+			})
+			require.NoError(t, w.Start(t.Context()))
+			defer func() { require.NoError(t, w.Stop(context.Background())) }()
+		}
+		observe := func(n int, l pacing.Limit) {
+			gateways[n].Observe(pacing.NewStatement("engine", 1, l, time.Now(), time.Now()))
+		}
+		check := func(limited bool) {
+			senders := 0
+			for _, p := range gateways {
+				l, ok := p.Limits()["engine"]
+				require.Equal(t, limited, ok)
+				if l.PartPerSecond > 0 {
+					senders++
+				}
+			}
+			if limited {
+				require.Equal(t, 3, senders, "of a limit of 1 a second")
+			}
+		}
+		time.Sleep(countDelay)
+		require.NoError(t, vm.StoreCatalog(t.Context(), 1, []byte("{}")))
+		vm.confirm(t.Context())
+		observe(1, pacing.RequestRate{PerSecond: 1})
+		for range 10 {
+			time.Sleep(bound / 10)
+			vm.confirm(t.Context())
+		}
+		check(true)
+		vm = newDirectory(t) // one that has just started
+		handler = vm.Handler()
+		time.Sleep(bound)
+		check(true)
+		observe(3, pacing.Unlimited{})
+		time.Sleep(bound)
+		check(false)
+	})
+}
--- a/internal/discovery/notice.go
+++ b/internal/discovery/notice.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/cardamomline/cardamomline/internal/pacing"
 )
 
 // maxPause limits the time for which a target is left alone at its own request.
@@ -13,6 +15,7 @@
 type Notice struct {
 	leaving bool
 	pause   time.Duration
+	limit   pacing.Limit
 }
 
 // NewNotice returns a Notice. A leaving target takes no new requests, and one with a pause
@@ -21,13 +24,22 @@
 	return Notice{leaving: leaving, pause: min(max(pause, 0), maxPause)}
 }
 
+// WithLimit returns the notice with a limit of the target's requests from all processes.
+func (n Notice) WithLimit(l pacing.Limit) Notice {
+	n.limit = l
+	return n
+}
+
+// Limit returns the limit of the target's requests; nil if the answer isn't the target's.
+func (n Notice) Limit() pacing.Limit { return n.limit }
+
 // Leaving reports whether the target leaves.
 func (n Notice) Leaving() bool { return n.leaving }
 
 // Pause returns the time for which the target takes no requests from this process.
 func (n Notice) Pause() time.Duration { return n.pause }
 
-// IsEmpty reports whether the target says neither.
+// IsEmpty reports whether the target neither leaves nor asks for a pause.
 func (n Notice) IsEmpty() bool { return !n.leaving && n.pause <= 0 }
 
 // incarnation identifies one process of a target.
--- a/internal/discovery/parts.go
+++ b/internal/discovery/parts.go
@@ -32,17 +32,16 @@
 
 // DecodeParts returns the records of a message.
 func DecodeParts(parts []*wire.PromptPart, now time.Time) []quarantine.Record {
-	at := func(ageMs uint64) time.Time { return now.Add(-time.Duration(min(ageMs, maxAgeMs)) * time.Millisecond) }
 	parts = parts[:min(len(parts), maxParts)]
 	list := make([]quarantine.Record, 0, len(parts))
 	for _, p := range parts {
 		var crashes []quarantine.Crash
 		for _, c := range p.GetCrashes() {
-			crashes = append(crashes, quarantine.NewCrash(c.GetEngine(), c.GetObserver(), at(c.GetAgeMs())))
+			crashes = append(crashes, quarantine.NewCrash(c.GetEngine(), c.GetObserver(), ageTime(c.GetAgeMs(), now)))
 		}
 		var begunAt time.Time
 		if p.BegunMs != nil {
-			begunAt = at(p.GetBegunMs())
+			begunAt = ageTime(p.GetBegunMs(), now)
 		}
 		list = append(list, quarantine.NewRecord(quarantine.NewPart(p.GetId(), int(p.GetPosition())), crashes, begunAt))
 	}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -47,6 +48,8 @@
 	CatalogVersion func() uint64
 	// Quarantine holds the parts of prompts that crash engines. It is nil on a control VM.
 	Quarantine *quarantine.Register
+	// Limits holds the limits that targets name. It is nil on a control VM.
+	Limits *pacing.Register
 	// OnResponse is called with each response and the time at which its watch started.
 	OnResponse func(address string, resp *wire.WatchResponse, startedAt time.Time)
 }
@@ -187,12 +190,14 @@
 	r := &wire.WatchRequest{Process: w.o.Process, Peer: w.o.CatalogVersion == nil, WaitMs: uint32(watchWait.Milliseconds())}
 	var heard heardList
 	var parts partsExchange
+	var limits limitsExchange
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
 		}
 		startedAt := w.o.Timers.Now()
 		parts.request(r, w.o.Quarantine, startedAt)
+		limits.request(r, w.o.Limits, startedAt)
 		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
@@ -205,6 +210,7 @@
 			continue
 		}
 		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
+		limits.receive(address, r, resp, w.o.Limits, w.o.Timers.Now())
 		r.Epoch, r.Since = resp.GetEpoch(), resp.GetVersion()
 		heard.resolve(r.GetHeardFormat(), resp, w.o.Timers.Now())
 		w.o.Table.Merge(resp, w.o.Timers.Now())
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -190,7 +190,7 @@
 		return x.noAnswer(ctx, pool, choice, err)
 	}
 	a := x.g.o.Codec.DecodeResponse(resp.Response)
-	x.g.recordNotice(choice, a.Notice)
+	x.g.recordNotice(choice, a.Notice, began)
 	if a.NotExecuted || a.Misdirected {
 		return x.notRunThere(pool, choice, resp, a)
 	}
@@ -283,6 +283,7 @@
 		x.g.crashes.recordBroken(choice, x.r.Prompt, err)
 	}
 	if !sent {
+		pool.ReturnPlace(choice, now)
 		return notRun
 	}
 	x.ran++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -76,6 +78,8 @@
 	Stages StageRunner
 	// Quarantine holds the parts of prompts that crash engines.
 	Quarantine *quarantine.Register
+	// Limits holds the limits that targets name.
+	Limits *pacing.Register
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -102,6 +106,7 @@
 	patience  *patience
 	mu        sync.Mutex
 	pools     map[string]*routing.Pool
+	paces     map[incarnationKey]*pacing.Pace
 	weights   map[string]map[string]float64 // by route and failure domain
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
@@ -125,7 +130,7 @@
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		o: o, pools: map[string]*routing.Pool{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
+		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 	}
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
@@ -327,6 +332,7 @@
 		return
 	}
 	now := g.o.Timers.Now()
+	g.dropPaces()
 	for _, name := range c.Services() {
 		service, _ := c.Service(name)
 		if service.Batch() != nil {
@@ -410,11 +416,37 @@
 		list = append(list, routing.Target{
 			Name: r.GetId(), Address: r.GetAddress(), Incarnation: incarnation(r), FailureDomain: r.GetFailureDomain(),
 			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent, Paused: l.PausedUntil().After(now),
+			Pacer: g.pace(r),
 		})
 	}
 	return list
 }
 
+// incarnationKey identifies one process of a target.
+type incarnationKey struct {
+	target string
+	bornMs int64
+}
+
+// pace returns what paces the requests to a target; g.mu is held.
+func (g *Gateway) pace(r *wire.RegisteredTarget) *pacing.Pace {
+	key := incarnationKey{target: r.GetId(), bornMs: r.GetBornMs()}
+	p := g.paces[key]
+	if p == nil {
+		p = g.o.Limits.Pace(key.target, key.bornMs)
+		g.paces[key] = p
+	}
+	return p
+}
+
+// dropPaces drops the paces of targets that are gone; g.mu is held.
+func (g *Gateway) dropPaces() {
+	maps.DeleteFunc(g.paces, func(k incarnationKey, _ *pacing.Pace) bool {
+		r, ok := g.o.Table.Target(k.target)
+		return !ok || r.GetBornMs() != k.bornMs
+	})
+}
+
 func incarnation(r *wire.RegisteredTarget) string {
 	return time.UnixMilli(r.GetBornMs()).UTC().Format(time.RFC3339Nano)
 }
@@ -429,9 +461,12 @@
 	return born.UnixMilli()
 }
 
-// recordNotice records what a target said of itself in an answer. No request is sent to it
-// from now on if it leaves, or for the time that it asks for.
-func (g *Gateway) recordNotice(c routing.Choice, n discovery.Notice) {
+// recordNotice records what a target said of itself in an answer to a request that was sent at
+// a time. No request is sent to it from now on if it leaves, or for the time that it asks for.
+func (g *Gateway) recordNotice(c routing.Choice, n discovery.Notice, sentAt time.Time) {
+	if l := n.Limit(); l != nil {
+		g.o.Limits.Observe(pacing.NewStatement(c.Target, bornMs(c), l, sentAt, g.o.Timers.Now()))
+	}
 	if n.IsEmpty() {
 		return
 	}
@@ -446,15 +481,17 @@
 
 // targetRetry returns the time after which a caller may come back that was refused because no
 // target of a service takes its request: when the first one takes requests again, if all of
-// them have asked for a pause.
+// them have asked for a pause or are at their limit.
 func (g *Gateway) targetRetry(service string) time.Duration {
 	now := g.o.Timers.Now()
 	first := time.Duration(0)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, l := range g.o.Table.Live(service, now) {
 		if l.Leaving() || l.Silent() {
 			continue
 		}
-		left := l.PausedUntil().Sub(now)
+		left := max(l.PausedUntil().Sub(now), g.pace(l.Record()).Wait(now))
 		if left <= 0 {
 			return fullRetry
 		}
--- /dev/null
+++ b/internal/pacing/admin.go
@@ -0,0 +1,15 @@
+package pacing
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// RegisterAdminHandlers registers the operators' page of a Register on the mux of the admin
+// server: GET /limits lists the limits that hold, by target.
+func (r *Register) RegisterAdminHandlers(mux *http.ServeMux) {
+	mux.HandleFunc("GET /limits", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(r.Limits())
+	})
+}
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -83,10 +83,10 @@
 	runner := batching.NewCollector(batching.Options{
 		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, TargetClient: o.Target(newUpstream(t, m)),
 	})
-	parts := newQuarantine(o.Name, m)
+	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
 	d := directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
-		Quarantine: parts,
+		Quarantine: parts, Limits: limits,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
@@ -96,6 +96,7 @@
 	mux.Handle(wire.ReplicaPathPrefix, control.ReplicaHandler(node))
 	admin := listener.NewAdminMux(m, d.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
+	limits.RegisterAdminHandlers(admin)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cardamomline/cardamomline/internal/kernel"
 	"github.com/cardamomline/cardamomline/internal/listener"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -72,19 +73,20 @@
 	client := control.NewHTTPClient(nil)
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
 	stages := stagelink.NewClient(stagelink.Options{Timers: t})
-	parts := newQuarantine(o.Name, m)
+	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
-		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts,
+		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits,
 		CatalogVersion: func() uint64 { return g.KnownVersion() },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
-		Upstream: newUpstream(t, m), Quarantine: parts, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
+		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
+	limits.RegisterAdminHandlers(admin)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(WatcherComponent, follower)
 	k.Register(StagesComponent, stages)
@@ -109,6 +111,23 @@
 	return q
 }
 
+// newLimits returns a register that logs and counts the limits that targets name.
+func newLimits(name string, t *timer.Service, m *metrics.Metrics) *pacing.Register {
+	r := pacing.NewRegister(name)
+	r.OnChange(func(s pacing.Statement, part float64, senders int) {
+		switch l := s.Limit().(type) {
+		case pacing.RequestRate:
+			klog.InfoS("Target names a limit", "target", s.Target(), "per_second", l.PerSecond, "part_per_second", part, "senders", senders,
+				"age_ms", t.Since(s.ReceivedAt()).Milliseconds())
+			m.CountReason("target_limits", "named")
+		case pacing.Unlimited:
+			klog.InfoS("Target no longer names a limit", "target", s.Target())
+			m.CountReason("target_limits", "ended")
+		}
+	})
+	return r
+}
+
 func newUpstream(t *timer.Service, m *metrics.Metrics) *upstream.Pool {
 	return upstream.NewPool(upstream.Options{Timers: t, OnDial: func(string) { m.Count("target_connections", 1) }})
 }
--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -153,7 +153,7 @@
 	var chosen candidate
 	for i := range e.holders {
 		h := &e.holders[i]
-		if !h.valid() || !p.usable(h.t, r) {
+		if !h.valid() || !p.usable(h.t, r, now) {
 			continue
 		}
 		confidence := h.confidence(now)
--- a/internal/routing/errors.go
+++ b/internal/routing/errors.go
@@ -14,6 +14,7 @@
 	ShortageAllTimedOut  Shortage = "all_targets_silent"
 	ShortageAllPaused    Shortage = "all_targets_paused"
 	ShortageAllEjected   Shortage = "all_targets_ejected"
+	ShortageAllLimited   Shortage = "all_targets_limited"
 	ShortageNoneSuitable Shortage = "no_suitable_target"
 )
 
@@ -30,6 +31,7 @@
 	notReady int
 	paused   int
 	ejected  int
+	limited  int
 	excluded int
 }
 
@@ -41,8 +43,8 @@
 
 // Error implements error.
 func (e *NoTargetError) Error() string {
-	return fmt.Sprintf("no target of service %s for model %q: %s (known %d, without the model %d, leaving %d, silent %d, not ready %d, paused %d, ejected %d, already tried %d)",
-		e.service, e.model, e.shortage, e.known, e.noModel, e.leaving, e.silent, e.notReady, e.paused, e.ejected, e.excluded)
+	return fmt.Sprintf("no target of service %s for model %q: %s (known %d, without the model %d, leaving %d, silent %d, not ready %d, paused %d, ejected %d, at their limit %d, already tried %d)",
+		e.service, e.model, e.shortage, e.known, e.noModel, e.leaving, e.silent, e.notReady, e.paused, e.ejected, e.limited, e.excluded)
 }
 
 // classify sets the shortage from the counts.
@@ -61,6 +63,8 @@
 		e.shortage = ShortageAllPaused
 	case e.ejected == serving:
 		e.shortage = ShortageAllEjected
+	case e.limited == serving:
+		e.shortage = ShortageAllLimited
 	case e.excluded == serving:
 		e.shortage = ShortageAllExcluded
 	default:
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -69,12 +69,12 @@
 	var c Choice
 	switch p.policy.(type) {
 	case Baseline:
-		c = p.pickBaseline(r)
+		c = p.pickBaseline(r, now)
 	default:
 		c = p.pickAdaptive(r, now)
 	}
 	if c.ref == nil {
-		return Choice{}, p.shortage(r)
+		return Choice{}, p.shortage(r, now)
 	}
 	return p.commit(c, r, now), nil
 }
@@ -90,6 +90,9 @@
 	c.Slots = t.slots
 	c.epoch = t.epoch
 	t.count(1, now)
+	if t.Pacer != nil {
+		t.Pacer.Take(now)
+	}
 	if _, ok := p.policy.(Adaptive); ok && r.Prefix != "" && !r.Rendezvous {
 		// The target holds the prefix once it has begun the call. Learning it
 		// here keeps a burst with the same prefix together.
@@ -98,7 +101,7 @@
 	return c
 }
 
-func (p *Pool) pickBaseline(r Request) Choice {
+func (p *Pool) pickBaseline(r Request, now time.Time) Choice {
 	g, ok := p.groups[r.Model]
 	if !ok {
 		return Choice{}
@@ -106,15 +109,17 @@
 	for range g.all {
 		p.next++
 		t := g.all[p.next%uint64(len(g.all))]
-		if !excluded(r, t) {
+		if !excluded(r, t, now) {
 			return Choice{ref: t, Reason: ReasonRoundRobin}
 		}
 	}
 	return Choice{}
 }
 
-func excluded(r Request, t *target) bool {
-	return slices.Contains(r.Exclude, t.Name)
+// excluded reports whether a target doesn't get a call: it was tried before, or takes none just
+// now.
+func excluded(r Request, t *target, now time.Time) bool {
+	return slices.Contains(r.Exclude, t.Name) || t.isPaced(now)
 }
 
 // candidate is a target with its score; lower is better.
@@ -177,8 +182,8 @@
 }
 
 // usable reports whether a target may get the call.
-func (p *Pool) usable(t *target, r Request) bool {
-	return t.state() == StateUsable && t.serves(r.Model) && !excluded(r, t)
+func (p *Pool) usable(t *target, r Request, now time.Time) bool {
+	return t.state() == StateUsable && t.serves(r.Model) && !excluded(r, t, now)
 }
 
 // cost is the target's latency relative to an ordinary target, raised by failures.
@@ -202,7 +207,7 @@
 	found := 0
 	for range 2 * choices {
 		t := from[p.rng.IntN(len(from))]
-		if t == best.t || t == second.t || excluded(r, t) {
+		if t == best.t || t == second.t || excluded(r, t, now) {
 			continue
 		}
 		best, second = rank(best, second, candidate{t, p.score(t, now)})
@@ -213,7 +218,7 @@
 	start := p.rng.IntN(len(from))
 	for i := range from {
 		t := from[(start+i)%len(from)]
-		if t == best.t || t == second.t || excluded(r, t) {
+		if t == best.t || t == second.t || excluded(r, t, now) {
 			continue
 		}
 		best, second = rank(best, second, candidate{t, p.score(t, now)})
@@ -246,7 +251,7 @@
 	next := now.Add(probeRetry)
 	for _, t := range p.order {
 		h := &t.health
-		if !h.ejected || h.probing || !t.available() || !t.serves(r.Model) || excluded(r, t) {
+		if !h.ejected || h.probing || !t.available() || !t.serves(r.Model) || excluded(r, t, now) {
 			continue
 		}
 		due := h.until
@@ -262,7 +267,7 @@
 }
 
 // shortage explains why nothing fits.
-func (p *Pool) shortage(r Request) error {
+func (p *Pool) shortage(r Request, now time.Time) error {
 	e := &NoTargetError{service: p.service, model: r.Model, known: len(p.order)}
 	for _, t := range p.order {
 		if !t.serves(r.Model) {
@@ -281,7 +286,11 @@
 		case StateEjected:
 			e.ejected++
 		case StateUsable:
-			e.excluded++
+			if t.isPaced(now) && !slices.Contains(r.Exclude, t.Name) {
+				e.limited++
+			} else {
+				e.excluded++
+			}
 		}
 	}
 	e.classify()
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -271,6 +271,16 @@
 	p.learn(t, c.probe, o, now)
 }
 
+// ReturnPlace gives back the place of a call that was chosen but not sent. The choice still has
+// to be finished.
+func (p *Pool) ReturnPlace(c Choice, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := c.ref; t != nil && t.epoch == c.epoch && t.Pacer != nil {
+		t.Pacer.Return(now)
+	}
+}
+
 func (p *Pool) learn(t *target, probe bool, o Outcome, now time.Time) {
 	switch o := o.(type) {
 	case Success:
--- a/internal/routing/rendezvous.go
+++ b/internal/routing/rendezvous.go
@@ -30,7 +30,7 @@
 	bound := rendezvousFactor*total/float64(max(len(from), 1)) + rendezvousSpare
 	var first, best candidate
 	for _, t := range from {
-		if excluded(r, t) {
+		if excluded(r, t, now) {
 			continue
 		}
 		c := candidate{t, pairScore(r, t)}
--- a/internal/routing/rendezvous_test.go
+++ b/internal/routing/rendezvous_test.go
@@ -79,3 +79,40 @@
 	require.NoError(t, err)
 	require.NotEqual(t, first.Target, next.Target)
 }
+
+// scriptedPacer allows a number of calls.
+type scriptedPacer struct{ left int }
+
+func (p *scriptedPacer) Allows(time.Time) bool { return p.left > 0 }
+func (p *scriptedPacer) Take(time.Time)        { p.left-- }
+func (p *scriptedPacer) Return(time.Time)      { p.left++ }
+
+// Load pattern: targets name limits while one prefix, or none, gets the traffic. Guards against
+// calls beyond what a target takes, and against places that aren't given back.
+func TestPacedTargetsGetWhatTheyTake(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, r := range []Request{{Prefix: "hot", Rendezvous: true}, {Prefix: "hot"}, {MayProbe: true}} {
+		p := NewPool(Options{Service: "generators", FailureDomain: "d0", Seed: 1})
+		pacers := map[string]*scriptedPacer{"a": {left: 2}, "b": {left: 3}, "c": {left: 0}}
+		for name, pacer := range pacers {
+			p.Upsert(Target{Name: name, Address: "x", Incarnation: "1", FailureDomain: "d0", Slots: 64, Pacer: pacer}, now)
+		}
+		got := map[string]int{}
+		var last Choice
+		for range 5 {
+			c, err := p.Pick(r, now)
+			require.NoError(t, err)
+			got[c.Target]++
+			last = c
+		}
+		require.Equal(t, map[string]int{"a": 2, "b": 3}, got)
+		_, err := p.Pick(r, now)
+		var none *NoTargetError
+		require.ErrorAs(t, err, &none)
+		require.Equal(t, ShortageAllLimited, none.Shortage())
+		p.ReturnPlace(last, now)
+		c, err := p.Pick(r, now)
+		require.NoError(t, err)
+		require.Equal(t, last.Target, c.Target)
+	}
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -18,6 +18,17 @@
 	HeartbeatTimedOut bool
 	NotReady          bool
 	Paused            bool // it takes no calls for a while, at its own request
+	Pacer             Pacer
+}
+
+// Pacer paces the calls to a target. A target without one gets any number of calls.
+type Pacer interface {
+	// Allows reports whether a call may be sent now.
+	Allows(now time.Time) bool
+	// Take counts a call that is about to be sent, and Return gives its place back when it isn't
+	// sent.
+	Take(now time.Time)
+	Return(now time.Time)
 }
 
 // LoadReport is a load report of a target.
@@ -118,6 +129,9 @@
 	return !t.Draining && !t.leaving && !t.HeartbeatTimedOut && !t.NotReady && !t.Paused
 }
 
+// isPaced reports whether the target takes no call just now.
+func (t *target) isPaced(now time.Time) bool { return t.Pacer != nil && !t.Pacer.Allows(now) }
+
 func (t *target) serves(model string) bool {
 	return model == "" || slices.Contains(t.Models, model)
 }
