discovery: Ask control VMs for their list of gateways again after an outage

A gateway keeps the digest of a control VM's list of gateways and drops the list itself when the control VM doesn't answer for 3 s while others do. After the outage the digests agreed, so the list was never sent again: gateways that only this control VM listed were no senders to targets with limits, and the last control VM's list would hold for good. ConfirmMembers says that it has no list, and the digest is forgotten. TestListOfGatewaysReturnsAfterAnOutage fails without the change.

Control VMs compute the list at most every 100 ms: at 370 gateways they answer 740 watches a second.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -61,6 +61,8 @@
 	// countDelay is the time after its start in which a control VM gets a watch from every
 	// gateway. Until then it doesn't say how many there are.
 	countDelay = 2 * time.Second
+	// membersCacheTime is how long a list of the gateways is used.
+	membersCacheTime = 100 * time.Millisecond
 	// recordTimeout limits the wait for the record of a target that leaves. A VM that has
 	// restarted gets the records from the others within two round trips.
 	recordTimeout = 300 * time.Millisecond
@@ -118,12 +120,20 @@
 	gatewayID uint64 // 0 for a control VM
 }
 
+// memberCache is a list of the gateways that watch this VM.
+type memberCache struct {
+	ids    []uint64 // sorted
+	digest uint64   // 0 if there are none
+	at     time.Time
+}
+
 // Directory serves targets and the catalog. It is safe for concurrent use.
 type Directory struct {
 	o             Options
 	confirmed     atomic.Pointer[confirmation]
 	mu            sync.Mutex
 	watchers      map[string]watcher
+	members       memberCache
 	watchReceived chan struct{} // closed at the next watch
 	confirmations chan struct{} // closed when the stored version becomes confirmed
 	inactiveSince map[string]time.Time
@@ -549,23 +559,27 @@
 	d.watchReceived = make(chan struct{})
 }
 
-// gateways returns the ids of the gateways that watch this VM, sorted. There are none if it has
-// just started and doesn't know all of them.
-func (d *Directory) gateways() []uint64 {
+// gateways returns the gateways that watch this VM. There are none if it has just started and
+// doesn't know all of them.
+func (d *Directory) gateways() memberCache {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.o.Timers.Now()
 	if now.Sub(d.startedAt) < countDelay {
-		return nil
+		return memberCache{}
+	}
+	if !d.members.at.IsZero() && now.Sub(d.members.at) < membersCacheTime {
+		return d.members
 	}
-	var ids []uint64
+	d.members = memberCache{at: now}
 	for _, w := range d.watchers {
 		if w.gatewayID != 0 && now.Sub(w.lastWatch) <= watcherTimeout {
-			ids = append(ids, w.gatewayID)
+			d.members.ids = append(d.members.ids, w.gatewayID)
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.Sort(d.members.ids)
+	d.members.digest = digest(d.members.ids)
+	return d.members
 }
 
 // digest identifies a list of gateways; 0 if it is empty.
@@ -602,10 +616,10 @@
 	}
 	w.Confirmed = d.isConfirmed(version)
 	if w.Confirmed {
-		ids := d.gateways()
-		w.Gateways, w.GatewaysDigest = uint32(len(ids)), digest(ids)
-		if w.GatewaysDigest != r.GetGatewaysDigest() {
-			w.GatewayIds = ids
+		m := d.gateways()
+		w.Gateways, w.GatewaysDigest = uint32(len(m.ids)), m.digest
+		if m.digest != r.GetGatewaysDigest() {
+			w.GatewayIds = m.ids
 		}
 	}
 	if version > r.GetCatalogVersion() {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -103,6 +103,8 @@
 		confirm()
 		watch("b", false)
 		watch("vm-2", true)
+		watch("c", false)
+		time.Sleep(membersCacheTime)
 		require.EqualValues(t, 3, watch("c", false))
 		time.Sleep(watcherTimeout + time.Millisecond)
 		confirm()
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -83,7 +83,9 @@
 	switch digest := resp.GetGatewaysDigest(); {
 	case digest == 0:
 	case digest == r.GetGatewaysDigest():
-		p.ConfirmMembers(address, now)
+		if !p.ConfirmMembers(address, now) {
+			r.GatewaysDigest = 0 // the next response has the list
+		}
 	default:
 		ids := slices.Clone(resp.GetGatewayIds()[:min(len(resp.GetGatewayIds()), maxMembers)])
 		slices.Sort(ids)
--- a/internal/pacing/register.go
+++ b/internal/pacing/register.go
@@ -210,14 +210,17 @@
 	r.uniteMembers(changed, now)
 }
 
-// ConfirmMembers records that the list of a control VM is unchanged.
-func (r *Register) ConfirmMembers(source string, now time.Time) {
+// ConfirmMembers records that the list of a control VM is unchanged. It reports false if the list
+// was dropped and has to be set again.
+func (r *Register) ConfirmMembers(source string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l, ok := r.lists[source]; ok {
+	l, ok := r.lists[source]
+	if ok {
 		r.lists[source] = memberList{ids: l.ids, at: now}
 		r.uniteMembers(false, now)
 	}
+	return ok
 }
 
 // uniteMembers computes the members from the lists if one has changed or is too old; r.mu is
