pacing: Admit only what targets with limits take, urgent requests first

When all targets of a service named limits, requests beyond them ran their stages and were refused afterwards, and the first ones got the places whatever their rank.

A gateway now admits as many requests to such a service as its parts of all limits together, and leaves half of the kept places to more urgent ranks. The others get 503 targets_limited before their stages, with the time until a place is free for their rank.

TestGateAdmitsWhatTargetsTakeUrgentFirst: within 5% of what the targets take is admitted, and at least 95% of the urgent requests that fit.

--- a/internal/budget/doc.go
+++ b/internal/budget/doc.go
@@ -4,9 +4,9 @@
 // A request has one deadline. Each call gets the time left, less what later
 // stages need. An Estimator combines the expected durations of the manifest with
 // observed ones. Retries limits retries and hedges to a ratio of the traffic, and
-// SharedRetries those of many processes together. All
-// take the current time or the time left as an argument; Estimator, Retries
-// and SharedRetries are safe for concurrent use, a Plan is immutable.
+// SharedRetries those of many processes together. All take the current time or the
+// time left as an argument; Estimator, Retries and SharedRetries are safe for
+// concurrent use, a Plan is immutable.
 //
 // # Usage
 //
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 	mu        sync.Mutex
 	pools     map[string]*routing.Pool
 	paces     map[incarnationKey]*pacing.Pace
+	gates     map[string]*pacing.Gate       // by service
 	weights   map[string]map[string]float64 // by route and failure domain
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
@@ -130,7 +131,7 @@
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
+		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 	}
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
@@ -439,6 +440,18 @@
 	return p
 }
 
+// gate returns what admits requests to a service while all of its targets name limits.
+func (g *Gateway) gate(service string) *pacing.Gate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gate := g.gates[service]
+	if gate == nil {
+		gate = pacing.NewGate()
+		g.gates[service] = gate
+	}
+	return gate
+}
+
 // dropPaces drops the paces of targets that are gone; g.mu is held.
 func (g *Gateway) dropPaces() {
 	maps.DeleteFunc(g.paces, func(k incarnationKey, _ *pacing.Pace) bool {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -202,12 +202,35 @@
 
 // run serves a request that may be served.
 func (x *exchange) run(ctx context.Context) {
+	if x.refuseLimited() {
+		return
+	}
 	inputs, ok := x.runStages(ctx)
 	if ok {
 		x.forward(ctx, inputs)
 	}
 }
 
+// refuseLimited refuses a request whose service takes no more requests from this gateway, because
+// all of its targets name limits. Its stages would be run in vain.
+func (x *exchange) refuseLimited() bool {
+	pool := x.g.pool(x.service)
+	if pool == nil {
+		return false
+	}
+	now := x.g.o.Timers.Now()
+	rate, limited := pool.PacedRate(now)
+	if !limited {
+		return false
+	}
+	slack := float64(x.priority) / (customerRanks*routeRanks - 1)
+	ok, wait := x.g.gate(x.service).Admit(rate, slack, now)
+	if !ok {
+		x.refuse("targets_limited", max(wait, fullRetry))
+	}
+	return !ok
+}
+
 // giveUp answers when the time is over, the caller has left or the gateway stops, which ends
 // ctx.
 func (x *exchange) giveUp(ctx context.Context) {
--- a/internal/pacing/pace.go
+++ b/internal/pacing/pace.go
@@ -136,6 +136,18 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// Rate returns the requests a second that this gateway may send to the target, and whether there
+// is a limit.
+func (p *Pace) Rate(now time.Time) (perSecond float64, limited bool) {
+	if p.r.limited.Load() == 0 {
+		return 0, false
+	}
+	p.r.mu.Lock()
+	defer p.r.mu.Unlock()
+	part, limited := p.update(now)
+	return part.perSecond, limited
+}
+
 // update brings the tokens up to date; p.r.mu is held. A new limit begins without any.
 func (p *Pace) update(now time.Time) (own part, limited bool) {
 	e := p.r.entries[p.target]
--- a/internal/pacing/register_test.go
+++ b/internal/pacing/register_test.go
@@ -68,3 +68,32 @@
 	r.SetMembers("vm-1", []uint64{MemberID("other")}, now.Add(2*memberRetention))
 	require.False(t, r.Pace("a", 1).Allows(now.Add(time.Hour)), "a gateway that no control VM lists")
 }
+
+// Load pattern: all targets of a service name limits, and three times as many requests come as
+// they take. Guards against requests that are admitted although no target takes them, against
+// places that stay free, and against urgent requests that are refused for less urgent ones.
+func TestGateAdmitsWhatTargetsTakeUrgentFirst(t *testing.T) {
+	const perSecond, seconds = 5.0, 60
+	for name, urgentPerS := range map[string]int{"few urgent requests": 2, "as many as the targets take": 5, "only urgent requests": 15} {
+		t.Run(name, func(t *testing.T) {
+			g, now := NewGate(), time.Unix(1000, 0)
+			admitted := map[float64]int{}
+			for n := range 15 * seconds {
+				slack := 1.0
+				if n%15*urgentPerS/15 != (n%15+1)*urgentPerS/15 {
+					slack = 0
+				}
+				ok, wait := g.Admit(perSecond, slack, now)
+				if ok {
+					admitted[slack]++
+				} else {
+					require.Positive(t, wait)
+					require.LessOrEqual(t, wait, 2*time.Second)
+				}
+				now = now.Add(time.Second / 15)
+			}
+			require.InDelta(t, perSecond*seconds, admitted[0]+admitted[1], perSecond*3)
+			require.GreaterOrEqual(t, float64(admitted[0]), 0.95*min(float64(urgentPerS), perSecond)*seconds)
+		})
+	}
+}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -271,6 +271,27 @@
 	p.learn(t, c.probe, o, now)
 }
 
+// PacedRate returns the calls a second that all usable targets together take from this entry, and
+// false if one of them takes any number, or if there is none.
+func (p *Pool) PacedRate(now time.Time) (perSecond float64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.order {
+		if !t.available() || t.health.ejected {
+			continue
+		}
+		if t.Pacer == nil {
+			return 0, false
+		}
+		rate, limited := t.Pacer.Rate(now)
+		if !limited {
+			return 0, false
+		}
+		perSecond, ok = perSecond+rate, true
+	}
+	return perSecond, ok
+}
+
 // ReturnPlace gives back the place of a call that was chosen but not sent. The choice still has
 // to be finished.
 func (p *Pool) ReturnPlace(c Choice, now time.Time) {
--- a/internal/routing/rendezvous_test.go
+++ b/internal/routing/rendezvous_test.go
@@ -87,6 +87,10 @@
 func (p *scriptedPacer) Take(time.Time)        { p.left-- }
 func (p *scriptedPacer) Return(time.Time)      { p.left++ }
 
+func (p *scriptedPacer) Rate(time.Time) (perSecond float64, limited bool) {
+	return float64(p.left), true
+}
+
 // Load pattern: targets name limits while one prefix, or none, gets the traffic. Guards against
 // calls beyond what a target takes, and against places that aren't given back.
 func TestPacedTargetsGetWhatTheyTake(t *testing.T) {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -29,6 +29,8 @@
 	// sent.
 	Take(now time.Time)
 	Return(now time.Time)
+	// Rate returns the calls a second that may be sent, and whether there is a limit.
+	Rate(now time.Time) (perSecond float64, limited bool)
 }
 
 // LoadReport is a load report of a target.
