--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -303,10 +303,15 @@
 	const bound = 3 * time.Second // users' bound
 	synctest.Test(t, func(t *testing.T) {
 		vm := newDirectory(t)
-		handler := vm.Handler()
+		var handler atomic.Pointer[http.Handler]
+		serve := func() {
+			h := vm.Handler()
+			handler.Store(&h)
+		}
+		serve()
 		client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
 			w := httptest.NewRecorder()
-			handler.ServeHTTP(w, r)
+			(*handler.Load()).ServeHTTP(w, r)
 			return w.Result(), nil
 		})}
 		var gateways []*pacing.Register
@@ -346,7 +351,7 @@
 		}
 		check(true)
 		vm = newDirectory(t) // one that has just started
-		handler = vm.Handler()
+		serve()
 		time.Sleep(bound)
 		check(true)
 		observe(3, pacing.Unlimited{})
--- a/internal/pacing/fleet_test.go
+++ b/internal/pacing/fleet_test.go
@@ -51,7 +51,23 @@
 	register  *Register
 	startedAt time.Time
 	watchers  map[string]time.Time
-	epoch     int
+	listedAt  time.Time
+	listed    []uint64
+}
+
+// list returns the gateways that have watched lately.
+func (vm *simVM) list(now time.Time) []uint64 {
+	if vm.listedAt.Equal(now) {
+		return vm.listed
+	}
+	vm.listedAt, vm.listed = now, nil
+	for name, at := range vm.watchers {
+		if now.Sub(at) <= watchGone {
+			vm.listed = append(vm.listed, MemberID(name))
+		}
+	}
+	slices.Sort(vm.listed)
+	return vm.listed
 }
 
 type simAnswer struct {
@@ -99,13 +115,7 @@
 	if now.Sub(vm.startedAt) < countTime {
 		return
 	}
-	var ids []uint64
-	for name, at := range vm.watchers {
-		if now.Sub(at) <= watchGone {
-			ids = append(ids, MemberID(name))
-		}
-	}
-	slices.Sort(ids)
+	ids := vm.list(now)
 	if source := fmt.Sprint(i); slices.Equal(g.register.lists[source].ids, ids) {
 		g.register.ConfirmMembers(source, now)
 	} else {
