--- a/review/_cases/fleet.go
+++ b/review/_cases/fleet.go
@@ -51,6 +51,21 @@
 	all     []*process
 }
 
+// opened are the deployments of this case, which main closes if the case can't.
+var opened struct {
+	mu     sync.Mutex
+	fleets []*fleet
+}
+
+// closeFleets closes all deployments.
+func closeFleets() {
+	opened.mu.Lock()
+	defer opened.mu.Unlock()
+	for _, f := range opened.fleets {
+		f.close()
+	}
+}
+
 type startRequest struct {
 	cmd  *exec.Cmd
 	done chan error
@@ -64,6 +79,9 @@
 	}
 	f := &fleet{rec: rec, folder: folder, starts: make(chan startRequest)}
 	go f.startProcesses()
+	opened.mu.Lock()
+	opened.fleets = append(opened.fleets, f)
+	opened.mu.Unlock()
 	add := func(list *[]*process, class string, n, host int) {
 		name := fmt.Sprintf("%s-%d", class, n)
 		p := &process{name: name, class: class, ip: fmt.Sprintf("127.0.%d.%d", network, host), settings: filepath.Join(folder, name+".toml"), data: filepath.Join(folder, name)}
@@ -246,7 +264,10 @@
 
 // close ends all processes and removes the folder, unless REVIEW_KEEP is set.
 func (f *fleet) close() {
-	for _, p := range f.all {
+	f.mu.Lock()
+	all := f.all
+	f.mu.Unlock()
+	for _, p := range all {
 		if f.isRunning(p) {
 			_ = p.cmd.Process.Kill()
 			select {
@@ -257,8 +278,6 @@
 	}
 	if os.Getenv("REVIEW_KEEP") == "" {
 		_ = os.RemoveAll(f.folder)
-	} else {
-		fmt.Println("logs in", f.folder)
 	}
 }
 
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -74,6 +74,7 @@
 		rec.event("RESULT: the case couldn't run: %v", err)
 	}
 	rec.close()
+	closeFleets()
 	fmt.Println(map[int]string{exitHeld: "held", exitBroken: "broken: ", exitNotRun: "not run: "}[code], err)
 	os.Exit(code)
 }
--- a/review/_cases/worker.go
+++ b/review/_cases/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -206,3 +207,19 @@
 	callerHost = "pule25.example"
 	callerKey  = "9dnn2ctnfzs989anu6ws"
 )
+
+// sendRaw sends a request as it stands on a new connection and returns the status line of the answer.
+func sendRaw(address, method, path, id, body string) string {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", method, path, callerHost, id, callerKey, len(body), body)
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return err.Error()
+	}
+	return line
+}
