review: Add a case of settings that change during a stop

Seen: SIGHUP ends a process that is stopping at once, and all requests in hand are cut. Cause: the context that SIGTERM ends also ends the watch of the settings, which gives SIGHUP its default action back.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/review-cases order "review/2/record.txt"
+exec target/review-cases stop "review/2/record.txt"
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -50,6 +50,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	// A caught signal has its default action in the processes that are started, an ignored one stays ignored: under
+	// nohup they would ignore SIGHUP, unlike on the platform.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
 	ended := make(chan error, 1)
