platform: Handle SIGHUP until the process has ended

What callers saw: a change of settings during a planned stop ended the gateway at once.

Cause: the watch of settings ran with the context that SIGTERM ends, and its deferred signal.Stop gave SIGHUP back its default action.

Ruled out: components disturbed by a reload during the stop.

Change: SIGHUP is caught from the first step of the program to its end. Watcher.Stop excludes a concurrent SetSeeds.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -30,11 +30,12 @@
 }
 
 func (c *platformCommand) run(ctx context.Context) error {
+	hangups := platform.NotifyHangups()
 	s, err := platform.LoadSettings(c.settings)
 	if err != nil {
 		return &inputError{err: err}
 	}
 	log := logging.Install(os.Stdout)
 	defer func() { _ = log.Stop(ctx) }()
-	return platform.Run(ctx, s)
+	return platform.Run(ctx, s, hangups)
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -96,7 +96,9 @@
 
 // Stop implements kernel.Stopper.
 func (w *Watcher) Stop(context.Context) error {
-	w.cancel()
+	w.mu.Lock()
+	w.cancel() // from here on, SetSeeds starts no watch
+	w.mu.Unlock()
 	w.wg.Wait()
 	close(w.done)
 	return nil
