commands: Stop at SIGHUP as at SIGTERM

What callers saw: entries, agents, control VMs and `dev` ended at once when their terminal was closed or SIGHUP came, and cut all requests that they had in hand.

Cause: SIGHUP had its default action in these commands.

Change: the context of the commands also ends at SIGHUP, unless it is ignored, as under nohup.

--- a/internal/commands/role.go
+++ b/internal/commands/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -35,7 +36,7 @@
 		RunE:    func(cmd *cobra.Command, _ []string) error { return c.run(cmd.Context()) },
 	}
 	cmd.Flags().StringVar(&c.settings, "settings", "", "settings file of this process (YAML)")
-	cmd.Flags().DurationVar(&c.stopTimeout, "stop-timeout", defaultStopTimeout, "longest time to wait for running requests after SIGTERM")
+	cmd.Flags().DurationVar(&c.stopTimeout, "stop-timeout", defaultStopTimeout, "longest time to wait for running requests after SIGTERM or SIGHUP")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
@@ -58,7 +59,12 @@
 	return process.Run(ctx, k, s.Name(), c.stopTimeout)
 }
 
-// untilSignal returns a context that ends at SIGTERM or an interrupt.
+// untilSignal returns a context that ends at SIGTERM, at an interrupt, or at SIGHUP unless it is
+// ignored, as under nohup.
 func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	signals := []os.Signal{syscall.SIGTERM, syscall.SIGINT}
+	if !signal.Ignored(syscall.SIGHUP) {
+		signals = append(signals, syscall.SIGHUP)
+	}
+	return signal.NotifyContext(ctx, signals...)
 }
