gateway: Read the ids of events by the format's lines

Cause: the gateway searched for the last "id:" in the bytes that it had passed on, and recorded no id if the text of the event held those letters. The next target began anew. Ruled out: a target that ignores Last-Event-Id; the header was missing. On related paths: lines that end with CR or CRLF, and events without ids, whose repetition nothing prevented.

Change: package eventstream reads events by the lines of the HTML standard and knows whether another run after the last id repeats nothing; otherwise the stream breaks off.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
+	"github.com/cardamomline/cardamomline/internal/eventstream"
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
@@ -93,7 +93,7 @@
 	if !x.started {
 		return mayHaveRun
 	}
-	if ctx.Err() == nil && x.route.Resumable() && x.ran < x.route.MaxAttempts() {
+	if ctx.Err() == nil && x.route.Resumable() && x.position.Resumable() && x.ran < x.route.MaxAttempts() {
 		return mayHaveRun
 	}
 	reason := "stream_broken"
@@ -178,16 +178,15 @@
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
-			events := pending[:end]
+		if events := eventstream.Scan(pending); events.End() > 0 {
 			x.sendHeader(resp)
-			if _, werr := x.w.Write(events); werr != nil {
+			if _, werr := x.w.Write(pending[:events.End()]); werr != nil {
 				return werr
 			}
 			if ferr := rc.Flush(); ferr != nil {
 				return ferr
 			}
-			if hasData(events) {
+			if events.HasData() {
 				w.progress()
 				now := x.g.o.Timers.Now()
 				if x.eventAt.IsZero() {
@@ -198,8 +197,8 @@
 					x.recordBegun()
 				}
 			}
-			x.noteEvents(events)
-			pending = append(pending[:0], pending[end:]...)
+			x.position.Advance(events)
+			pending = append(pending[:0], pending[events.End():]...)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && resp.EndsWithConnection() && (len(pending) > 0 || x.expectsEvent()):
@@ -218,23 +217,14 @@
 
 // expectsEvent reports whether a stream can't be complete yet: no event has been passed on, and
 // the caller doesn't resume a stream whose last event it may have.
-func (x *exchange) expectsEvent() bool { return x.eventAt.IsZero() && x.r.ResumeAfter == "" }
+func (x *exchange) expectsEvent() bool { return x.eventAt.IsZero() && x.resumeAfter() == "" }
 
-// lastEventEnd returns the position after the last blank line, which ends an event, or 0.
-func lastEventEnd(b []byte) int {
-	end := 0
-	for _, blank := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(b, blank); i >= 0 {
-			end = max(end, i+len(blank))
-		}
+// resumeAfter returns the id of the last event that the caller has, or "".
+func (x *exchange) resumeAfter() string {
+	if id := x.position.LastID(); id != "" {
+		return id
 	}
-	return end
-}
-
-// hasData reports whether events contain a data field. Comments and empty events keep a
-// connection open, but are no progress.
-func hasData(events []byte) bool {
-	return bytes.HasPrefix(events, []byte("data")) || bytes.Contains(events, []byte("\ndata"))
+	return x.r.ResumeAfter
 }
 
 // eventTimeout returns the time without a whole event after which a stream is ended, or 0.
@@ -284,12 +274,3 @@
 		}
 	}
 }
-
-// noteEvents remembers the id of the last event.
-func (x *exchange) noteEvents(events []byte) {
-	text := string(events)
-	if i := strings.LastIndex(text, "id:"); i >= 0 && (i == 0 || text[i-1] == '\n') {
-		line, _, _ := strings.Cut(text[i+len("id:"):], "\n")
-		x.r.ResumeAfter = strings.TrimSpace(line)
-	}
-}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -246,7 +246,7 @@
 	r := &http.Request{
 		Method: x.in.Method, Host: x.in.Host, URL: &url.URL{Scheme: "http", Host: choice.Address, Opaque: x.in.RequestURI},
 		Header: x.g.o.Codec.EncodeRequestHeader(x.in.Header, OutboundMetadata{
-			Target: choice.Target, Customer: x.customer, RemainingTime: left, Inputs: handles, ResumeAfter: x.r.ResumeAfter,
+			Target: choice.Target, Customer: x.customer, RemainingTime: left, Inputs: handles, ResumeAfter: x.resumeAfter(),
 		}),
 	}
 	c := upstream.Call{Address: choice.Address, Request: r, Body: x.body, Match: x.matchResponse}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
+	"github.com/cardamomline/cardamomline/internal/eventstream"
 )
 
 // defaultBodyBytes bounds a body when the catalog sets no limit.
@@ -59,12 +60,14 @@
 	// not crashed shortly afterwards.
 	firstEventAt time.Time
 	survived     bool
-	trial        bool // the request is let through although it has a blocked part
-	reason       string
-	stagesT      time.Duration
-	firstT       time.Duration // until the answer began; 0 when it didn't
-	target       string
-	lastErr      string
+	// position is how far the stream that was passed on has come.
+	position eventstream.Position
+	trial    bool // the request is let through although it has a blocked part
+	reason   string
+	stagesT  time.Duration
+	firstT   time.Duration // until the answer began; 0 when it didn't
+	target   string
+	lastErr  string
 }
 
 // ServeHTTP implements http.Handler.
