replica: Limit the log in memory and in flight by bytes

Cause: a leader retained 5,000 entries whatever their size, sent a member all that it lacked in one step, and put the step's messages into one envelope. Members reject bodies above 64 MiB, the leader began anew and nothing was logged. Ruled out: a member that isn't found (it is in the list) and a slow installation (it catches up in under a second now).

Change: the log keeps the sizes of its entries; in-flight and retained entries are limited in bytes; the transport sends at most 2 MiB in one call and logs when a member stops and begins to take messages; replica_log_bytes shows the size of the log. The simulation's entries and limits vary in bytes.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/upstream"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -18,6 +21,9 @@
 	// dropped messages.
 	sendQueueSize = 256
 	sendTimeout   = 2 * time.Second
+	// maxEnvelopeBytes limits the messages that are sent in one call, so that a call ends within
+	// sendTimeout on a slow link and stays far below MaxMessageBytes. A single message may exceed it.
+	maxEnvelopeBytes = 2 << 20
 	// MaxMessageBytes limits a request or response between processes. The largest ones carry
 	// a manifest or the changes of all targets; snapshots are sent in parts.
 	MaxMessageBytes = 64 << 20
@@ -91,6 +97,7 @@
 func (t *Transport) run(address string, q <-chan *wire.Envelope) {
 	client := wire.NewReplicaProtobufClient("http://"+address, t.httpClient)
 	var next *wire.Envelope
+	failing := false
 	for {
 		e := next
 		if e == nil {
@@ -101,13 +108,42 @@
 			}
 		}
 		e, next = mergeQueued(e, q)
-		ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
-		_, err := client.Deliver(ctx, e)
-		cancel()
-		if err != nil {
-			t.httpClient.CloseIdleConnections()
+		for _, part := range splitEnvelope(e, maxEnvelopeBytes) {
+			ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
+			_, err := client.Deliver(ctx, part)
+			cancel()
+			if err != nil {
+				if !failing {
+					klog.InfoS("Messages of the replicated log not delivered", "to", address, "messages", len(part.GetMessages()), "bytes", proto.Size(part), "error", err.Error())
+				}
+				failing = true
+				t.httpClient.CloseIdleConnections()
+				break // the rest follows what is missing; the log resends it
+			}
+			if failing {
+				klog.InfoS("Messages of the replicated log delivered again", "to", address)
+			}
+			failing = false
+		}
+	}
+}
+
+// splitEnvelope returns envelopes with the same messages of at most maxBytes each, or of one
+// message.
+func splitEnvelope(e *wire.Envelope, maxBytes int) []*wire.Envelope {
+	var parts []*wire.Envelope
+	size := 0
+	for _, m := range e.GetMessages() {
+		n := proto.Size(m)
+		if len(parts) == 0 || size+n > maxBytes {
+			parts = append(parts, &wire.Envelope{ClusterId: e.GetClusterId(), From: e.GetFrom(), To: e.GetTo(), FromAddress: e.GetFromAddress()})
+			size = 0
 		}
+		last := parts[len(parts)-1]
+		last.Messages = append(last.Messages, m)
+		size += n
 	}
+	return parts
 }
 
 // mergeQueued returns e with the messages of the queued envelopes appended, and the first
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -422,6 +422,7 @@
 		failing = 1
 	}
 	d.o.Metrics.Gauge("journal_failing", failing)
+	d.o.Metrics.Gauge("replica_log_bytes", float64(s.LogBytes))
 	if s.LeaderAddress != d.lastLeader {
 		klog.InfoS("Leader changed", "leader", s.LeaderAddress, "before", d.lastLeader, "term", s.Term, "role", s.Role.String(), "members", len(s.Members))
 		d.lastLeader = s.LeaderAddress
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -32,6 +32,9 @@
 	defaultHeartbeatTicks     = 2
 	defaultMaxMessageBytes    = 1 << 20
 	defaultMaxInFlightEntries = 8192
+	defaultMaxInFlightBytes   = 4 << 20
+	defaultRetainedBytes      = 4 << 20
+	defaultMaxRetainedBytes   = 64 << 20
 	defaultRetainedEntries    = 5000
 	// defaultMaxRetainedEntries covers 200 s at 1,000 entries per second, which is longer than
 	// the transfer of the largest snapshot, and bounds the memory for these entries.
@@ -52,12 +55,16 @@
 	MaxMessageBytes int
 	// MaxInFlightEntries limits the unacknowledged entries sent to a member.
 	MaxInFlightEntries uint64
-	// RetainedEntries is the number of entries before a snapshot that stay in memory,
-	// so that a slightly lagging member doesn't need the snapshot.
+	// MaxInFlightBytes limits the size of these entries. A single entry may exceed it.
+	MaxInFlightBytes uint64
+	// RetainedEntries and RetainedBytes limit the entries before a snapshot that stay in
+	// memory, so that a slightly lagging member doesn't need the snapshot.
 	RetainedEntries uint64
-	// MaxRetainedEntries limits the entries before a snapshot that a leader retains
-	// for members that receive an older snapshot or catch up.
+	RetainedBytes   uint64
+	// MaxRetainedEntries and MaxRetainedBytes limit the entries before a snapshot that a
+	// leader retains for members that receive an older snapshot or catch up.
 	MaxRetainedEntries uint64
+	MaxRetainedBytes   uint64
 	// MaxMembers limits the length of the member list.
 	MaxMembers int
 }
@@ -67,8 +74,11 @@
 	setDefault(&o.HeartbeatTicks, defaultHeartbeatTicks)
 	setDefault(&o.MaxMessageBytes, defaultMaxMessageBytes)
 	setDefault(&o.MaxInFlightEntries, defaultMaxInFlightEntries)
+	setDefault(&o.MaxInFlightBytes, defaultMaxInFlightBytes)
 	setDefault(&o.RetainedEntries, defaultRetainedEntries)
+	setDefault(&o.RetainedBytes, defaultRetainedBytes)
 	setDefault(&o.MaxRetainedEntries, defaultMaxRetainedEntries)
+	setDefault(&o.MaxRetainedBytes, defaultMaxRetainedBytes)
 	setDefault(&o.MaxMembers, defaultMaxMembers)
 	return o
 }
@@ -84,6 +94,7 @@
 type peer struct {
 	match              uint64 // highest index known to be durable on the member
 	next               uint64 // next index to send
+	sentAfter          uint64 // index after which entries were sent since the last rejection
 	ticksSinceResponse int
 	ackedRound         uint64 // highest round acknowledged
 	// transfer is the snapshot transfer to the member, or nil if none is in progress.
--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -7,7 +7,7 @@
 	m := c.config()
 	for _, member := range m.members {
 		if member.Id != c.id && c.peers[member.Id] == nil {
-			c.peers[member.Id] = &peer{next: c.log.last() + 1}
+			c.peers[member.Id] = &peer{next: c.log.last() + 1, sentAfter: c.log.last()}
 		}
 	}
 	for id := range c.peers {
@@ -51,7 +51,7 @@
 			return
 		}
 		var entries []*wire.LogEntry
-		if p.ticksSinceResponse < c.o.ElectionTicks && p.next-p.match <= c.o.MaxInFlightEntries {
+		if p.ticksSinceResponse < c.o.ElectionTicks && p.next-p.match <= c.o.MaxInFlightEntries && c.bytesInFlight(p) < c.o.MaxInFlightBytes {
 			entries = c.log.from(p.next, c.o.MaxMessageBytes)
 		}
 		if len(entries) == 0 && !heartbeat {
@@ -63,6 +63,12 @@
 	}
 }
 
+// bytesInFlight returns the size of the entries that were sent to a member and that it has not
+// acknowledged. All entries that a step sends to a member may share one message of the transport.
+func (c *Core) bytesInFlight(p *peer) uint64 {
+	return c.log.bytes(max(p.match, p.sentAfter), p.next-1)
+}
+
 func (c *Core) sendAppend(id string, prev, prevTerm uint64, entries []*wire.LogEntry) {
 	r := &wire.AppendRequest{PrevIndex: prev, PrevTerm: prevTerm, Commit: c.commit, Entries: entries, Round: c.round}
 	c.send(id, false, &wire.ReplicaMessage{Term: c.term, Kind: &wire.ReplicaMessage_AppendRequest{AppendRequest: r}})
@@ -203,4 +209,5 @@
 		return
 	}
 	p.next = max(p.match+1, min(p.next, r.Hint+1))
+	p.sentAfter = p.next - 1
 }
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -19,6 +19,13 @@
 // maxInFlightMessages limits the messages in flight. Beyond it, the oldest are lost.
 const maxInFlightMessages = 300
 
+// Some entries of the simulation are larger than others, so that the limits in bytes and in entries
+// both apply.
+const (
+	simBytesInFlight = 120
+	simRetainedBytes = 60
+)
+
 // committedEntry identifies a committed entry, which must be the same on all members.
 type committedEntry struct {
 	term  uint64
@@ -73,7 +80,7 @@
 }
 
 func newSim(t require.TestingT, size, electionTicks, messageBytes int, seed uint64) *sim {
-	s := &sim{t: t, o: replica.CoreOptions{ElectionTicks: electionTicks, MaxMessageBytes: messageBytes, RetainedEntries: 3, MaxRetainedEntries: 60, MaxInFlightEntries: 8}, random: rand.New(rand.NewPCG(seed, 0)), disks: map[string]*journal.Contents{}, partitioned: map[string]bool{}, log: map[uint64]committedEntry{}, leaders: map[string]string{}}
+	s := &sim{t: t, o: replica.CoreOptions{ElectionTicks: electionTicks, MaxMessageBytes: messageBytes, RetainedEntries: 3, MaxRetainedEntries: 60, MaxInFlightEntries: 8, MaxInFlightBytes: simBytesInFlight, RetainedBytes: simRetainedBytes}, random: rand.New(rand.NewPCG(seed, 0)), disks: map[string]*journal.Contents{}, partitioned: map[string]bool{}, log: map[uint64]committedEntry{}, leaders: map[string]string{}}
 	for i := range size {
 		s.vms = append(s.vms, &simVM{address: fmt.Sprintf("vm-%d", i+1)})
 		s.loseDisk(s.vms[i])
@@ -336,7 +343,8 @@
 func (s *sim) propose(v *simVM) {
 	s.nextID++
 	if v.running() {
-		s.step(v, replica.Propose{ID: s.nextID, Data: fmt.Appendf(nil, "command-%d", s.nextID)})
+		padding := strings.Repeat("x", int(s.nextID%5)*15)
+		s.step(v, replica.Propose{ID: s.nextID, Data: fmt.Appendf(nil, "command-%d%s", s.nextID, padding)})
 	}
 }
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -19,6 +19,8 @@
 	// voters that are caught up and responded within one election timeout. It is -1
 	// if this replica isn't the leader, because only the leader knows it.
 	FaultTolerance int
+	// LogBytes is the size of the log entries in memory.
+	LogBytes uint64
 	// StorageFailure describes why journal writes fail, or is "" while they succeed.
 	StorageFailure string
 }
@@ -45,6 +47,7 @@
 		LeaderAddress:  m.find(c.leader).GetAddress(),
 		Commit:         c.commit,
 		FaultTolerance: c.faultTolerance(),
+		LogBytes:       c.log.bytes(c.log.offset, c.log.last()),
 	}
 	for _, member := range m.members {
 		status := MemberStatus{Member: member}
--- a/internal/replica/transfer.go
+++ b/internal/replica/transfer.go
@@ -133,7 +133,7 @@
 // the entries that follow; without them, a leader under load would send it one
 // snapshot after another.
 func (c *Core) compactionIndex(snapshot uint64) uint64 {
-	index := snapshot - min(snapshot, c.o.RetainedEntries)
+	index := max(snapshot-min(snapshot, c.o.RetainedEntries), c.log.indexBefore(snapshot, c.o.RetainedBytes))
 	for _, p := range c.peers {
 		switch {
 		case p.transfer != nil:
@@ -142,7 +142,7 @@
 			index = min(index, p.match)
 		}
 	}
-	return max(index, snapshot-min(snapshot, c.o.MaxRetainedEntries))
+	return max(index, snapshot-min(snapshot, c.o.MaxRetainedEntries), c.log.indexBefore(snapshot, c.o.MaxRetainedBytes))
 }
 
 // incomingTransfer is a partially received snapshot. It isn't durable: after a
