--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -249,7 +249,7 @@
 func (c *Catalog) addCustomer(in CustomerInput) error {
 	customer := &Customer{in: in}
 	for _, key := range in.Keys {
-		if other, ok := c.customersByKey[key]; ok && other.in.Name != in.Name {
+		if other, ok := c.customersByKey[key]; ok && other != customer {
 			return NewInvalidError("customer "+in.Name, "shares a key with customer %s", other.in.Name)
 		}
 		c.customersByKey[key] = customer
