gateway: Obey the limit on headers of the config in force

A config that raised maxHeaderBytes had no effect: longer headers got 431 from every gateway, whatever the version; one that lowered it had none either.

Cause: the listener's limit of 16 KiB was fixed, and the catalog's limit wasn't read.

Change: the listener for callers takes heads of up to 64 KiB, and the gateway checks the limit of the catalog that decides on the request. The same catalog decides on route, key and body too, where a newer one could come between.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,8 +17,13 @@
 	"github.com/cardamomline/cardamomline/internal/eventstream"
 )
 
-// defaultBodyBytes bounds a body when the catalog sets no limit.
-const defaultBodyBytes = 4 << 20
+const (
+	// defaultBodyBytes and defaultHeaderBytes limit a request when the catalog sets no limit.
+	defaultBodyBytes   = 4 << 20
+	defaultHeaderBytes = 16 << 10
+	// MaxHeaderBytes limits the head of a request whatever the catalog says.
+	MaxHeaderBytes = 64 << 10
+)
 
 const (
 	// ordinaryCustomer is the rank of a customer that has none of its own.
@@ -48,14 +53,15 @@
 	// timeoutFirst says that the route's timeout ends the request.
 	timeoutFirst bool
 
-	home     string      // failure domain of the target that the request will go to
-	released atomic.Bool // the collector may have released the results of the stages early
-	regained bool        // the results of the stages were made again for a target
-	ran      int         // targets on which the request may have run
-	tried    []string    // targets that were chosen
-	status   int         // of the answer; 0 when the connection was closed without one
-	started  bool        // the answer's header has been sent
-	eventAt  time.Time   // when the last event of a stream was passed on
+	catalog  *catalog.Catalog // that decides on the request
+	home     string           // failure domain of the target that the request will go to
+	released atomic.Bool      // the collector may have released the results of the stages early
+	regained bool             // the results of the stages were made again for a target
+	ran      int              // targets on which the request may have run
+	tried    []string         // targets that were chosen
+	status   int              // of the answer; 0 when the connection was closed without one
+	started  bool             // the answer's header has been sent
+	eventAt  time.Time        // when the last event of a stream was passed on
 	// firstEventAt is when the first one was passed on, and survived says that the engine has
 	// not crashed shortly afterwards.
 	firstEventAt time.Time
@@ -113,6 +119,10 @@
 		x.refuse("no_catalog", x.g.catalogRetry())
 		return false
 	}
+	x.catalog = c
+	if !x.checkHeader() {
+		return false
+	}
 	route, ok := c.Route(hostName(x.in.Host), x.in.URL.Path)
 	if !ok {
 		x.missing(http.StatusNotFound, "no_route")
@@ -133,6 +143,25 @@
 	return true
 }
 
+// checkHeader rejects a request whose head exceeds the catalog's limit.
+func (x *exchange) checkHeader() bool {
+	limit := x.catalog.Limits().HeaderBytes
+	if limit <= 0 {
+		limit = defaultHeaderBytes
+	}
+	size := len(x.in.Method) + len(x.in.RequestURI) + len(x.in.Host)
+	for name, values := range x.in.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > limit {
+		x.reject(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", nil)
+		return false
+	}
+	return true
+}
+
 // rank returns the place of a request among others, 0 being the most urgent: the
 // customer's rank goes first, and the route's decides among customers of one rank.
 func rank(customer *catalog.Customer, route *catalog.Route) int {
@@ -155,7 +184,7 @@
 
 // authorize finds the customer that holds the caller's key.
 func (x *exchange) authorize() bool {
-	c := x.g.catalog.Load()
+	c := x.catalog
 	customer, ok := c.Customer(x.r.Key)
 	if ok {
 		x.customer = customer.Name()
@@ -181,7 +210,7 @@
 
 // readBody reads the whole body, which may have to be sent twice.
 func (x *exchange) readBody() bool {
-	limit := x.g.catalog.Load().Limits().BodyBytes
+	limit := x.catalog.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -22,7 +22,9 @@
 )
 
 const (
-	maxHeaderBytes    = 16 << 10
+	// defaultMaxHeaderBytes limits the head of a request.
+	defaultMaxHeaderBytes = 16 << 10
+
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 
@@ -40,6 +42,8 @@
 	Listener net.Listener
 	// MaxConns limits the open connections; defaults to 8192.
 	MaxConns int
+	// MaxHeaderBytes limits the head of a request; defaults to 16 KiB.
+	MaxHeaderBytes int
 	// MaxBodyBytes limits the body of a request; 0 leaves that to the handler.
 	MaxBodyBytes int64
 }
@@ -59,12 +63,15 @@
 	if o.MaxConns == 0 {
 		o.MaxConns = defaultMaxConns
 	}
+	if o.MaxHeaderBytes == 0 {
+		o.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
 	if o.MaxBodyBytes > 0 {
 		o.Handler = http.MaxBytesHandler(o.Handler, o.MaxBodyBytes)
 	}
 	return &Server{options: o, listener: o.Listener, done: make(chan struct{}), http: &http.Server{
 		Handler:           o.Handler,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    o.MaxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState:         setState,
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -92,7 +92,7 @@
 	k.Register(StagesComponent, stages)
 	k.Register(GatewayComponent, g)
 	k.Register(ReadinessComponent, listener.New(listener.Options{Address: o.Readiness, Handler: o.ReadinessHandler(g.Ready)}))
-	k.Register(CallerServerComponent, listener.New(listener.Options{Address: o.Callers, Handler: g, MaxConns: maxCallerConns}))
+	k.Register(CallerServerComponent, listener.New(listener.Options{Address: o.Callers, Handler: g, MaxConns: maxCallerConns, MaxHeaderBytes: gateway.MaxHeaderBytes}))
 	k.Register(DrainComponent, &drainComponent{timers: t, gateway: g, done: make(chan struct{})})
 	return k
 }
