--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -195,13 +195,14 @@
 		_ = cn.net.Close()
 		return nil, &Error{address: c.Address, step: "write", sent: true, cause: firstError(ctx.Err(), err)}
 	}
+	reused := cn.used
 	resp, err := cn.read(c)
 	if err != nil {
 		stop()
 		_ = cn.net.Close()
 		return nil, &Error{address: c.Address, step: "read", sent: true, cause: firstError(ctx.Err(), err)}
 	}
-	return &Response{Response: resp, pool: p, conn: cn, address: c.Address, stop: stop}, nil
+	return &Response{Response: resp, pool: p, conn: cn, reused: reused, address: c.Address, stop: stop}, nil
 }
 
 func firstError(errs ...error) error {
@@ -375,6 +376,7 @@
 	*http.Response
 	pool     *Pool
 	conn     *conn
+	reused   bool
 	address  string
 	stop     func() bool
 	complete bool
@@ -392,6 +394,10 @@
 // BodyComplete reports whether the complete body has been read.
 func (r *Response) BodyComplete() bool { return r.complete }
 
+// Reused reports whether the connection had carried another call before, so that the response may
+// be a late copy of an earlier one.
+func (r *Response) Reused() bool { return r.reused }
+
 // EndsWithConnection reports whether the end of the connection ends the body, so that a
 // body that is cut off can't be told from a complete one.
 func (r *Response) EndsWithConnection() bool {
