gateway: Pass the target of a request line on unchanged

Cause: the target was passed on as the opaque part of a URL, before which net/url writes the scheme if it begins with two slashes.

Change: upstream.Call has a request target that replaces the one in the message written by net/http.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -244,12 +244,12 @@
 func (x *exchange) call(choice routing.Choice, handles []string) upstream.Call {
 	left := x.deadline.Sub(x.g.o.Timers.Now())
 	r := &http.Request{
-		Method: x.in.Method, Host: x.in.Host, URL: &url.URL{Scheme: "http", Host: choice.Address, Opaque: x.in.RequestURI},
+		Method: x.in.Method, Host: x.in.Host, URL: &url.URL{Scheme: "http", Host: choice.Address},
 		Header: x.g.o.Codec.EncodeRequestHeader(x.in.Header, OutboundMetadata{
 			Target: choice.Target, Customer: x.customer, RemainingTime: left, Inputs: handles, ResumeAfter: x.resumeAfter(),
 		}),
 	}
-	c := upstream.Call{Address: choice.Address, Request: r, Body: x.body, Match: x.matchResponse}
+	c := upstream.Call{Address: choice.Address, Request: r, RequestTarget: x.in.RequestURI, Body: x.body, Match: x.matchResponse}
 	// A late copy of the target's earlier response has the same id.
 	c.NewConnection = x.regained
 	if !x.route.Retryable() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -113,7 +114,10 @@
 	Address string
 	// Request has the method, URL, host and header; the body is Body.
 	Request *http.Request
-	Body    []byte
+	// RequestTarget is sent as the target of the request line in the place of the URL's path and
+	// query, because net/url changes some targets. It has no white space or control characters.
+	RequestTarget string
+	Body          []byte
 	// Match reports whether a response belongs to the request; nil accepts any.
 	Match func(*http.Response) Match
 	// MaxIdle is the maximum idle time of a reused connection; 0 means no limit.
@@ -330,10 +334,30 @@
 	if err := r.Write(&b); err != nil {
 		return err
 	}
-	_, err := c.net.Write(b.Bytes())
+	message := b.Bytes()
+	if call.RequestTarget != "" {
+		var err error
+		if message, err = withTarget(message, call.RequestTarget); err != nil {
+			return err
+		}
+	}
+	_, err := c.net.Write(message)
 	return err
 }
 
+// withTarget replaces the target in the request line of a message.
+func withTarget(message []byte, target string) ([]byte, error) {
+	method, rest, ok := bytes.Cut(message, []byte(" "))
+	if !ok {
+		return nil, errors.New("the message has no request line")
+	}
+	_, rest, ok = bytes.Cut(rest, []byte(" "))
+	if !ok {
+		return nil, errors.New("the request line has no version")
+	}
+	return slices.Concat(method, []byte(" "+target+" "), rest), nil
+}
+
 // read returns the response to the request and skips responses to other requests.
 func (c *conn) read(call Call) (*http.Response, error) {
 	reused := c.used
