upstream: Close expired connections to targets that are gone

Cause: the pool closed an expired idle connection only when its target was called again.

Evidence: the new test waited for ever on the code before.

Change: a call to any target closes all expired connections, at most once a second.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -57,6 +57,8 @@
 	// idleTimeoutMargin is subtracted from the idle timeout that the target states,
 	// to allow for the transit time of the request.
 	idleTimeoutMargin = 700 * time.Millisecond
+	// sweepInterval is the interval at which expired idle connections to all targets are closed.
+	sweepInterval = time.Second
 	// maxIdlePerTarget is the maximum number of idle connections to one target.
 	maxIdlePerTarget = 32
 	// maxMismatched is the maximum number of mismatched responses that are skipped
@@ -143,6 +145,8 @@
 	dial net.Dialer
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// sweptAt is when expired connections were last closed.
+	sweptAt time.Time
 }
 
 // conn is a connection to a target.
@@ -278,6 +282,7 @@
 func (p *Pool) put(address string, cn *conn, keep time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep()
 	if len(p.idle[address]) >= maxIdlePerTarget {
 		_ = cn.net.Close()
 		return
@@ -287,6 +292,30 @@
 	p.idle[address] = append(p.idle[address], cn)
 }
 
+// sweep closes the expired connections to all addresses: a target that is gone is never called
+// again, and its connections would stay open. p.mu is held.
+func (p *Pool) sweep() {
+	now := p.o.Timers.Now()
+	if now.Sub(p.sweptAt) < sweepInterval {
+		return
+	}
+	p.sweptAt = now
+	for address, list := range p.idle {
+		live := list[:0]
+		for _, cn := range list {
+			if now.Before(cn.expires) {
+				live = append(live, cn)
+				continue
+			}
+			_ = cn.net.Close()
+		}
+		clear(list[len(live):])
+		if p.idle[address] = live; len(live) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
 // CloseIdle closes the idle connections to an address, for a target that has been
 // removed or whose connections became unresponsive.
 func (p *Pool) CloseIdle(address string) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -163,3 +163,52 @@
 	require.False(t, errors.Is(err, io.EOF))
 	resp.Close()
 }
+
+// Guards against connections that stay open to targets that are gone, until the process has no
+// file descriptors left: a call to any target closes those that have expired.
+func TestExpiredConnectionsOfOtherTargetsAreClosed(t *testing.T) {
+	closed := make(chan struct{}, 3)
+	gone := serve(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				closed <- struct{}{}
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	other := serve(t, func(_ int, c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := NewPool(Options{Timers: timer.NewService()})
+	var open []*Response
+	for range cap(closed) {
+		r, err := p.Do(t.Context(), call(gone, "1"))
+		require.NoError(t, err)
+		open = append(open, r)
+	}
+	for _, r := range open {
+		_, err := io.Copy(io.Discard, r)
+		require.NoError(t, err)
+		r.Close()
+	}
+	p.mu.Lock()
+	require.Len(t, p.idle[gone], cap(closed))
+	for _, cn := range p.idle[gone] {
+		cn.expires = time.Now().Add(-time.Second)
+	}
+	p.sweptAt = time.Time{}
+	p.mu.Unlock()
+	r, err := p.Do(t.Context(), call(other, "1"))
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, r)
+	require.NoError(t, err)
+	r.Close()
+	for range cap(closed) {
+		<-closed
+	}
+	require.NotContains(t, p.idle, gone)
+}
