quarantine: Count crashes at once against their likely cause

Cause: crashes within 200 ms counted as one, whatever they had in common.

Evidence: TestCrashesAtOnce failed before in its first case.

Change: five or more crashes at once all count against a part if no answer with it has begun in the minute before and no engine without it crashed at that time.

--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -37,8 +37,8 @@
 	crashesOfKnown = 5
 	// knownTime is how long a part counts as known to be sound after an answer with it.
 	knownTime = time.Minute
-	// commonCauseTime is the time within which crashes of several engines count as one: a
-	// request crashes one engine at a time, while a rack or a network crashes several.
+	// commonCauseTime is the time within which crashes of several engines may have a common cause,
+	// such as a rack or a network, and mostly count as one.
 	commonCauseTime = 200 * time.Millisecond
 	// judgeDelay is the time from the first crash until a part is blocked. Answers that have
 	// begun at other gateways are known here by then.
@@ -195,7 +195,7 @@
 			q.known, q.older = map[string]time.Time{}, q.known
 		}
 		q.known[id] = now
-		if e := q.entries[id]; e != nil && len(e.counted(nil, now)) > 0 {
+		if e := q.entries[id]; e != nil && len(q.counted(e, nil, now)) > 0 {
 			q.clear(e, now)
 		}
 	}
@@ -300,7 +300,7 @@
 	if len(q.entries) < maxRecords {
 		return
 	}
-	maps.DeleteFunc(q.entries, func(_ string, e *entry) bool { return e.blockedAt.IsZero() && len(e.counted(nil, now)) == 0 })
+	maps.DeleteFunc(q.entries, func(_ string, e *entry) bool { return e.blockedAt.IsZero() && len(q.counted(e, nil, now)) == 0 })
 	if len(q.entries) < maxRecords {
 		return
 	}
@@ -322,18 +322,42 @@
 }
 
 // counted returns the crashes that are held against a part: those after the last answer that
-// began, without those that another part explains, and one for each common cause.
-func (e *entry) counted(explained map[string]bool, now time.Time) []Crash {
-	var list []Crash
+// began, without those that another part explains, and one for each common cause; q.mu is held.
+func (q *Register) counted(e *entry, explained map[string]bool, now time.Time) []Crash {
+	var list, group []Crash
 	for _, c := range e.crashes {
 		if !c.at.After(e.begunAt) || explained[c.engine] || now.Sub(c.at) >= retention {
 			continue
 		}
-		if len(list) == 0 || c.at.Sub(list[len(list)-1].at) >= commonCauseTime {
-			list = append(list, c)
+		if len(group) > 0 && c.at.Sub(group[0].at) >= commonCauseTime {
+			list = append(list, q.attributed(e, group)...)
+			group = nil
 		}
+		group = append(group, c)
 	}
-	return list
+	return append(list, q.attributed(e, group)...)
+}
+
+// attributed returns the crashes of a group within commonCauseTime that are held against a part:
+// all if the part is likely their cause, because there are many, no answer with it has begun lately,
+// and no other engine crashed at that time; else the first one. q.mu is held.
+func (q *Register) attributed(e *entry, group []Crash) []Crash {
+	if len(group) < crashesOfKnown || e.isKnown(group[0].at) || q.othersCrashed(group) {
+		return group[:min(len(group), 1)]
+	}
+	return group
+}
+
+// othersCrashed reports whether engines that aren't in a group crashed at its time; q.mu is held.
+func (q *Register) othersCrashed(group []Crash) bool {
+	for _, e := range q.entries {
+		for _, c := range e.crashes {
+			if c.at.Sub(group[0].at).Abs() < commonCauseTime && !slices.ContainsFunc(group, func(o Crash) bool { return o.engine == c.engine }) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // isKnown reports whether an answer with the part began shortly before a time.
@@ -364,7 +388,7 @@
 			if !e.blockedAt.IsZero() {
 				continue
 			}
-			c := e.counted(explained, now)
+			c := q.counted(e, explained, now)
 			if !e.suffices(c, now) {
 				if len(c) >= crashesToBlock && now.Sub(c[0].at) < judgeDelay {
 					q.judgeBy(c[0].at.Add(judgeDelay))
@@ -464,7 +488,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range ids {
-		if e := q.entries[id]; e != nil && (!e.blockedAt.IsZero() || len(e.counted(nil, now)) >= crashesToSuspect && !e.isKnown(e.newest())) {
+		if e := q.entries[id]; e != nil && (!e.blockedAt.IsZero() || len(q.counted(e, nil, now)) >= crashesToSuspect && !e.isKnown(e.newest())) {
 			return true
 		}
 	}
@@ -547,7 +571,7 @@
 	q.judge(now)
 	var list []Status
 	for _, e := range q.entries {
-		s := Status{record: e.Record, blocked: !e.blockedAt.IsZero(), counted: len(e.counted(nil, now))}
+		s := Status{record: e.Record, blocked: !e.blockedAt.IsZero(), counted: len(q.counted(e, nil, now))}
 		if s.counted == 0 && !s.blocked {
 			continue
 		}
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -348,3 +348,32 @@
 	require.Equal(t, http.StatusOK, status)
 	require.False(t, q.Check([]string{"p"}, now).Blocked())
 }
+
+// Guards against requests that come together and crash many engines at once, again and again, since
+// each time counts as one crash, and against a part that is blocked for a rack that fails.
+func TestCrashesAtOnce(t *testing.T) {
+	start := epochStart
+	const engines = 6
+	for _, c := range []struct {
+		name    string
+		prepare func(q *Register)
+		blocked bool
+	}{
+		{"on requests with the part", func(*Register) {}, true},
+		{"answers with the part had begun", func(q *Register) { q.RecordBegun([]string{"p"}, start.Add(-time.Second)) }, false},
+		{"engines without the part crashed as well", func(q *Register) {
+			q.RecordCrash("other", []Part{NewPart("other", 1)}, start.Add(50*time.Millisecond), start)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := NewRegister("gateway-1")
+			c.prepare(q)
+			for i := range engines {
+				at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+				q.RecordCrash(fmt.Sprint("engine-", i), []Part{NewPart("p", 1)}, at, at)
+			}
+			require.False(t, q.Check([]string{"p"}, start.Add(time.Second)).Blocked(), "answers that begin elsewhere may be on their way")
+			require.Equal(t, c.blocked, q.Check([]string{"p"}, start.Add(3*time.Second)).Blocked())
+		})
+	}
+}
