replica: Form the first cluster without a VM that is lost

Cause: the first VM of the list waited for all others before it formed the cluster.

The new option has no counterpart before; with it out of reach the test's leader never comes.

Change: FormWithout, 2 s at a first start that the settings name; a majority that is empty forms the cluster, and later VMs join. Not for the product's own control VMs, whose settings don't tell a first start: a VM that lost its disk could form a second cluster.

--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -30,6 +30,9 @@
 	// journalBytes is the log size at which a snapshot replaces the log. The log and two
 	// snapshots have to fit on a small disk of 128 MB.
 	journalBytes = 16 << 20
+	// firstStartTimeout is the time after which the first start of the entire system goes on without
+	// a control VM that doesn't respond. All of them start within a fraction of a second.
+	firstStartTimeout = 2 * time.Second
 	// openRetryInterval is the time between attempts to open the journal, which fails
 	// while the disk is full or stalls.
 	openRetryInterval = 300 * time.Millisecond
@@ -67,9 +70,13 @@
 	}
 	link := control.NewTransport(nil)
 	store := directory.NewStore()
+	formWithout := time.Duration(0)
+	if o.Bootstrap {
+		formWithout = firstStartTimeout
+	}
 	node, err := replica.NewNode(replica.NodeOptions{
 		Timer: t, Journal: j, Transport: link, HelloClient: link, StateMachine: store, Address: o.Internal, Peers: o.Seeds,
-		FailureDomain: o.FailureDomain, Seed: seed(o.Name), JoinOnly: !o.Bootstrap, SnapshotBytes: journalBytes,
+		FailureDomain: o.FailureDomain, Seed: seed(o.Name), JoinOnly: !o.Bootstrap, FormWithout: formWithout, SnapshotBytes: journalBytes,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/replica/discovery.go
+++ b/internal/replica/discovery.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -112,22 +114,27 @@
 }
 
 // discoverPeers sends Hello requests to the peers. The first configured peer forms the
-// cluster once all peers have responded that they are empty.
+// cluster once all peers have responded that they are empty, or a majority after FormWithout.
 func (n *Node) discoverPeers(s Status) {
 	peers := *n.peers.Load()
+	if n.discoveryAt.IsZero() {
+		n.discoveryAt = n.o.Timer.Now()
+	}
 	responses := n.sendHellos(s, peers)
 	if n.o.JoinOnly || !s.Empty || len(peers) == 0 || peers[0] != n.o.Address {
 		n.contactLeader(s, responses)
 		return
 	}
 	members := []*wire.Member{n.self()}
+	var silent []string
 	for _, p := range peers {
 		if p == n.o.Address {
 			continue
 		}
 		a := responses[p]
 		if a == nil {
-			return
+			silent = append(silent, p)
+			continue
 		}
 		if !a.Empty {
 			n.contactLeader(s, responses)
@@ -135,6 +142,12 @@
 		}
 		members = append(members, memberFromHello(p, a))
 	}
+	if len(silent) > 0 {
+		if n.o.FormWithout == 0 || n.o.Timer.Since(n.discoveryAt) < n.o.FormWithout || 2*len(members) <= len(peers) {
+			return
+		}
+		klog.InfoS("Cluster formed without silent peers", "members", len(members), "silent", silent)
+	}
 	n.events.put(Bootstrap{Cluster: n.o.NewID(), Members: members})
 }
 
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -94,6 +94,10 @@
 	// JoinOnly prevents the replica from forming a cluster, so that a replica that lost
 	// its disk waits for the others instead of forming a new cluster.
 	JoinOnly bool
+	// FormWithout is the time after which the first peer forms the cluster without peers that
+	// don't respond, if a majority does and is empty; 0 is never. It may be set only while it is
+	// certain that no cluster has been formed: the peers that don't respond could hold one.
+	FormWithout time.Duration
 	// Seed determines the election timeouts.
 	Seed uint64
 	// NewID generates a random id. The default is uuid.NewString.
@@ -148,7 +152,8 @@
 	loops           sync.WaitGroup
 	tasks           sync.WaitGroup
 	peers           atomic.Pointer[[]string]
-	senderAddresses sync.Map // member id to the sender address of its last message
+	discoveryAt     time.Time // of the first round of peer discovery; used by discoveryLoop only
+	senderAddresses sync.Map  // member id to the sender address of its last message
 	// encodingSnapshot is set while a goroutine of snapshotTasks encodes a snapshot.
 	encodingSnapshot atomic.Bool
 	snapshotTasks    sync.WaitGroup
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -106,6 +106,8 @@
 	seedPeers []string
 	// joinOnly prevents nodes from forming a cluster.
 	joinOnly bool
+	// formWithout is the time after which the cluster is formed without silent peers.
+	formWithout time.Duration
 }
 
 func newTestCluster(t testing.TB, size int, seed ...uint64) *testCluster {
@@ -135,7 +137,7 @@
 	l := &lineStore{}
 	n, err := replica.NewNode(replica.NodeOptions{
 		Timer: timer.NewService(), Journal: j, Transport: testTransport{c, address}, HelloClient: testTransport{c, address},
-		StateMachine: l, Address: address, Peers: c.configuredPeers(), JoinOnly: c.joinOnly, FailureDomain: "domain-" + address, Seed: c.seed, SnapshotEntries: c.snapshotEntries, SnapshotBytes: c.snapshotBytes, NewID: v.newID,
+		StateMachine: l, Address: address, Peers: c.configuredPeers(), JoinOnly: c.joinOnly, FormWithout: c.formWithout, FailureDomain: "domain-" + address, Seed: c.seed, SnapshotEntries: c.snapshotEntries, SnapshotBytes: c.snapshotBytes, NewID: v.newID,
 	})
 	require.NoError(c.t, err)
 	require.NoError(c.t, n.Start(c.t.Context()))
@@ -307,6 +309,42 @@
 	})
 }
 
+// Guards against a first start that never ends because one VM is lost: the others form the cluster,
+// and the lost VM joins when it comes later. A minority forms none.
+func TestClusterIsFormedWithoutALostPeer(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		for lost := range size {
+			t.Run(fmt.Sprint(size, " VMs without ", lost), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := &testCluster{t: t, seed: 1, saveDelay: time.Millisecond, snapshotEntries: 50, vms: map[string]*vm{}, isolated: map[string]bool{}, formWithout: 2 * time.Second}
+					c.mu.Lock()
+					for i := range lost {
+						c.isolated[fmt.Sprintf("vm-%d", size-i)] = true
+					}
+					c.mu.Unlock()
+					c.addVMs(size, func() afero.Fs { return afero.NewMemMapFs() })
+					time.Sleep(6 * time.Second)
+					if 2*lost >= size {
+						require.True(t, c.vms["vm-1"].node.Status().Empty, "a minority forms no cluster")
+						return
+					}
+					_, err := c.leader().node.Propose(t.Context(), []byte("line"))
+					require.NoError(t, err)
+					for i := range lost {
+						c.isolate(fmt.Sprintf("vm-%d", size-i), false)
+					}
+					time.Sleep(6 * time.Second)
+					for _, p := range c.peers {
+						require.Equal(t, []string{"line"}, c.vms[p].store.all())
+					}
+					require.Len(t, c.leader().node.Status().Members, size)
+					require.Equal(t, (size-1)/2, c.leader().node.Status().FaultTolerance)
+				})
+			})
+		}
+	}
+}
+
 // Guards against an acknowledgement after a failed sync, and against a replica that ends
 // with its disk instead of continuing once writes succeed again.
 func TestFailedSyncSuspendsNode(t *testing.T) {
