catalog: Decode the profile of cold targets

Cause: a service may name the seconds for which its targets are cold after their start and the requests a second that they take then; nothing read it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -99,6 +99,16 @@
 	MaxConns   int           // connections to one target, from all callers
 	Batch      *BatchProfile // set when the service runs stages
 	Engine     *EngineProfile
+	Cold       *ColdProfile // set when targets are cold after their start
+}
+
+// ColdProfile describes targets that take few requests until they are warm.
+type ColdProfile struct {
+	// Duration is how long a target is cold after its start.
+	Duration time.Duration
+	// RequestRate is the number of requests a second that a cold target takes from all
+	// gateways together.
+	RequestRate float64
 }
 
 // BatchProfile describes how a target of a service runs pieces of stages.
@@ -421,6 +431,10 @@
 // Engine returns the engine profile, or nil if the service's targets aren't engines.
 func (s *Service) Engine() *EngineProfile { return s.in.Engine }
 
+// Cold returns the profile of cold targets, or nil if the service's targets take any number of
+// requests from their start.
+func (s *Service) Cold() *ColdProfile { return s.in.Cold }
+
 // Customer is a validated customer.
 type Customer struct {
 	in CustomerInput
