evacuation: Evacuate failure domains by order of an operator

Operators order over the control VMs' public address that nothing more is sent to the targets of a failure domain, or revoke that. The orders are commands of the replicated log; gateways learn them by the watches and the collector from the store of its control VM.

--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -13,6 +13,7 @@
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/discovery"
+	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/metrics"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/stagelink"
@@ -62,6 +63,8 @@
 	Metrics      *metrics.Metrics
 	// Catalog returns the newest catalog, or nil.
 	Catalog func() *catalog.Catalog
+	// Evacuations holds the failure domains to whose targets nothing is sent; none if it is nil.
+	Evacuations *evacuation.Set
 }
 
 // Collector serves RunStage and FreeResults for all stage services.
@@ -93,6 +96,9 @@
 // NewCollector returns a Collector.
 func NewCollector(o Options) *Collector {
 	ctx, cancel := context.WithCancel(context.Background())
+	if o.Evacuations == nil {
+		o.Evacuations = evacuation.NewSet()
+	}
 	return &Collector{o: o, services: map[string]*serviceCollector{}, pendingReleases: map[Target]*pendingRelease{}, ctx: ctx, cancel: cancel, done: make(chan struct{})}
 }
 
@@ -335,6 +341,9 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
 	defer cancel()
+	if r.o.Evacuations.Contains(t.FailureDomain) {
+		return // the results expire at the end of their lifetime
+	}
 	notice, err := r.o.TargetClient.ReleaseResults(ctx, t, g.handles)
 	r.recordNotice(t, notice)
 	if err != nil {
@@ -396,8 +405,13 @@
 func (s *serviceCollector) refresh() {
 	now := s.collector.o.Timers.Now()
 	var ready, silent []Target
+	evacuated := false
 	for _, l := range s.collector.o.Table.Live(s.name, now) {
 		rec := l.Record()
+		if s.collector.o.Evacuations.Contains(rec.GetFailureDomain()) {
+			evacuated = true
+			continue
+		}
 		if l.Leaving() {
 			continue
 		}
@@ -414,6 +428,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduler.SetTargets(ready)
+	if evacuated && len(ready) == 0 {
+		s.scheduler.RefuseWaiting("targets_evacuated", now)
+	}
 	if c := s.collector.o.Catalog(); c != nil {
 		if service, ok := c.Service(s.name); ok && service.Batch() != nil {
 			s.scheduler.SetProfile(*service.Batch())
@@ -443,7 +460,7 @@
 	ticker := s.collector.o.Timers.Subscribe(targetRefreshInterval)
 	defer ticker.Stop()
 	for {
-		changed := s.collector.o.Table.Changed()
+		changed, evacuated := s.collector.o.Table.Changed(), s.collector.o.Evacuations.Changed()
 		s.refresh()
 		select {
 		case s.notify <- struct{}{}:
@@ -454,6 +471,7 @@
 		}
 		select {
 		case <-changed:
+		case <-evacuated:
 		case <-ticker.C():
 		case <-s.collector.ctx.Done():
 			return
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -185,6 +185,13 @@
 	}
 }
 
+// RefuseWaiting refuses the jobs with pieces in no call. Running calls go on.
+func (s *Scheduler) RefuseWaiting(reason string, now time.Time) {
+	for _, j := range slices.Clone(s.jobs) {
+		s.finish(j, Outcome{Kind: Refused, Reason: reason, Waited: now.Sub(j.queuedAt), RetryAfter: minRetryAfter})
+	}
+}
+
 // Add queues a job. onFinish is called once with its outcome, from Add, Next or
 // Finish. A job that can't be done by its deadline is rejected at once.
 func (s *Scheduler) Add(j *Job, end func(Outcome), now time.Time) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,10 +1,10 @@
 // Package directory implements the role of a control VM for gateways: it receives the
-// announcements of targets, stores the replicated catalog of routes, and distributes both
-// to watchers.
+// announcements of targets, stores the replicated catalog of routes and the evacuated failure
+// domains, and distributes all of them to watchers.
 //
-// Targets are soft state that processes exchange. The catalog is committed by a majority of
-// the control VMs before it is acknowledged, and each read of it is confirmed by a majority
-// after the read started, so that no clock is involved.
+// Targets are soft state that processes exchange. The catalog and the orders on failure domains are
+// committed by a majority of the control VMs before they are acknowledged, and each read of the
+// catalog is confirmed by a majority after the read started, so that no clock is involved.
 //
 // # Usage
 //
@@ -12,6 +12,7 @@
 //	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
 //	err := d.StoreCatalog(ctx, version, document)
 //	version, document, err := d.ReadCatalog(ctx)
+//	err := d.Evacuate(ctx, "milford", true)
 package directory
 
 import (
@@ -107,12 +108,17 @@
 	Limits *pacing.Register
 }
 
-// confirmation is the newest version confirmed by a quorum.
+// confirmation holds the newest versions confirmed by a quorum.
 type confirmation struct {
-	version     uint64
+	versions
 	requestedAt time.Duration // boot clock, before the quorum was asked
 }
 
+// isRecent reports whether the confirmation may be passed on.
+func (c *confirmation) isRecent() bool {
+	return timer.SinceBoot()-c.requestedAt <= maxConfirmationAge
+}
+
 // watcher is the state of a watching process.
 type watcher struct {
 	since     uint64
@@ -131,11 +137,13 @@
 type Directory struct {
 	o             Options
 	confirmed     atomic.Pointer[confirmation]
+	knownRevision atomic.Uint64 // highest revision of the evacuations that the leader has named
 	mu            sync.Mutex
+	domains       []string // failure domains that the settings name
 	watchers      map[string]watcher
 	members       memberCache
 	watchReceived chan struct{} // closed at the next watch
-	confirmations chan struct{} // closed when the stored version becomes confirmed
+	confirmations chan struct{} // closed when the stored versions become confirmed
 	inactiveSince map[string]time.Time
 	// lastLeader is the leader's address at the last member check.
 	lastLeader string
@@ -171,7 +179,7 @@
 	if failure := d.o.Node.Status().StorageFailure; failure != "" {
 		return false, failure
 	}
-	if version, _ := d.o.Store.Newest(); !d.isConfirmed(version) {
+	if !d.isConfirmed(d.o.Store.versions()) {
 		return false, "no quorum has confirmed the catalog"
 	}
 	return true, ""
@@ -367,29 +375,30 @@
 		if err := d.o.Node.Barrier(ctx); err != nil {
 			return nil, err
 		}
-		stored, document = d.o.Store.Newest()
-		return &wire.ReadCatalogResponse{Version: stored, Document: document}, nil
+		c := d.o.Store.contents()
+		return &wire.ReadCatalogResponse{Version: c.catalog, Document: c.document, EvacuationRevision: c.evacuations}, nil
 	}
 	r, err := client.ReadCatalog(ctx, &wire.ReadCatalogRequest{KnownVersion: stored})
 	if err != nil {
 		return nil, err
 	}
+	d.learnRevision(r.GetEvacuationRevision())
 	if r.GetVersion() == stored {
 		r.Document = document
 	}
 	return r, nil
 }
 
-// confirm requests the newest version, confirmed by a quorum.
+// confirm requests the newest versions, confirmed by a quorum.
 func (d *Directory) confirm(ctx context.Context) {
 	startedAt := timer.SinceBoot()
 	r, err := d.readAtLeader(ctx)
 	if err != nil {
 		return // Watch reports the missing confirmation by the age of the last one.
 	}
-	stored, _ := d.o.Store.Newest()
+	stored := d.o.Store.versions()
 	before := d.isConfirmed(stored)
-	d.confirmed.Store(&confirmation{version: r.GetVersion(), requestedAt: startedAt})
+	d.confirmed.Store(&confirmation{versions: versions{catalog: r.GetVersion(), evacuations: r.GetEvacuationRevision()}, requestedAt: startedAt})
 	if !before && d.isConfirmed(stored) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -398,7 +407,7 @@
 	}
 }
 
-// nextConfirmation returns a channel that is closed when the stored version becomes
+// nextConfirmation returns a channel that is closed when the stored versions become
 // confirmed.
 func (d *Directory) nextConfirmation() <-chan struct{} {
 	d.mu.Lock()
@@ -406,11 +415,11 @@
 	return d.confirmations
 }
 
-// isConfirmed reports whether a recent confirmation shows the stored version as the newest
-// one.
-func (d *Directory) isConfirmed(stored uint64) bool {
+// isConfirmed reports whether a recent confirmation shows the stored versions as the newest
+// ones.
+func (d *Directory) isConfirmed(stored versions) bool {
 	last := d.confirmed.Load()
-	return last != nil && stored >= last.version && timer.SinceBoot()-last.requestedAt <= maxConfirmationAge
+	return last != nil && stored.atLeast(last.versions) && last.isRecent()
 }
 
 // maintainMembers removes inactive members that aren't needed: voters that were replaced by
@@ -470,9 +479,9 @@
 	var collected <-chan time.Time // set once there are changes to send
 	for {
 		partsChanged, limitsChanged := s.d.o.Quarantine.Changed(), s.d.o.Limits.Changed()
-		tableChanged, leaving, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
+		tableChanged, leaving, storeChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
 		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince()); {
-		case w.GetFull() || s.d.hasCatalogFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
+		case w.GetFull() || s.d.hasCatalogFor(r) || s.d.hasEvacuationsFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
 			return s.d.response(r), nil
 		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r) || s.d.hasLimitsFor(r)) && collected == nil:
 			collected = s.d.o.Timers.After(changeDelay)
@@ -485,7 +494,7 @@
 		case <-leaving:
 		case <-partsChanged:
 		case <-limitsChanged:
-		case <-catalogChanged:
+		case <-storeChanged:
 		case <-collected:
 			return s.d.response(r), nil
 		case <-confirmed:
@@ -610,12 +619,12 @@
 	w.Parts, w.PartsVersion = discovery.EncodeParts(records, d.o.Timers.Now()), partsVersion
 	statements, limitsVersion := d.o.Limits.ChangesSince(d.limitsSince(r))
 	w.Limits, w.LimitsVersion = discovery.EncodeLimits(statements, d.o.Timers.Now()), limitsVersion
-	version, document := d.o.Store.Newest()
-	w.CatalogVersion = version
+	stored := d.o.Store.contents()
+	w.CatalogVersion, w.EvacuationRevision = stored.catalog, stored.evacuations
 	if d.o.CollectorUptime != nil {
 		w.CollectingMs = uint32(d.o.CollectorUptime().Milliseconds())
 	}
-	w.Confirmed = d.isConfirmed(version)
+	w.Confirmed = d.isConfirmed(stored.versions)
 	if w.Confirmed {
 		m := d.gateways()
 		w.Gateways, w.GatewaysDigest = uint32(len(m.ids)), m.digest
@@ -623,8 +632,11 @@
 			w.GatewayIds = m.ids
 		}
 	}
-	if version > r.GetCatalogVersion() {
-		w.Catalog = document
+	if stored.catalog > r.GetCatalogVersion() {
+		w.Catalog = stored.document
+	}
+	if stored.evacuations > r.GetEvacuationRevision() {
+		w.EvacuatedDomains = stored.domains
 	}
 	return w
 }
@@ -643,10 +655,10 @@
 	if err := s.d.o.Node.Barrier(ctx); err != nil {
 		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()), err)
 	}
-	version, document := s.d.o.Store.Newest()
-	resp := &wire.ReadCatalogResponse{Version: version}
-	if version > r.GetKnownVersion() {
-		resp.Document = document
+	stored := s.d.o.Store.contents()
+	resp := &wire.ReadCatalogResponse{Version: stored.catalog, EvacuationRevision: stored.evacuations}
+	if stored.catalog > r.GetKnownVersion() {
+		resp.Document = stored.document
 	}
 	return resp, nil
 }
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -5,26 +5,51 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
-// Store is the replicated catalog: the committed document with the highest version. It
-// implements replica.StateMachine.
-type Store struct {
-	mu       sync.Mutex
-	version  uint64
+// versions are those of all that a Store holds.
+type versions struct {
+	catalog     uint64
+	evacuations uint64
+}
+
+// atLeast reports whether nothing is older than in other.
+func (v versions) atLeast(other versions) bool {
+	return v.catalog >= other.catalog && v.evacuations >= other.evacuations
+}
+
+// contents is all that a Store holds at one moment. The document must not be modified.
+type contents struct {
+	versions
 	document []byte
-	changed  chan struct{}
+	domains  []string // evacuated, sorted
+}
+
+// Store is the replicated catalog, the committed document with the highest version, and the
+// evacuated failure domains. It implements replica.StateMachine.
+type Store struct {
+	mu            sync.Mutex
+	version       uint64
+	document      []byte
+	evacuations   *evacuation.State
+	onEvacuations func(revision uint64, domains []string)
+	changed       chan struct{}
 }
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{changed: make(chan struct{})}
+	return &Store{evacuations: evacuation.NewState(), onEvacuations: func(uint64, []string) {}, changed: make(chan struct{})}
 }
 
-// Apply implements replica.StateMachine. It returns the version stored after the command. A
-// version that isn't higher changes nothing, so that neither an older change nor different
-// content under the same version ever becomes active.
+// OnEvacuations sets the function that is called with each new revision of the evacuations. It
+// must not call the Store, and is set before the first Apply or Restore.
+func (s *Store) OnEvacuations(f func(revision uint64, domains []string)) { s.onEvacuations = f }
+
+// Apply implements replica.StateMachine. It returns the version stored after the command, or the
+// evacuation.Result of an order. A version that isn't higher changes nothing, so that neither an
+// older change nor different content under the same version ever becomes active.
 func (s *Store) Apply(_ uint64, data []byte) any {
 	cmd := &wire.StoreCatalogCommand{}
 	if err := proto.Unmarshal(data, cmd); err != nil {
@@ -32,18 +57,32 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if o := cmd.GetEvacuation(); o != nil {
+		r := s.evacuations.Apply(evacuation.NewOrder(o.GetDomain(), o.GetEvacuated(), o.GetKnownRevision()))
+		if !r.Overtaken {
+			s.onEvacuations(s.evacuations.Revision(), s.evacuations.Domains())
+			s.notify()
+		}
+		return r
+	}
 	if cmd.GetVersion() > s.version {
-		s.set(cmd.GetVersion(), cmd.GetDocument())
+		s.version, s.document = cmd.GetVersion(), cmd.GetDocument()
+		s.notify()
 	}
 	return s.version
 }
 
 // BeginSnapshot implements replica.StateMachine.
 func (s *Store) BeginSnapshot() (encode func() ([]byte, error)) {
-	version, document := s.Newest()
-	return func() ([]byte, error) {
-		return proto.Marshal(&wire.CatalogSnapshot{Version: version, Document: document})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot := &wire.CatalogSnapshot{
+		Version: s.version, Document: s.document, EvacuationRevision: s.evacuations.Revision(), EvacuationFloor: s.evacuations.Floor(),
+	}
+	for _, r := range s.evacuations.Records() {
+		snapshot.Evacuations = append(snapshot.Evacuations, &wire.EvacuationRecord{Domain: r.Domain, Evacuated: r.Evacuated, Revision: r.Revision})
 	}
+	return func() ([]byte, error) { return proto.Marshal(snapshot) }
 }
 
 // Restore implements replica.StateMachine.
@@ -52,14 +91,21 @@
 	if err := proto.Unmarshal(data, snapshot); err != nil {
 		return err
 	}
+	records := make([]evacuation.Record, 0, len(snapshot.GetEvacuations()))
+	for _, r := range snapshot.GetEvacuations() {
+		records = append(records, evacuation.Record{Domain: r.GetDomain(), Evacuated: r.GetEvacuated(), Revision: r.GetRevision()})
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set(snapshot.GetVersion(), snapshot.GetDocument())
+	s.version, s.document = snapshot.GetVersion(), snapshot.GetDocument()
+	s.evacuations = evacuation.RestoreState(snapshot.GetEvacuationRevision(), snapshot.GetEvacuationFloor(), records)
+	s.onEvacuations(s.evacuations.Revision(), s.evacuations.Domains())
+	s.notify()
 	return nil
 }
 
-func (s *Store) set(version uint64, document []byte) {
-	s.version, s.document = version, document
+// notify closes the channel of Changed; s.mu is held.
+func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -72,7 +118,32 @@
 	return s.version, s.document
 }
 
-// Changed returns a channel that is closed when the next version is applied.
+// hasOrder reports whether an order on a failure domain is stored.
+func (s *Store) hasOrder(domain string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations.HasOrder(domain)
+}
+
+// contents returns all that the Store holds, of one moment.
+func (s *Store) contents() contents {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return contents{versions: s.versionsLocked(), document: s.document, domains: s.evacuations.Domains()}
+}
+
+// versions returns the versions of all that the Store holds, of one moment.
+func (s *Store) versions() versions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versionsLocked()
+}
+
+func (s *Store) versionsLocked() versions {
+	return versions{catalog: s.version, evacuations: s.evacuations.Revision()}
+}
+
+// Changed returns a channel that is closed when the next version or evacuation is applied.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -205,6 +205,7 @@
 func endOf(r *wire.RegisteredTarget) *wire.RegisteredTarget {
 	return &wire.RegisteredTarget{
 		Id: r.GetId(), Service: r.GetService(), Address: r.GetAddress(), BornMs: r.GetBornMs(), Sequence: r.GetSequence(), State: wire.TargetState_TARGET_STATE_GONE,
+		FailureDomain: r.GetFailureDomain(),
 	}
 }
 
@@ -402,6 +403,19 @@
 	return t.entries[id] != nil
 }
 
+// HasFailureDomain reports whether there is a record of a target in a failure domain, which may be
+// gone.
+func (t *Table) HasFailureDomain(domain string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if e.record.GetFailureDomain() == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire removes targets whose last announcement, or whose end, was reported longer ago
 // than goneRetention.
 func (t *Table) Expire(now time.Time) {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -50,6 +52,9 @@
 	Quarantine *quarantine.Register
 	// Limits holds the limits that targets name. It is nil on a control VM.
 	Limits *pacing.Register
+	// Evacuations holds the evacuated failure domains, which OnResponse adopts. It is nil on a
+	// control VM.
+	Evacuations *evacuation.Set
 	// OnResponse is called with each response and the time at which its watch started.
 	OnResponse func(address string, resp *wire.WatchResponse, startedAt time.Time)
 }
@@ -200,6 +205,9 @@
 		startedAt := w.o.Timers.Now()
 		parts.request(r, w.o.Quarantine, startedAt)
 		limits.request(r, w.o.Limits, startedAt)
+		if w.o.Evacuations != nil {
+			r.EvacuationRevision = proto.Uint64(w.o.Evacuations.Revision())
+		}
 		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -56,7 +56,7 @@
 		parts = map[quarantine.Part]bool{}
 		d.pending[engine] = parts
 		at := d.g.o.Timers.Now()
-		d.g.wg.Go(func() { d.check(engine, c.Address, at) })
+		d.g.wg.Go(func() { d.check(engine, c, at) })
 	}
 	// The last part belongs to the request alone.
 	for i, p := range prompt[:len(prompt)-1] {
@@ -75,19 +75,20 @@
 		errors.Is(cause, syscall.ECONNRESET) || errors.Is(cause, syscall.EPIPE)
 }
 
-// check records a crash if nothing listens at the engine's address any more.
-func (d *crashDetector) check(engine, address string, at time.Time) {
+// check records a crash if nothing listens at the engine's address any more. Engines in evacuated
+// domains aren't asked.
+func (d *crashDetector) check(engine string, c routing.Choice, at time.Time) {
 	err := d.g.o.Timers.Sleep(d.g.ctx, crashCollectTime)
 	d.mu.Lock()
 	parts := d.pending[engine]
 	delete(d.pending, engine)
 	d.mu.Unlock()
-	if err != nil {
-		return // the gateway stops
+	if err != nil || d.g.o.Evacuations.Contains(c.FailureDomain) {
+		return // the gateway stops, or nothing may be sent there
 	}
 	ctx, cancel := context.WithTimeout(d.g.ctx, crashCheckTimeout)
 	defer cancel()
-	if err := d.g.o.Upstream.Probe(ctx, address); !errors.Is(err, syscall.ECONNREFUSED) {
+	if err := d.g.o.Upstream.Probe(ctx, c.Address); !errors.Is(err, syscall.ECONNREFUSED) {
 		klog.V(1).InfoS("Engine lost a connection", "engine", engine, "parts", len(parts), "check", err)
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/cardamomline/cardamomline/internal/budget"
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/discovery"
+	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/metrics"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
@@ -80,6 +82,9 @@
 	Quarantine *quarantine.Register
 	// Limits holds the limits that targets name.
 	Limits *pacing.Register
+	// Evacuations holds the failure domains to whose targets nothing is sent. Without one, the
+	// gateway has its own.
+	Evacuations *evacuation.Set
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -109,6 +114,7 @@
 	paces     map[incarnationKey]*pacing.Pace
 	gates     map[string]*pacing.Gate       // by service
 	weights   map[string]map[string]float64 // by route and failure domain
+	evacuated map[string]bool               // services whose targets are all in evacuated domains
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
 	release   earlyRelease
@@ -130,6 +136,9 @@
 // New returns a Gateway.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
+	if o.Evacuations == nil {
+		o.Evacuations = evacuation.NewSet()
+	}
 	g := &Gateway{
 		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
@@ -211,11 +220,14 @@
 // higher than the one in force changes nothing, so that a gateway never goes back. The first
 // catalog has to be confirmed, because a gateway that restarts doesn't know what was in force
 // before: a control VM that is cut off or behind may still have keys that were withdrawn.
-// After startupTime an unconfirmed one is better than none.
+// After startupTime an unconfirmed one is better than none. The evacuations of a response are
+// adopted before its catalog, so that the first catalog never sends anything to a domain that was
+// evacuated while this gateway was down.
 func (g *Gateway) OnWatchResponse(address string, w *wire.WatchResponse, began time.Time) {
 	if n := int(w.GetGateways()); g.o.Retries.SetMembers(n, g.o.Timers.Now()) {
 		klog.InfoS("Gateways share the retry budget", "gateways", n, "from", address)
 	}
+	g.adoptEvacuations(w)
 	if len(w.GetCatalog()) > 0 && w.GetCatalogVersion() > g.KnownVersion() {
 		g.receive(address, w)
 	}
@@ -347,6 +359,7 @@
 		p.Sync(g.targets(name, now), now)
 	}
 	g.weights = g.weigh(c, now)
+	g.evacuated = g.evacuatedServices(c, now)
 }
 
 // weigh returns for each route with stages how the targets that run them are spread
@@ -373,10 +386,10 @@
 	return weights
 }
 
-// spread returns the share of a service's targets in each failure domain.
+// spread returns the share of a service's targets in each failure domain that isn't evacuated.
 func (g *Gateway) spread(service string, now time.Time) map[string]float64 {
 	share := map[string]float64{}
-	targets := g.targets(service, now)
+	targets := slices.DeleteFunc(g.targets(service, now), func(t routing.Target) bool { return t.Evacuated })
 	for _, t := range targets {
 		share[t.FailureDomain] += 1 / float64(len(targets))
 	}
@@ -417,7 +430,7 @@
 		list = append(list, routing.Target{
 			Name: r.GetId(), Address: r.GetAddress(), Incarnation: incarnation(r), FailureDomain: r.GetFailureDomain(),
 			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent, Paused: l.PausedUntil().After(now),
-			Pacer: g.pace(r),
+			Evacuated: g.o.Evacuations.Contains(r.GetFailureDomain()), Pacer: g.pace(r),
 		})
 	}
 	return list
@@ -494,14 +507,17 @@
 
 // targetRetry returns the time after which a caller may come back that was refused because no
 // target of a service takes its request: when the first one takes requests again, if all of
-// them have asked for a pause or are at their limit.
+// them have asked for a pause or are at their limit. Targets in evacuated domains don't count.
 func (g *Gateway) targetRetry(service string) time.Duration {
 	now := g.o.Timers.Now()
 	first := time.Duration(0)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.evacuated[service] {
+		return evacuatedRetry
+	}
 	for _, l := range g.o.Table.Live(service, now) {
-		if l.Leaving() || l.Silent() {
+		if l.Leaving() || l.Silent() || g.o.Evacuations.Contains(l.Record().GetFailureDomain()) {
 			continue
 		}
 		left := max(l.PausedUntil().Sub(now), g.pace(l.Record()).Wait(now))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -234,7 +234,7 @@
 
 // run serves a request that may be served.
 func (x *exchange) run(ctx context.Context) {
-	if x.refuseLimited() {
+	if x.refuseEvacuated() || x.refuseLimited() {
 		return
 	}
 	inputs, ok := x.runStages(ctx)
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -42,13 +42,15 @@
 // functions.
 type DirectoryOptions struct {
 	Name          string
-	FailureDomain string
-	Public        string // IP:port for targets and operators
-	Internal      string // IP:port for other processes
-	Admin         string // IP:port for metrics and health
-	Seeds         []string
-	DataFolder    string
-	Heartbeat     time.Duration // of targets
+	FailureDomain string // of this VM
+	// FailureDomains names all that operators may evacuate, in addition to those of targets.
+	FailureDomains []string
+	Public         string // IP:port for targets and operators
+	Internal       string // IP:port for other processes
+	Admin          string // IP:port for metrics and health
+	Seeds          []string
+	DataFolder     string
+	Heartbeat      time.Duration // of targets
 	// Bootstrap is set when the entire system starts for the first time.
 	Bootstrap bool
 	// FaultTolerance is the number of control VMs that may fail at the same time.
@@ -86,15 +88,18 @@
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
 		Timers: t, HTTP: client, Process: o.Name, Self: o.Internal, Seeds: o.Seeds, Table: table,
 	})
+	evacuations := newEvacuations(m)
+	store.OnEvacuations(func(revision uint64, domains []string) { evacuations.Adopt(revision, domains, t.Now()) })
 	catalogs := newCatalogCache(store, o.Decode)
 	runner := batching.NewCollector(batching.Options{
-		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, TargetClient: o.Target(newUpstream(t, m)),
+		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, TargetClient: o.Target(newUpstream(t, m)), Evacuations: evacuations,
 	})
 	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
 	d := directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
 		Quarantine: parts, Limits: limits,
 	})
+	d.SetFailureDomains(o.FailureDomains)
 	mux := http.NewServeMux()
 	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
 	stages := stagelink.NewServer(runner, t)
@@ -104,6 +109,7 @@
 	admin := listener.NewAdminMux(m, d.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
 	limits.RegisterAdminHandlers(admin)
+	evacuations.RegisterAdminHandlers(admin, t.Now)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,6 +12,7 @@
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/control"
 	"github.com/cardamomline/cardamomline/internal/discovery"
+	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/gateway"
 	"github.com/cardamomline/cardamomline/internal/kernel"
 	"github.com/cardamomline/cardamomline/internal/listener"
@@ -74,19 +76,21 @@
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
 	stages := stagelink.NewClient(stagelink.Options{Timers: t})
 	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
+	evacuations := newEvacuations(m)
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
-		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits,
+		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits, Evacuations: evacuations,
 		CatalogVersion: func() uint64 { return g.KnownVersion() },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
-		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
+		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Evacuations: evacuations, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
 	limits.RegisterAdminHandlers(admin)
+	evacuations.RegisterAdminHandlers(admin, t.Now)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(WatcherComponent, follower)
 	k.Register(StagesComponent, stages)
@@ -128,6 +132,24 @@
 	return r
 }
 
+// newEvacuations returns a set that logs and counts the failure domains that are evacuated.
+func newEvacuations(m *metrics.Metrics) *evacuation.Set {
+	s, evacuated := evacuation.NewSet(), 0
+	s.OnChange(func(c evacuation.Change) {
+		change := "evacuated"
+		if c.Evacuated {
+			evacuated++
+		} else {
+			evacuated--
+			change = "no longer evacuated"
+		}
+		klog.InfoS("Failure domain "+change, "domain", c.Domain, "revision", c.Revision, "evacuated_domains", evacuated)
+		m.CountReason("evacuations", strings.ReplaceAll(change, " ", "_"))
+		m.Gauge("evacuated_domains", float64(evacuated))
+	})
+	return s
+}
+
 func newUpstream(t *timer.Service, m *metrics.Metrics) *upstream.Pool {
 	return upstream.NewPool(upstream.Options{Timers: t, OnDial: func(string) { m.Count("target_connections", 1) }})
 }
--- a/internal/routing/errors.go
+++ b/internal/routing/errors.go
@@ -13,6 +13,7 @@
 	ShortageAllDraining  Shortage = "all_targets_leaving"
 	ShortageAllTimedOut  Shortage = "all_targets_silent"
 	ShortageAllPaused    Shortage = "all_targets_paused"
+	ShortageAllEvacuated Shortage = "all_targets_evacuated"
 	ShortageAllEjected   Shortage = "all_targets_ejected"
 	ShortageAllLimited   Shortage = "all_targets_limited"
 	ShortageNoneSuitable Shortage = "no_suitable_target"
@@ -30,9 +31,11 @@
 	silent   int
 	notReady int
 	paused   int
-	ejected  int
-	limited  int
-	excluded int
+	// evacuated targets are in failure domains to which nothing may be sent.
+	evacuated int
+	ejected   int
+	limited   int
+	excluded  int
 }
 
 // Service returns the name of the service.
@@ -43,8 +46,8 @@
 
 // Error implements error.
 func (e *NoTargetError) Error() string {
-	return fmt.Sprintf("no target of service %s for model %q: %s (known %d, without the model %d, leaving %d, silent %d, not ready %d, paused %d, ejected %d, at their limit %d, already tried %d)",
-		e.service, e.model, e.shortage, e.known, e.noModel, e.leaving, e.silent, e.notReady, e.paused, e.ejected, e.limited, e.excluded)
+	return fmt.Sprintf("no target of service %s for model %q: %s (known %d, without the model %d, leaving %d, silent %d, not ready %d, paused %d, in evacuated failure domains %d, ejected %d, at their limit %d, already tried %d)",
+		e.service, e.model, e.shortage, e.known, e.noModel, e.leaving, e.silent, e.notReady, e.paused, e.evacuated, e.ejected, e.limited, e.excluded)
 }
 
 // classify sets the shortage from the counts.
@@ -61,6 +64,8 @@
 		e.shortage = ShortageAllTimedOut
 	case e.paused == serving:
 		e.shortage = ShortageAllPaused
+	case e.evacuated == serving:
+		e.shortage = ShortageAllEvacuated
 	case e.ejected == serving:
 		e.shortage = ShortageAllEjected
 	case e.limited == serving:
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -283,6 +283,8 @@
 			e.notReady++
 		case StatePaused:
 			e.paused++
+		case StateEvacuated:
+			e.evacuated++
 		case StateEjected:
 			e.ejected++
 		case StateUsable:
--- a/internal/routing/status.go
+++ b/internal/routing/status.go
@@ -26,11 +26,14 @@
 	StateHeartbeatTimedOut TargetState = "silent"
 	StateNotReady          TargetState = "not_ready"
 	StatePaused            TargetState = "paused"
+	StateEvacuated         TargetState = "evacuated"
 	StateEjected           TargetState = "ejected"
 )
 
 func (t *target) state() TargetState {
 	switch {
+	case t.Evacuated:
+		return StateEvacuated
 	case t.Draining || t.leaving:
 		return StateDraining
 	case t.HeartbeatTimedOut:
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -18,6 +18,7 @@
 	HeartbeatTimedOut bool
 	NotReady          bool
 	Paused            bool // it takes no calls for a while, at its own request
+	Evacuated         bool // an operator has ordered that nothing is sent to its failure domain
 	Pacer             Pacer
 }
 
@@ -128,7 +129,7 @@
 
 // available reports whether membership allows calls to the target.
 func (t *target) available() bool {
-	return !t.Draining && !t.leaving && !t.HeartbeatTimedOut && !t.NotReady && !t.Paused
+	return !t.Draining && !t.leaving && !t.HeartbeatTimedOut && !t.NotReady && !t.Paused && !t.Evacuated
 }
 
 // isPaced reports whether the target takes no call just now.
