--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -137,6 +137,7 @@
 type Directory struct {
 	o             Options
 	confirmed     atomic.Pointer[confirmation]
+	everConfirmed atomic.Bool
 	knownRevision atomic.Uint64 // highest revision of the evacuations that the leader has named
 	mu            sync.Mutex
 	domains       []string // failure domains that the settings name
@@ -399,7 +400,11 @@
 	stored := d.o.Store.versions()
 	before := d.isConfirmed(stored)
 	d.confirmed.Store(&confirmation{versions: versions{catalog: r.GetVersion(), evacuations: r.GetEvacuationRevision()}, requestedAt: startedAt})
-	if !before && d.isConfirmed(stored) {
+	if !d.isConfirmed(stored) {
+		return
+	}
+	d.everConfirmed.Store(true)
+	if !before {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		close(d.confirmations)
--- a/internal/directory/evacuate.go
+++ b/internal/directory/evacuate.go
@@ -26,6 +26,10 @@
 	// 100 ms after it was committed, so that one that follows it at once would be refused; and its
 	// client, who waits for 1 s, can't have given a newer one yet.
 	overtakenRetryTime = 300 * time.Millisecond
+	// firstConfirmationTime is the time after its start in which a control VM doesn't use the
+	// evacuations that it has before a quorum has confirmed them. Afterwards they are better than
+	// none, as for gateways.
+	firstConfirmationTime = 3 * time.Second
 )
 
 // UnknownDomainError reports a failure domain that neither the settings nor a target names.
@@ -129,6 +133,12 @@
 	return configured || d.o.Table.HasFailureDomain(domain) || d.o.Store.hasOrder(domain)
 }
 
+// KnowsEvacuations reports whether the evacuations that this VM has may be used: a quorum has
+// confirmed since the start that they are the newest, or none is there to do so.
+func (d *Directory) KnowsEvacuations() bool {
+	return d.everConfirmed.Load() || d.o.Timers.Since(d.startedAt) >= firstConfirmationTime
+}
+
 // isInContact reports whether a quorum has recently answered this VM.
 func (d *Directory) isInContact() bool {
 	last := d.confirmed.Load()
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -91,11 +91,17 @@
 	evacuations := newEvacuations(m)
 	store.OnEvacuations(func(revision uint64, domains []string) { evacuations.Adopt(revision, domains, t.Now()) })
 	catalogs := newCatalogCache(store, o.Decode)
+	var d *directory.Directory
 	runner := batching.NewCollector(batching.Options{
-		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, TargetClient: o.Target(newUpstream(t, m)), Evacuations: evacuations,
+		Timers: t, Table: table, Metrics: m, Catalog: func() *catalog.Catalog {
+			if !d.KnowsEvacuations() {
+				return nil // another collector runs the stages
+			}
+			return catalogs.newest()
+		}, TargetClient: o.Target(newUpstream(t, m)), Evacuations: evacuations,
 	})
 	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
-	d := directory.New(directory.Options{
+	d = directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
 		Quarantine: parts, Limits: limits,
 	})
