--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -162,3 +163,10 @@
 	require.True(t, json.Valid(w.Body.Bytes()))
 	require.JSONEq(t, `{"revision":7,"evacuated_domains":[{"domain":"a","known_for_ms":1500},{"domain":"b","known_for_ms":1500}]}`, w.Body.String())
 }
+
+// A fixed seed makes the property tests repeatable; -rapid.seed overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
--- a/internal/routing/pool_test.go
+++ b/internal/routing/pool_test.go
@@ -38,6 +38,7 @@
 		Draining:          rapid.IntRange(0, 5).Draw(t, "leaving") == 0,
 		HeartbeatTimedOut: rapid.IntRange(0, 5).Draw(t, "silent") == 0,
 		NotReady:          rapid.IntRange(0, 9).Draw(t, "not ready") == 0,
+		Evacuated:         rapid.IntRange(0, 5).Draw(t, "evacuated") == 0,
 	}
 }
 
@@ -75,6 +76,7 @@
 	require.False(t, ok && m.now.Sub(refused) < leavingTime, "picked a target that refused as leaving")
 	require.False(t, d.HeartbeatTimedOut, "picked a silent target")
 	require.False(t, d.NotReady, "picked a target that isn't ready")
+	require.False(t, d.Evacuated, "picked a target in an evacuated domain")
 	require.NotContains(t, r.Exclude, c.Target)
 	if r.Model != "" {
 		require.Contains(t, d.Models, r.Model)
@@ -138,7 +140,7 @@
 }
 
 // TestPoolNeverPicksUnusable guards against calls to targets that are leaving,
-// silent, ejected, removed or already tried, against an ejected share above the
+// silent, ejected, evacuated, removed or already tried, against an ejected share above the
 // cap, and against wrong in-flight counts, under any order of events.
 func TestPoolNeverPicksUnusable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -171,6 +173,43 @@
 	})
 }
 
+// Guards against an evacuated target that is used because it is the only one, the holder of a prefix
+// or due for a probe, and against a state or shortage that hides why.
+func TestEvacuatedTargetsAreNoLastResort(t *testing.T) {
+	now := testStart
+	p := NewPool(Options{FailureDomain: "milford", Seed: 1, Health: HealthOptions{ConsecutiveFailures: 1, MinSamples: 1, MaxEjectedShare: 1}})
+	targets := []Target{{Name: "a", FailureDomain: "milford", Slots: 1}, {Name: "b", FailureDomain: "milford", Slots: 1}}
+	p.Sync(targets, now)
+	for p.ejected == 0 {
+		c, err := p.Pick(Request{}, now)
+		require.NoError(t, err)
+		p.Finish(c, Failure{}, now)
+	}
+	for i := range targets {
+		targets[i].Evacuated = true
+	}
+	p.Sync(targets, now)
+	for _, r := range []Request{{}, {MayProbe: true}, {Prefix: "p"}, {Prefix: "p", Rendezvous: true}} {
+		now = now.Add(time.Minute)
+		p.Tick(now)
+		_, err := p.Pick(r, now)
+		var missing *NoTargetError
+		require.ErrorAs(t, err, &missing)
+		require.Equal(t, ShortageAllEvacuated, missing.Shortage())
+		_, ok := p.HomeDomain(r, now)
+		require.False(t, ok)
+	}
+	for _, s := range p.Status(now) {
+		require.Equal(t, StateEvacuated, s.State)
+	}
+	require.Zero(t, p.Slots())
+	targets[1].Evacuated = false
+	p.Sync(targets, now)
+	c, err := p.Pick(Request{MayProbe: true}, now)
+	require.NoError(t, err)
+	require.Equal(t, "b", c.Target)
+}
+
 // A fixed seed makes the property tests repeatable; -rapid.seed overrides it.
 func init() {
 	if err := flag.Set("rapid.seed", "1"); err != nil {
