--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -140,6 +140,8 @@
 	"stage_too_many_failures": "the targets of a stage failed several times",
 	"stage_no_collector":      "no control VM could be reached to run the stages",
 	"stage_unknown_service":   "the control VM didn't know the service yet",
+	"targets_evacuated":       "all targets of a service that it needs are in evacuated failure domains",
+	"stage_targets_evacuated": "all targets of a stage are in evacuated failure domains",
 	"no_catalog":              "the process had no catalog yet",
 	"unsure_no_route":         "the process couldn't be sure that its catalog is the newest",
 	"unsure_unknown_key":      "the process couldn't be sure that its catalog is the newest",
