--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -157,7 +157,7 @@
 
 // Start implements kernel.Starter.
 func (d *Directory) Start(context.Context) error {
-	d.wg.Go(func() { d.o.Timers.Every(d.ctx, confirmInterval, d.confirm) })
+	d.wg.Go(d.keepConfirmed)
 	d.wg.Go(func() { d.o.Timers.Every(d.ctx, memberCheckInterval, d.maintainMembers) })
 	d.wg.Go(func() {
 		d.o.Timers.Every(d.ctx, expireInterval, func(context.Context) { d.o.Table.Expire(d.o.Timers.Now()) })
@@ -380,6 +380,21 @@
 	return r, nil
 }
 
+// keepConfirmed renews the confirmation until the Directory stops. Without one it asks more
+// often: after an outage gateways wait for it.
+func (d *Directory) keepConfirmed() {
+	for {
+		d.confirm(d.ctx)
+		interval := confirmInterval
+		if version, _ := d.o.Store.Newest(); !d.isConfirmed(version) {
+			interval = leaderRetryDelay
+		}
+		if err := d.o.Timers.Sleep(d.ctx, interval); err != nil {
+			return
+		}
+	}
+}
+
 // confirm requests the newest version, confirmed by a quorum.
 func (d *Directory) confirm(ctx context.Context) {
 	startedAt := timer.SinceBoot()
@@ -505,10 +520,10 @@
 	return t.GetState() != wire.TargetState_TARGET_STATE_READY
 }
 
-// hasCatalogFor reports whether there is a newer catalog than a watcher has.
+// hasCatalogFor reports whether there is a newer catalog to send than a watcher has.
 func (d *Directory) hasCatalogFor(r *wire.WatchRequest) bool {
 	version, _ := d.o.Store.Newest()
-	return !r.GetPeer() && version > r.GetCatalogVersion()
+	return !r.GetPeer() && !r.GetWithoutCatalog() && version > r.GetCatalogVersion()
 }
 
 // hasPartsFor reports whether parts of prompts have changed since a gateway's last watch.
@@ -623,7 +638,7 @@
 			w.GatewayIds = m.ids
 		}
 	}
-	if version > r.GetCatalogVersion() {
+	if version > r.GetCatalogVersion() && !r.GetWithoutCatalog() {
 		w.Catalog = document
 	}
 	return w
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomline/cardamomline/internal/pacing"
@@ -133,6 +134,40 @@
 	return list
 }
 
+// isCatalogSource reports whether the document of the catalog is requested from a control VM. A
+// large document from all of them at once fills the link of a small gateway for a second. The
+// source is one of the responsive control VMs with the highest version, a different one at each
+// gateway. Before any of them has responded it is one of all.
+func (w *Watcher) isCatalogSource(address string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	source, best := "", sourceRank{}
+	for a, vm := range w.controlVMs {
+		r := sourceRank{responsive: vm.responsive, version: vm.catalogVersion, hash: xxhash.Sum64String(w.o.Process + " " + a)}
+		if source == "" || best.less(r) {
+			source, best = a, r
+		}
+	}
+	return source == address
+}
+
+// sourceRank orders control VMs as sources of the catalog.
+type sourceRank struct {
+	responsive bool
+	version    uint64
+	hash       uint64
+}
+
+func (a sourceRank) less(b sourceRank) bool {
+	switch {
+	case a.responsive != b.responsive:
+		return b.responsive
+	case a.version != b.version:
+		return a.version < b.version
+	}
+	return a.hash < b.hash
+}
+
 // compareCollectingSince orders control VMs by how long they have been collecting.
 // Processes learn of the start at different times, so small differences are ignored.
 func (vm *controlVM) compareCollectingSince(other *controlVM) int {
@@ -196,6 +231,7 @@
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
+			r.WithoutCatalog = !w.isCatalogSource(address)
 		}
 		startedAt := w.o.Timers.Now()
 		parts.request(r, w.o.Quarantine, startedAt)
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -42,6 +44,49 @@
 	require.Equal(t, []string{"10.0.0.2:1", "10.0.0.3:1"}, w.Collectors())
 }
 
+// Load pattern: a fleet starts again and every gateway lacks the catalog, or a change of it comes.
+// Guards against a document that all control VMs send to each gateway at once, against a source
+// that is behind, and against one source for all gateways.
+func TestCatalogIsRequestedFromOneControlVM(t *testing.T) {
+	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"}
+	perSource := map[string]int{}
+	for i := range 100 {
+		w := NewWatcher(WatcherOptions{Timers: timer.NewService(), Process: fmt.Sprint("gateway-", i), Table: NewTable(Options{HeartbeatTimeout: time.Minute})})
+		for _, a := range addresses {
+			w.controlVMs[a] = &controlVM{}
+		}
+		source := func() string {
+			var list []string
+			for _, a := range addresses {
+				if w.isCatalogSource(a) {
+					list = append(list, a)
+				}
+			}
+			require.Len(t, list, 1)
+			return list[0]
+		}
+		respond := func(a string, version uint64) {
+			w.handleResponse(a, w.controlVMs[a], &wire.WatchResponse{CatalogVersion: version})
+		}
+		first := source()
+		perSource[first]++
+		for _, a := range addresses {
+			respond(a, 7)
+		}
+		require.Equal(t, first, source(), "all have the same version")
+		other := addresses[(slices.Index(addresses, first)+1)%len(addresses)]
+		respond(other, 8)
+		require.Equal(t, other, source(), "the source is behind")
+		respond(first, 8)
+		require.Equal(t, first, source(), "the source has caught up")
+		w.handleFailure(first, w.controlVMs[first], errors.New("no answer"))
+		require.Equal(t, other, source(), "the source doesn't answer")
+	}
+	for _, a := range addresses {
+		require.Greater(t, perSource[a], 5, "sources are spread over the control VMs")
+	}
+}
+
 // Guards against sound targets that count as silent, and crashed ones that don't, because a
 // list of those that announced themselves is sent only now and then: announcements, answers
 // and clocks of the watches vary, and the watcher sees several control VMs.
