batching: Refresh the targets of a service one after the other

Cause: a refresh after an answer and one after an evacuation could overlap, and the earlier list of targets would hold until the next refresh, up to 1 s. Change: a lock around the refresh.

--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -87,10 +87,12 @@
 type serviceCollector struct {
 	collector *Collector
 	name      string
-	mu        sync.Mutex
-	scheduler *Scheduler
-	notify    chan struct{}
-	lowMemory atomic.Pointer[map[string]bool] // targets that are short of memory
+	// refreshing is held by refresh, so that an earlier list of targets never replaces a later one.
+	refreshing sync.Mutex
+	mu         sync.Mutex
+	scheduler  *Scheduler
+	notify     chan struct{}
+	lowMemory  atomic.Pointer[map[string]bool] // targets that are short of memory
 }
 
 // NewCollector returns a Collector.
@@ -403,6 +405,8 @@
 
 // refresh updates targets and profile.
 func (s *serviceCollector) refresh() {
+	s.refreshing.Lock()
+	defer s.refreshing.Unlock()
 	now := s.collector.o.Timers.Now()
 	var ready, silent []Target
 	evacuated := false
