batching: Plan with the memory that targets report

A collector that took over didn't know what the results of its predecessor occupy: for six seconds 5 to 30 of 100 pieces were rejected for lack of memory.

A collector that has just begun, and one whose target rejected pieces, now requests the report of targets, at most one at a time and five a second for each. Own results at the time of the report are subtracted, so that an old report neither frees memory taken since nor attributes released results to others. A target without results of others isn't asked again.

--- a/internal/batching/capacity.go
+++ b/internal/batching/capacity.go
@@ -155,6 +155,7 @@
 
 // Publish updates the service's Load.
 func (s *Scheduler) Publish(now time.Time) {
+	s.seenAt = now
 	o := s.estimateCapacity(now)
 	l := s.load
 	l.mu.Lock()
--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -52,6 +52,8 @@
 	Run(ctx context.Context, c *Call, now time.Time) (CallOutcome, discovery.Notice)
 	// ReleaseResults releases results at a target.
 	ReleaseResults(ctx context.Context, t Target, handles []string) (discovery.Notice, error)
+	// Report asks a target for a report of itself.
+	Report(ctx context.Context, t Target) (TargetReport, discovery.Notice, error)
 }
 
 // Options holds the dependencies of a Collector.
@@ -119,6 +121,9 @@
 	if r.lastStageAt == 0 || now-r.lastStageAt > activeTimeout {
 		r.activeSince = now
 		klog.InfoS("Collects the pieces of stages")
+		for _, s := range r.services {
+			s.beginCollecting()
+		}
 	}
 	r.lastStageAt = now
 }
@@ -174,6 +179,7 @@
 	}
 	s := &serviceCollector{collector: r, name: name, scheduler: NewScheduler(*service.Batch()), notify: make(chan struct{}, 1)}
 	s.refresh()
+	s.beginCollecting()
 	s.publish()
 	r.services[name] = s
 	r.wg.Go(s.run)
@@ -469,6 +475,9 @@
 	for {
 		c, again := s.scheduler.Next(s.collector.o.Timers.Now())
 		if c == nil {
+			if next := s.requestReports(); next > 0 && (again == 0 || next < again) {
+				return next
+			}
 			return again
 		}
 		s.collector.running.Add(1)
@@ -480,6 +489,46 @@
 	}
 }
 
+// beginCollecting says that this process has begun to collect pieces and doesn't know what the
+// targets hold.
+func (s *serviceCollector) beginCollecting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.BeginCollecting(s.collector.o.Timers.Now())
+}
+
+// requestReports requests the reports of targets that are due, and returns the time after which
+// to call it again, or 0; s.mu is held.
+func (s *serviceCollector) requestReports() time.Duration {
+	due, again := s.scheduler.ReportsDue(s.collector.o.Timers.Now())
+	for _, t := range due {
+		s.collector.wg.Go(func() { s.requestReport(t) })
+	}
+	return again
+}
+
+// requestReport requests the report of one target and records it.
+func (s *serviceCollector) requestReport(t Target) {
+	began := s.collector.o.Timers.Now()
+	ctx, cancel := context.WithTimeout(s.collector.ctx, reportTimeout)
+	defer cancel()
+	report, notice, err := s.collector.o.TargetClient.Report(ctx, t)
+	if s.collector.recordNotice(t, notice) {
+		s.refresh()
+	}
+	usable, outcome := &report, "answered"
+	// A suspended process may have read an answer that is seconds old.
+	if err != nil || s.collector.o.Timers.Since(began) > reportTimeout {
+		usable, outcome = nil, "failed"
+	}
+	s.collector.o.Metrics.CountReason("stage_reports", s.name+"_"+outcome)
+	s.update(func(sch *Scheduler) {
+		if others, changed := sch.RecordReport(t, usable, s.collector.o.Timers.Now()); changed {
+			klog.InfoS("Results of other collectors at target", "service", s.name, "target", t.ID, "bytes", others, "free_bytes", report.FreeBytes, "queued", report.Queued, "busy", report.Busy)
+		}
+	})
+}
+
 // lowMemoryTargets returns the targets of all services that are short of memory.
 func (r *Collector) lowMemoryTargets() map[string]bool {
 	r.mu.Lock()
@@ -534,5 +583,8 @@
 		"made", made, "input_gone", gone, "late", late, "no_room", noRoom, "failed", failed)
 	s.collector.o.Metrics.ObserveStage("stage_call_seconds", s.name, "call", took)
 	s.collector.o.Metrics.CountReason("stage_calls", s.name)
+	if noRoom > 0 {
+		s.collector.o.Metrics.Count("stage_memory_rejections", int64(noRoom))
+	}
 	s.update(func(sch *Scheduler) { sch.Finish(c, o, s.collector.o.Timers.Now()) })
 }
--- a/internal/batching/results.go
+++ b/internal/batching/results.go
@@ -68,7 +68,7 @@
 		}
 		delete(s.results, h)
 		byTarget[r.worker.ID] = append(byTarget[r.worker.ID], h)
-		r.worker.resultBytes -= r.bytes
+		r.worker.addBytes(-r.bytes, s.seenAt)
 	}
 	return byTarget
 }
@@ -95,7 +95,7 @@
 			continue
 		}
 		delete(s.results, h)
-		r.worker.resultBytes -= r.bytes
+		r.worker.addBytes(-r.bytes, now)
 	}
 	s.nextExpiry = next
 }
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -131,7 +131,9 @@
 	arrivedAt          time.Time
 	deadlinesCheckedAt time.Time // last check of deadlines
 	load               *Load
-	stopping           bool // jobs with pieces in no call end
+	stopping           bool      // jobs with pieces in no call end
+	collectingSince    time.Time // last call of BeginCollecting
+	seenAt             time.Time // last time passed by a caller
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -188,6 +190,7 @@
 // Add queues a job. onFinish is called once with its outcome, from Add, Next or
 // Finish. A job that can't be done by its deadline is rejected at once.
 func (s *Scheduler) Add(j *Job, end func(Outcome), now time.Time) {
+	s.seenAt = now
 	j.queuedAt = now
 	j.onFinish = end
 	j.pending = j.Pieces
@@ -252,6 +255,7 @@
 // Next returns a call to start now. If there is none, again is the time after which to
 // call Next again when nothing else happens; 0 means that this isn't needed.
 func (s *Scheduler) Next(now time.Time) (call *Call, again time.Duration) {
+	s.seenAt = now
 	if len(s.jobs) == 0 {
 		return nil, 0
 	}
@@ -344,7 +348,7 @@
 		j.startedAt = now
 		j.countOnPath()
 		s.waiting -= n
-		w.resultBytes += int64(n) * j.ResultBytes
+		w.addBytes(int64(n)*j.ResultBytes, now)
 		resultBytes += int64(n) * j.ResultBytes
 	}
 	s.jobs = slices.DeleteFunc(s.jobs, func(j *Job) bool { return len(j.queue) == 0 })
@@ -379,18 +383,19 @@
 
 // Finish records the outcome of a call.
 func (s *Scheduler) Finish(c *Call, o CallOutcome, now time.Time) {
+	s.seenAt = now
 	w := c.worker
 	w.running = slices.DeleteFunc(w.running, func(other *Call) bool { return other == c })
 	switch o := o.(type) {
 	case CallCompleted:
 		w.failures = 0
 		for i, p := range c.Pieces {
-			s.finishPiece(w, p, o.Outcomes[i], o.Handles[i], now)
+			s.finishPiece(c, p, o.Outcomes[i], o.Handles[i], now)
 		}
 		s.recordCall(w, c, o, now)
 	case CallRejected:
 		w.backOff(now.Add(rejectedBackoff))
-		s.requeue(w, c, false)
+		s.requeue(c, false, now)
 	case CallFailed:
 		pause := initialBackoff
 		for range min(w.failures, 10) {
@@ -399,13 +404,14 @@
 		w.failures++
 		w.backOff(now.Add(pause))
 		s.retainMemory(w, c, now)
-		s.requeue(w, c, true)
+		s.requeue(c, true, now)
 	}
 }
 
-func (s *Scheduler) finishPiece(w *worker, p Piece, o PieceOutcome, handle string, now time.Time) {
+func (s *Scheduler) finishPiece(c *Call, p Piece, o PieceOutcome, handle string, now time.Time) {
+	w := c.worker
 	if o != PieceDone {
-		w.resultBytes -= p.Job.ResultBytes
+		w.removeUnused(p.Job.ResultBytes, c.StartedAt, now)
 	}
 	switch o {
 	case PieceDone:
@@ -432,9 +438,13 @@
 }
 
 // requeue returns the pieces of a call that didn't run, or may not have run.
-func (s *Scheduler) requeue(w *worker, c *Call, counts bool) {
+func (s *Scheduler) requeue(c *Call, counts bool, now time.Time) {
 	for _, p := range c.Pieces {
-		w.resultBytes -= p.Job.ResultBytes
+		if counts {
+			c.worker.addBytes(-p.Job.ResultBytes, now) // retained under another name
+		} else {
+			c.worker.removeUnused(p.Job.ResultBytes, c.StartedAt, now)
+		}
 		s.requeuePiece(p, counts)
 	}
 }
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -12,11 +12,16 @@
 type worker struct {
 	Target
 	running     []*Call
-	resultBytes int64 // result memory in use, as far as this process knows
-	// otherBytes is the memory taken by results of other collectors as of rejectedAt, when
-	// the target rejected pieces although it should have had free memory.
+	resultBytes int64       // result memory in use, as far as this process knows
+	uses        []memoryUse // recent values of resultBytes, oldest first
+	// otherBytes is the memory taken by results of other collectors, according to a report
+	// or to the rejection of pieces although there should have been free memory. It decays
+	// from othersAt on, which is in the future after a report. rejectedAt is when the last
+	// call began that had such pieces.
 	otherBytes       int64
+	othersAt         time.Time
 	rejectedAt       time.Time
+	report           reportState
 	relativeLatency  float64
 	latencyUpdatedAt time.Time // last update of relativeLatency
 	failures         int
@@ -77,18 +82,18 @@
 	slices.SortFunc(s.order, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// freeMemory returns the free result memory of a target in bytes. The memory
-// attributed to other collectors decays because its lifetime isn't known.
+// freeMemory returns the free result memory of a target in bytes.
 func (s *Scheduler) freeMemory(w *worker, now time.Time) int64 {
-	others := float64(w.otherBytes) * math.Exp(-now.Sub(w.rejectedAt).Seconds()/otherBytesDecay.Seconds())
-	return s.profile.ResultBytes - w.resultBytes - int64(others)
+	return s.profile.ResultBytes - w.resultBytes - w.othersBytes(now)
 }
 
-// recordMemoryFull records that a target has rejected pieces for lack of memory: it
-// stores results of another collector, or results are larger than stated.
-func (s *Scheduler) recordMemoryFull(w *worker, now time.Time) {
+// recordMemoryFull records that a target has rejected pieces of a call for lack of memory: it
+// stores results of another collector, or results are larger than stated. Reports show how
+// much.
+func (s *Scheduler) recordMemoryFull(w *worker, c *Call, now time.Time) {
 	if s.profile.ResultBytes > 0 {
-		w.otherBytes, w.rejectedAt = max(s.profile.ResultBytes-w.resultBytes, 0), now
+		w.otherBytes, w.othersAt, w.rejectedAt = max(s.profile.ResultBytes-w.resultBytes, 0), now, c.StartedAt
+		w.report.until = now.Add(reportsAfterRejection)
 	}
 }
 
@@ -96,7 +101,7 @@
 // produced, until their lifetime is over.
 func (s *Scheduler) retainMemory(w *worker, c *Call, now time.Time) {
 	for i, p := range c.Pieces {
-		w.resultBytes += p.Job.ResultBytes
+		w.addBytes(p.Job.ResultBytes, now)
 		s.storeResult(fmt.Sprintf("broken call %d, piece %d", c.ID, i), w, p.Job.ResultBytes, now)
 	}
 }
@@ -112,7 +117,7 @@
 }
 
 func (s *Scheduler) isFree(w *worker, now time.Time) bool {
-	return len(w.running) < s.profile.MaxConcurrency && !now.Before(w.backoffUntil)
+	return len(w.running) < s.profile.MaxConcurrency && !now.Before(w.backoffUntil) && !s.awaitsReport(w, now)
 }
 
 // chooseTarget returns the free target for the first job of the queue, or the time
@@ -229,7 +234,7 @@
 // recordCall updates the averages from a call in which every piece ran.
 func (s *Scheduler) recordCall(w *worker, c *Call, o CallCompleted, now time.Time) {
 	if o.count(PieceOutOfMemory) > 0 {
-		s.recordMemoryFull(w, now)
+		s.recordMemoryFull(w, c, now)
 		return
 	}
 	if o.count(PieceFailed) > 0 {
