batching: Let smaller jobs pass one without memory

A job at the head of the queue whose results (1.5 MB each) found no memory blocked jobs with results of 8 kB that would have fitted.

After 400 ms without memory, a target's memory is reserved for the passed job: a call of others takes at most a twentieth of it. A call needs memory for one result at least, because one without pieces would start over and over.

--- a/internal/batching/memory_test.go
+++ b/internal/batching/memory_test.go
@@ -377,3 +377,54 @@
 		require.NoError(t, m.Close())
 	})
 }
+
+// Load pattern: jobs with results of 1.5 MB, which are needed for a second and a half, arrive
+// before and among ones with results of 8 kB. Guards against light jobs that wait behind a heavy
+// one although targets idle, and against heavy ones that are served less because of light ones.
+func TestLightJobsPassOneWithoutMemory(t *testing.T) {
+	const targets = 5
+	run := func(light bool) *memorySimulation {
+		m := newMemorySimulation(t, largeInvoicing, targets)
+		m.hold = 1500 * time.Millisecond
+		for i := range 80 {
+			m.add(time.Duration(i)*50*time.Millisecond, 2, 1_500_000, 800*time.Millisecond, 5*time.Second)
+		}
+		for i := range 400 {
+			if light {
+				m.add(200*time.Millisecond+time.Duration(i)*10*time.Millisecond, 1, 8_000, 1200*time.Millisecond, 5*time.Second)
+			}
+		}
+		m.sample(500*time.Millisecond, 4*time.Second)
+		m.run(10 * time.Second)
+		require.Empty(t, m.rejected)
+		return m
+	}
+	mean := func(list []time.Duration) time.Duration {
+		sum := time.Duration(0)
+		for _, d := range list {
+			sum += d
+		}
+		return sum / time.Duration(max(len(list), 1))
+	}
+	m, alone := run(true), run(false)
+	require.Greater(t, m.busyShare(), 0.9)
+	require.Less(t, mean(m.waited[8_000]), 400*time.Millisecond)
+	require.Greater(t, m.outcomes[Done]-400, 9*alone.outcomes[Done]/10, "heavy jobs: %v, alone %v", m.outcomes, alone.outcomes)
+}
+
+// Load pattern: one job with large results among a stream of jobs with results half the size
+// that takes all memory. Guards against a job that starves because others take each bit of
+// memory that becomes free.
+func TestMemoryGoesToTheJobThatWaitedForIt(t *testing.T) {
+	m := newMemorySimulation(t, largeInvoicing, 5)
+	m.hold = 1200 * time.Millisecond
+	for i := range 900 {
+		m.add(time.Duration(i)*7*time.Millisecond, 1, 750_000, 3*time.Second, 6*time.Second)
+	}
+	m.add(2*time.Second, 7, 1_500_000, 1200*time.Millisecond, 6*time.Second)
+	m.run(12 * time.Second)
+	require.Empty(t, m.rejected)
+	require.Len(t, m.waited[1_500_000], 1)
+	// The memory is reserved after 400 ms, and free once its results aren't needed any more.
+	require.Less(t, m.waited[1_500_000][0], memoryPatience+m.hold+m.s.callTime(largeInvoicing.MaxBatchSize))
+}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -52,6 +52,15 @@
 	// memoryRetryInterval is how soon a target without free memory is checked again.
 	// Gateways release results about as often.
 	memoryRetryInterval = 10 * time.Millisecond
+	// passingShare is how many times smaller the results of a job have to be than those of an
+	// earlier one without memory, to pass it.
+	passingShare = 2
+	// memoryPatience is how long a job finds no memory before memory is reserved for it. A
+	// call takes about as long.
+	memoryPatience = 400 * time.Millisecond
+	// reservedFraction is the fraction of a target's memory that a call of other jobs may take
+	// while the rest is reserved. Results of 8 kB among ones of 1.5 MB need less.
+	reservedFraction = 20
 	// inputWaitLimit is how long a job that has missed its objective waits behind others
 	// when its inputs take up memory at other targets.
 	inputWaitLimit = 700 * time.Millisecond
@@ -131,15 +140,20 @@
 	arrivedAt          time.Time
 	deadlinesCheckedAt time.Time // last check of deadlines
 	load               *Load
-	stopping           bool      // jobs with pieces in no call end
-	collectingSince    time.Time // last call of BeginCollecting
-	seenAt             time.Time // last time passed by a caller
+	stopping           bool // jobs with pieces in no call end
+	// blockedSince is when jobs first found no memory, and reserved are the targets whose
+	// memory is left to one of them.
+	blockedSince    map[*Job]time.Time
+	reserved        map[*worker]*Job
+	collectingSince time.Time // last call of BeginCollecting
+	seenAt          time.Time // last time passed by a caller
 }
 
 // NewScheduler returns a Scheduler without targets.
 func NewScheduler(p catalog.BatchProfile) *Scheduler {
 	return &Scheduler{
 		profile: p, workers: map[string]*worker{}, results: map[string]storedResult{},
+		blockedSince: map[*Job]time.Time{}, reserved: map[*worker]*Job{},
 		pieceTime: p.PieceTime.Seconds(), load: NewLoad(),
 	}
 }
@@ -232,6 +246,7 @@
 		}
 	}
 	j.results = nil
+	delete(s.blockedSince, j)
 	if len(j.queue) > 0 {
 		s.waiting -= len(j.queue)
 		j.queue = nil
@@ -275,11 +290,11 @@
 	if s.jobs[0].group == groupHeldBack {
 		return nil, heldBackRetryInterval
 	}
-	w, again := s.chooseTarget(now)
-	if w == nil {
+	next, again := s.chooseTarget(now)
+	if next.worker == nil {
 		return nil, max(again, s.nextBackoffEnd(now))
 	}
-	return s.startCall(w, now), 0
+	return s.startCall(next, now), 0
 }
 
 // sort orders the jobs by rank.
@@ -317,14 +332,14 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// startCall builds a call from the first jobs for which the target has free memory.
+// startCall builds a call from the first jobs for which the chosen target has free memory.
 // Jobs of the target's failure domain go before others of about the same urgency. A
 // job is split only when it is the first or larger than a call. The results of one call take
 // up to half of the memory, so that the next call finds room while they wait for their
 // readers: a target with larger calls idles meanwhile.
-func (s *Scheduler) startCall(w *worker, now time.Time) *Call {
+func (s *Scheduler) startCall(next choice, now time.Time) *Call {
+	w, first := next.worker, next.job
 	c := &Call{Target: w.Target, StartedAt: now, worker: w}
-	first := s.jobs[0]
 	resultBytes := int64(0)
 	for _, j := range s.jobsFor(w) {
 		space := s.profile.MaxBatchSize - len(c.Pieces)
@@ -333,6 +348,9 @@
 			if len(c.Pieces) > 0 {
 				room = min(room, s.profile.ResultBytes/2-resultBytes)
 			}
+			if s.isReservedFromPassing(w, j) {
+				room = min(room, s.reservedSpace()-resultBytes)
+			}
 			space = min(space, int(room/j.ResultBytes))
 		}
 		remote := j.isRemoteAt(w.FailureDomain) && j != first && !s.isCrowded() && s.mayWaitForLocal(j, now)
@@ -345,6 +363,7 @@
 			c.Pieces = append(c.Pieces, Piece{Job: j, Segment: segment})
 		}
 		j.queue = j.queue[n:]
+		delete(s.blockedSince, j)
 		j.startedAt = now
 		j.countOnPath()
 		s.waiting -= n
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -120,18 +120,102 @@
 	return len(w.running) < s.profile.MaxConcurrency && !now.Before(w.backoffUntil) && !s.awaitsReport(w, now)
 }
 
-// chooseTarget returns the free target for the first job of the queue, or the time
-// after which to check again. A target of the job's failure domain is preferred,
+// choice is a job and the target for a call that begins with it.
+type choice struct {
+	job    *Job
+	worker *worker
+}
+
+// chooseTarget returns the free target for the first job of the queue that finds memory, or
+// the time after which to check again. A job whose results find none lets later ones with much
+// smaller results pass; ones of about the same size would only start in small calls.
+func (s *Scheduler) chooseTarget(now time.Time) (choice, time.Duration) {
+	s.reserveMemory(now)
+	maxBytes := int64(math.MaxInt64)
+	for _, w := range s.order {
+		if j := s.reserved[w]; j != nil && s.isFree(w, now) && s.hasMemoryFor(w, j, maxBytes, now) {
+			return choice{job: j, worker: w}, 0
+		}
+	}
+	for _, j := range s.jobs {
+		if j.ResultBytes > maxBytes || j.group == groupHeldBack {
+			continue
+		}
+		if maxBytes < math.MaxInt64 {
+			if delay := s.passDelay(j, maxBytes, now); delay > 0 {
+				return choice{}, delay
+			}
+		}
+		w, again, full := s.chooseTargetFor(j, maxBytes, now)
+		if w != nil || !full {
+			return choice{job: j, worker: w}, again
+		}
+		if _, known := s.blockedSince[j]; !known {
+			s.blockedSince[j] = now
+		}
+		maxBytes = j.ResultBytes / passingShare
+	}
+	return choice{}, memoryRetryInterval
+}
+
+// passDelay returns how long a job that passes a blocked one waits for others to share its call.
+func (s *Scheduler) passDelay(first *Job, maxBytes int64, now time.Time) time.Duration {
+	pieces := 0
+	for _, j := range s.jobs {
+		if j.ResultBytes <= maxBytes {
+			pieces += len(j.queue)
+		}
+		if pieces >= s.profile.MaxBatchSize/2 {
+			return 0
+		}
+	}
+	return max(maxBatchDelay-now.Sub(first.queuedAt), 0)
+}
+
+// reserveMemory assigns targets to the jobs that have waited longest for memory and that others
+// may pass, at most half of the targets: what becomes free there is left to them.
+func (s *Scheduler) reserveMemory(now time.Time) {
+	clear(s.reserved)
+	if len(s.blockedSince) == 0 {
+		return
+	}
+	smallest := int64(math.MaxInt64)
+	for _, j := range s.jobs {
+		smallest = min(smallest, j.ResultBytes)
+	}
+	var starved []*Job
+	for j, since := range s.blockedSince {
+		mayBePassed := smallest <= j.ResultBytes/passingShare
+		if now.Sub(since) >= memoryPatience && mayBePassed && j.group != groupHeldBack {
+			starved = append(starved, j)
+		}
+	}
+	slices.SortFunc(starved, func(a, b *Job) int {
+		return cmp.Or(s.blockedSince[a].Compare(s.blockedSince[b]), compareJobs(a, b))
+	})
+	for _, j := range starved[:min(len(starved), max(len(s.order)/2, 1))] {
+		var best *worker
+		for _, w := range s.order {
+			if s.reserved[w] == nil && !now.Before(w.backoffUntil) && (best == nil || s.freeMemory(w, now) > s.freeMemory(best, now)) {
+				best = w
+			}
+		}
+		if best != nil {
+			s.reserved[best] = j
+		}
+	}
+}
+
+// chooseTargetFor returns the free target for a job, or the time after which to check again;
+// full says that free targets lack memory. A target of the job's failure domain is preferred,
 // because the results cross to another domain otherwise.
-func (s *Scheduler) chooseTarget(now time.Time) (best *worker, again time.Duration) {
-	j := s.jobs[0]
+func (s *Scheduler) chooseTargetFor(j *Job, maxBytes int64, now time.Time) (best *worker, again time.Duration, full bool) {
 	bestScore := 0.0
-	full := false
 	for _, w := range s.order {
 		if !s.isFree(w, now) {
 			continue
 		}
-		if !s.hasMemoryFor(w, j, now) {
+		if !s.hasMemoryFor(w, j, maxBytes, now) {
 			full = true
 			continue
 		}
@@ -147,24 +231,21 @@
 		}
 	}
 	if best == nil {
-		if full {
-			again = memoryRetryInterval
-		}
-		return nil, again
+		return nil, 0, full
 	}
 	if best.ratio(now) >= slowRatio && s.fasterTargetSoon(best, now) {
-		return nil, 0
+		return nil, 0, false
 	}
 	if wait := localDomainWait - now.Sub(j.queuedAt); j.isRemoteAt(best.FailureDomain) && wait > 0 && s.hasShortQueue() && s.hasDomain(j.FailureDomain, now) {
-		return nil, wait
+		return nil, wait, false
 	}
-	return best, 0
+	return best, 0, false
 }
 
-// hasMemoryFor reports whether a target has free memory for the queue's first job, and
-// for half a call when more than that is queued. A smaller call would spend the fixed
-// time of a call on few pieces when load is highest.
-func (s *Scheduler) hasMemoryFor(w *worker, first *Job, now time.Time) bool {
+// hasMemoryFor reports whether a target has free memory for a job, and for half a call when
+// more than that is queued with results of at most maxBytes. A smaller call would spend the
+// fixed time of a call on few pieces when load is highest.
+func (s *Scheduler) hasMemoryFor(w *worker, first *Job, maxBytes int64, now time.Time) bool {
 	if s.profile.ResultBytes <= 0 {
 		return true
 	}
@@ -175,15 +256,29 @@
 		if pieces >= s.profile.MaxBatchSize/2 {
 			break
 		}
-		if j != first {
+		if j != first && j.ResultBytes <= maxBytes {
 			need += int64(len(j.queue)) * j.ResultBytes
 			pieces += len(j.queue)
 		}
 	}
-	// A job larger than the target's memory takes what is free.
-	return free >= min(need, s.profile.ResultBytes/2)
+	if s.isReservedFromPassing(w, first) {
+		return need <= min(s.reservedSpace(), free)
+	}
+	// A job larger than the target's memory takes what is free, but not less than one result: a
+	// call without pieces would start over and over.
+	return free >= max(min(need, s.profile.ResultBytes/2), first.ResultBytes)
+}
+
+// isReservedFromPassing reports whether the memory of a target is reserved for another job that
+// this one may pass. Jobs that may not pass each other get memory in queue order.
+func (s *Scheduler) isReservedFromPassing(w *worker, j *Job) bool {
+	other := s.reserved[w]
+	return other != nil && other != j && j.ResultBytes <= other.ResultBytes/passingShare
 }
 
+// reservedSpace returns the memory that a call of others may take at a reserved target.
+func (s *Scheduler) reservedSpace() int64 { return s.profile.ResultBytes / reservedFraction }
+
 // hasShortQueue reports whether so little is queued that a job may wait for a target of its
 // failure domain: less than a call for a few targets.
 func (s *Scheduler) hasShortQueue() bool {
