batching: Pause targets by their record of answers

Targets whose answers are lost now and then (28 of 100 calls) were left alone for 250 ms to 4 s each time, while 1,700 pieces waited.

The pause after a failed call is now 50 ms for a target that answers at least half of its calls and 250 ms for others. It doubles with consecutive failures up to 4 s, as before. While a full call waits and no other target is free or has memory, a target that answers at least half of its calls is used at once, or after 50 ms if the call failed before it can have run: a crashed target would fail the same pieces several times. A target that was never called counts as one that answers less than half. Pauses that a target asks for are kept in all cases. Log line and counter stage_pauses.

--- a/internal/batching/capacity.go
+++ b/internal/batching/capacity.go
@@ -16,7 +16,7 @@
 	full := s.callTime(s.profile.MaxBatchSize).Seconds()
 	total := 0.0
 	for _, w := range s.order {
-		if now.Before(w.backoffUntil) {
+		if now.Before(w.availableAt(s.needsAll)) {
 			continue
 		}
 		total += float64(s.profile.MaxConcurrency*s.profile.MaxBatchSize) / (full * max(w.ratio(now), 1))
@@ -115,7 +115,7 @@
 func (s *Scheduler) nextFree(now time.Time) time.Duration {
 	best := time.Duration(-1)
 	for _, w := range s.order {
-		left := w.backoffUntil.Sub(now)
+		left := w.availableAt(s.waiting >= s.profile.MaxBatchSize).Sub(now)
 		if len(w.running) >= s.profile.MaxConcurrency {
 			left = max(left, w.callLeft(now))
 		}
--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -586,5 +586,15 @@
 	if noRoom > 0 {
 		s.collector.o.Metrics.Count("stage_memory_rejections", int64(noRoom))
 	}
-	s.update(func(sch *Scheduler) { sch.Finish(c, o, s.collector.o.Timers.Now()) })
+	var pause time.Duration
+	var failures int
+	var share float64
+	s.update(func(sch *Scheduler) {
+		sch.Finish(c, o, s.collector.o.Timers.Now())
+		pause, failures, share = sch.PauseAfterFailure(c.Target)
+	})
+	if pause > 0 {
+		s.collector.o.Metrics.CountReason("stage_pauses", s.name)
+		klog.InfoS("Target paused after failed calls", "service", s.name, "target", c.Target.ID, "pause_ms", pause.Milliseconds(), "failures", failures, "answered_share", share)
+	}
 }
--- a/internal/batching/memory_test.go
+++ b/internal/batching/memory_test.go
@@ -174,6 +174,7 @@
 	target := m.targets[c.Target.ID]
 	require.False(m.t, target.busy, "one call at a time")
 	if target.crashed {
+		m.onCall(c, 0)
 		m.do(5*time.Millisecond, func() { m.s.Finish(c, CallFailed{Reason: "refused"}, m.now) })
 		return
 	}
@@ -428,3 +429,68 @@
 	// The memory is reserved after 400 ms, and free once its results aren't needed any more.
 	require.Less(t, m.waited[1_500_000][0], memoryPatience+m.hold+m.s.callTime(largeInvoicing.MaxBatchSize))
 }
+
+// Load pattern: 1,700 pieces wait at 19 targets, and one in four answers is lost at each. Guards
+// against targets that are left idle because of lost answers, and against requests that fail
+// because their pieces run at one failing target again and again.
+func TestLostAnswersLeaveNoTargetIdle(t *testing.T) {
+	m := newMemorySimulation(t, firstStage, 19)
+	m.hold = 100 * time.Millisecond
+	for _, target := range m.targets {
+		target.lost = 0.25
+	}
+	for i := range 3000 {
+		m.add(time.Duration(i/1700)*time.Duration(i-1700)*2*time.Millisecond, 1, 8_000, 6*time.Second, 20*time.Second)
+	}
+	m.sample(500*time.Millisecond, 3500*time.Millisecond)
+	m.run(20 * time.Second)
+	require.Greater(t, m.busyShare(), 0.9)
+	require.Less(t, m.outcomes[Failed], 3000*3/100, "0.25^3 of all is 1.6 in 100")
+}
+
+// Load pattern: two of six targets crash and refuse all calls while many pieces wait. Guards
+// against a crashed target that gets call after call, and against pieces that fail there three
+// times within milliseconds.
+func TestCrashedTargetBacksOff(t *testing.T) {
+	m := newMemorySimulation(t, firstStage, 6)
+	m.hold = 100 * time.Millisecond
+	for i := range 3000 {
+		m.add(time.Duration(i)*5*time.Millisecond, 1, 8_000, 2*time.Second, 15*time.Second)
+	}
+	calls := map[string][]time.Time{}
+	m.onCall = func(c *Call, _ time.Duration) { calls[c.Target.ID] = append(calls[c.Target.ID], m.now) }
+	m.run(2 * time.Second)
+	m.targets["t1"].crashed, m.targets["t2"].crashed = true, true
+	clear(calls)
+	m.run(20 * time.Second)
+	for _, id := range []string{"t1", "t2"} {
+		// Eight pauses up to 4 s take 10 s together, three of which may be cut short.
+		require.LessOrEqual(t, len(calls[id]), 13, id)
+		require.GreaterOrEqual(t, m.s.workers[id].failurePause(), maxBackoff, id)
+	}
+	require.Less(t, m.outcomes[Failed], 30)
+}
+
+// Guards against a target that is left alone for long because of one lost answer, and against a
+// pause that the target asked for and that ends early because many pieces wait.
+func TestPauseFollowsTheRecordOfAnswers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := &worker{successShare: unknownSuccessShare}
+	for range 40 {
+		w.recordAnswer(true, false, now)
+	}
+	for i, want := range []time.Duration{50, 100, 200, 400, 800, 1600, 3200, 4000, 4000} {
+		w.recordAnswer(false, true, now)
+		require.Equal(t, want*time.Millisecond, w.failurePause())
+		if i < 3 {
+			require.Equal(t, now.Add(initialBackoff), w.availableAt(true))
+		}
+	}
+	require.Equal(t, now.Add(maxBackoff), w.availableAt(true), "it fails every call")
+	w = &worker{successShare: 1}
+	w.recordAnswer(false, false, now)
+	require.False(t, w.availableAt(true).After(now), "the answer was lost")
+	w = &worker{successShare: 1}
+	w.backOff(now.Add(2 * time.Second))
+	require.Equal(t, now.Add(2*time.Second), w.availableAt(true))
+}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -104,10 +104,18 @@
 	// constant with which the average returns to 1.
 	maxRatio   = 6.0
 	ratioDecay = 3 * time.Second
-	// initialBackoff is the backoff of a target after a failed call. It doubles with each
-	// consecutive failure up to maxBackoff.
-	initialBackoff = 250 * time.Millisecond
-	maxBackoff     = 4 * time.Second
+	// initialBackoff is the backoff of a target after a failed call among successes, and
+	// unknownBackoff that of one which answers fewer than minSuccessShare of its calls, or has
+	// answered none yet. It doubles with each consecutive failure up to maxBackoff.
+	initialBackoff  = 50 * time.Millisecond
+	unknownBackoff  = 250 * time.Millisecond
+	maxBackoff      = 4 * time.Second
+	minSuccessShare = 0.5
+	// answerWeight is the weight of one call in the share of answered calls, and
+	// unknownSuccessShare the share of a target that was not called yet. When a target
+	// crashes that has always answered, four failures bring the share below minSuccessShare.
+	answerWeight        = 0.2
+	unknownSuccessShare = 0.45
 	// rejectedBackoff is the backoff of a target that rejected a call because it is full.
 	rejectedBackoff = 60 * time.Millisecond
 	// A call that takes longer than callTimeoutFactor times the expected duration plus
@@ -145,6 +153,7 @@
 	// memory is left to one of them.
 	blockedSince    map[*Job]time.Time
 	reserved        map[*worker]*Job
+	needsAll        bool      // a full call waits, and no target is free that answers well
 	collectingSince time.Time // last call of BeginCollecting
 	seenAt          time.Time // last time passed by a caller
 }
@@ -407,7 +416,7 @@
 	w.running = slices.DeleteFunc(w.running, func(other *Call) bool { return other == c })
 	switch o := o.(type) {
 	case CallCompleted:
-		w.failures = 0
+		w.recordAnswer(true, false, now)
 		for i, p := range c.Pieces {
 			s.finishPiece(c, p, o.Outcomes[i], o.Handles[i], now)
 		}
@@ -416,12 +425,7 @@
 		w.backOff(now.Add(rejectedBackoff))
 		s.requeue(c, false, now)
 	case CallFailed:
-		pause := initialBackoff
-		for range min(w.failures, 10) {
-			pause = min(2*pause, maxBackoff)
-		}
-		w.failures++
-		w.backOff(now.Add(pause))
+		w.recordAnswer(false, now.Sub(c.StartedAt) < s.profile.CallOverhead, now)
 		s.retainMemory(w, c, now)
 		s.requeue(c, true, now)
 	}
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -24,9 +24,14 @@
 	report           reportState
 	relativeLatency  float64
 	latencyUpdatedAt time.Time // last update of relativeLatency
-	failures         int
-	backoffUntil     time.Time
-	present          bool
+	// failures counts consecutive failed calls, successShare is the share of calls with a
+	// usable answer, an average that favours recent calls, and failedAt the last failure.
+	failures     int
+	successShare float64
+	failedAt     time.Time
+	failedEarly  bool      // the last failed call ended before the target can have run it
+	backoffUntil time.Time // pause that the target asked for, or after a rejection
+	present      bool
 }
 
 // ratio returns the duration of calls at the target relative to the profile. The
@@ -43,6 +48,62 @@
 	}
 }
 
+// recordAnswer updates the record of answers that decides the pause after a failure. early says
+// that a call ended before the target can have run it.
+func (w *worker) recordAnswer(usable, early bool, now time.Time) {
+	seen := 0.0
+	if usable {
+		w.failures, seen = 0, 1
+	} else {
+		w.failures++
+		w.failedAt, w.failedEarly = now, early
+	}
+	w.successShare += answerWeight * (seen - w.successShare)
+}
+
+// failurePause returns the pause after the last failed call. The first failures among
+// successes are most likely lost answers, and a target that has not answered yet may be down.
+func (w *worker) failurePause() time.Duration {
+	if w.failures == 0 {
+		return 0
+	}
+	pause := initialBackoff
+	if w.successShare < minSuccessShare && w.failures == 1 {
+		pause = unknownBackoff
+	}
+	for range min(w.failures-1, 10) {
+		pause = min(2*pause, maxBackoff)
+	}
+	return pause
+}
+
+// availableAt returns when the target takes calls again. When it is needed, one that answers
+// most calls is not left alone, or for the shortest pause if its last call failed early: it may
+// be down, and a piece would fail there several times within milliseconds.
+func (w *worker) availableAt(needed bool) time.Time {
+	pause := w.failurePause()
+	if needed && w.successShare >= minSuccessShare {
+		pause = min(pause, initialBackoff)
+		if !w.failedEarly {
+			pause = 0
+		}
+	}
+	if end := w.failedAt.Add(pause); end.After(w.backoffUntil) {
+		return end
+	}
+	return w.backoffUntil
+}
+
+// PauseAfterFailure returns the pause of a target after its last calls failed, their number and
+// the share of its calls that are answered.
+func (s *Scheduler) PauseAfterFailure(t Target) (pause time.Duration, failures int, successShare float64) {
+	w := s.workers[t.ID]
+	if w == nil {
+		return 0, 0, 0
+	}
+	return w.failurePause(), w.failures, w.successShare
+}
+
 // callLeft returns the time until the first running call at the target ends.
 func (w *worker) callLeft(now time.Time) time.Duration {
 	best := time.Duration(-1)
@@ -63,7 +124,7 @@
 	for _, t := range targets {
 		w := s.workers[t.ID]
 		if w == nil || !w.Started.Equal(t.Started) {
-			w = &worker{Target: t, relativeLatency: 1}
+			w = &worker{Target: t, relativeLatency: 1, successShare: unknownSuccessShare}
 			s.workers[t.ID] = w
 		}
 		w.Target = t
@@ -106,7 +167,19 @@
 	}
 }
 
+// freeTargets counts the free targets. While there is none and a full call waits, targets in a
+// pause after a lost answer count as well.
 func (s *Scheduler) freeTargets(now time.Time) int {
+	s.needsAll = false
+	free := s.countFree(now)
+	if free == 0 && s.waiting >= s.profile.MaxBatchSize {
+		s.needsAll = true
+		free = s.countFree(now)
+	}
+	return free
+}
+
+func (s *Scheduler) countFree(now time.Time) int {
 	free := 0
 	for _, w := range s.order {
 		if s.isFree(w, now) {
@@ -117,7 +190,7 @@
 }
 
 func (s *Scheduler) isFree(w *worker, now time.Time) bool {
-	return len(w.running) < s.profile.MaxConcurrency && !now.Before(w.backoffUntil) && !s.awaitsReport(w, now)
+	return len(w.running) < s.profile.MaxConcurrency && !now.Before(w.availableAt(s.needsAll)) && !s.awaitsReport(w, now)
 }
 
 // choice is a job and the target for a call that begins with it.
@@ -126,15 +199,26 @@
 	worker *worker
 }
 
-// chooseTarget returns the free target for the first job of the queue that finds memory, or
+// chooseTarget returns a job and a free target for a call. While free targets lack memory and a
+// full call waits, targets in a pause after a lost answer are used as well.
+func (s *Scheduler) chooseTarget(now time.Time) (choice, time.Duration) {
+	c, again, full := s.chooseFreeTarget(now)
+	if c.worker == nil && full && !s.needsAll && s.waiting >= s.profile.MaxBatchSize {
+		s.needsAll = true
+		c, again, _ = s.chooseFreeTarget(now)
+	}
+	return c, again
+}
+
+// chooseFreeTarget returns the free target for the first job of the queue that finds memory, or
 // the time after which to check again. A job whose results find none lets later ones with much
 // smaller results pass; ones of about the same size would only start in small calls.
-func (s *Scheduler) chooseTarget(now time.Time) (choice, time.Duration) {
+func (s *Scheduler) chooseFreeTarget(now time.Time) (c choice, again time.Duration, blocked bool) {
 	s.reserveMemory(now)
 	maxBytes := int64(math.MaxInt64)
 	for _, w := range s.order {
 		if j := s.reserved[w]; j != nil && s.isFree(w, now) && s.hasMemoryFor(w, j, maxBytes, now) {
-			return choice{job: j, worker: w}, 0
+			return choice{job: j, worker: w}, 0, false
 		}
 	}
 	for _, j := range s.jobs {
@@ -143,19 +227,19 @@
 		}
 		if maxBytes < math.MaxInt64 {
 			if delay := s.passDelay(j, maxBytes, now); delay > 0 {
-				return choice{}, delay
+				return choice{}, delay, true
 			}
 		}
 		w, again, full := s.chooseTargetFor(j, maxBytes, now)
 		if w != nil || !full {
-			return choice{job: j, worker: w}, again
+			return choice{job: j, worker: w}, again, false
 		}
 		if _, known := s.blockedSince[j]; !known {
 			s.blockedSince[j] = now
 		}
 		maxBytes = j.ResultBytes / passingShare
 	}
-	return choice{}, memoryRetryInterval
+	return choice{}, memoryRetryInterval, true
 }
 
 // passDelay returns how long a job that passes a blocked one waits for others to share its call.
@@ -196,7 +280,7 @@
 	for _, j := range starved[:min(len(starved), max(len(s.order)/2, 1))] {
 		var best *worker
 		for _, w := range s.order {
-			if s.reserved[w] == nil && !now.Before(w.backoffUntil) && (best == nil || s.freeMemory(w, now) > s.freeMemory(best, now)) {
+			if s.reserved[w] == nil && !now.Before(w.availableAt(s.needsAll)) && (best == nil || s.freeMemory(w, now) > s.freeMemory(best, now)) {
 				best = w
 			}
 		}
@@ -310,7 +394,7 @@
 func (s *Scheduler) nextBackoffEnd(now time.Time) time.Duration {
 	best := time.Duration(0)
 	for _, w := range s.order {
-		if left := w.backoffUntil.Sub(now); left > 0 && (best == 0 || left < best) {
+		if left := w.availableAt(s.waiting >= s.profile.MaxBatchSize).Sub(now); left > 0 && (best == 0 || left < best) {
 			best = left
 		}
 	}
