batching: Learn the time per piece for each kind

Pieces of different stages of one service differ in duration (a factor of 0.3), but one average was used for all.

The time per piece is learned by the size of the result, also from calls that mix sizes: each size is corrected in proportion to its pieces in the call. The expected duration of a call, the checks against the deadline and the rate at which the queue is served use it; the rate is that of the mix that waits. At most 64 sizes are kept; other sizes use the average. rank still uses the average.

--- a/internal/batching/capacity.go
+++ b/internal/batching/capacity.go
@@ -11,9 +11,68 @@
 	return s.profile.CallOverhead + time.Duration(float64(n)*s.pieceTime*float64(time.Second))
 }
 
-// rate returns the pieces per second that all targets run in full calls.
+// pieceTimeOf returns the time per piece with a size of the result, in seconds. Pieces of one
+// stage have results of one size, and those of different stages take different times.
+func (s *Scheduler) pieceTimeOf(resultBytes int64) float64 {
+	if t, known := s.pieceTimes[resultBytes]; known {
+		return t
+	}
+	return s.pieceTime
+}
+
+// piecesTime returns the duration of a call of given pieces at a target with a relative latency
+// of 1.
+func (s *Scheduler) piecesTime(pieces []Piece) time.Duration {
+	sum := 0.0
+	for _, p := range pieces {
+		sum += s.pieceTimeOf(p.Job.ResultBytes)
+	}
+	return s.profile.CallOverhead + time.Duration(sum*float64(time.Second))
+}
+
+// jobTime returns the duration of a call of n pieces of a job.
+func (s *Scheduler) jobTime(j *Job, n int) time.Duration {
+	return s.profile.CallOverhead + time.Duration(float64(n)*s.pieceTimeOf(j.ResultBytes)*float64(time.Second))
+}
+
+// queuedPieceTime returns the mean time per piece of the queue.
+func (s *Scheduler) queuedPieceTime() float64 {
+	sum, n := 0.0, 0
+	for _, j := range s.jobs {
+		sum += float64(len(j.queue)) * s.pieceTimeOf(j.ResultBytes)
+		n += len(j.queue)
+	}
+	if n == 0 {
+		return s.pieceTime
+	}
+	return sum / float64(n)
+}
+
+// learnPieceTimes corrects the times of the kinds of pieces in a call that took a time without
+// its fixed part, by the least change that explains a part of the difference.
+func (s *Scheduler) learnPieceTimes(pieces []Piece, seconds float64) {
+	counts := map[int64]int{}
+	expected, squares := 0.0, 0
+	for _, p := range pieces {
+		counts[p.Job.ResultBytes]++
+		expected += s.pieceTimeOf(p.Job.ResultBytes)
+	}
+	for _, n := range counts {
+		squares += n * n
+	}
+	longest := maxPieceFactor * s.profile.PieceTime.Seconds()
+	rest := min(seconds, longest*float64(len(pieces))) - expected
+	for bytes, n := range counts {
+		if _, known := s.pieceTimes[bytes]; !known && len(s.pieceTimes) >= maxPieceKinds {
+			continue
+		}
+		s.pieceTimes[bytes] = min(max(s.pieceTimeOf(bytes)+pieceWeight*rest*float64(n)/float64(squares), 0), longest)
+	}
+}
+
+// rate returns the pieces per second that all targets run in full calls of what is queued.
 func (s *Scheduler) rate(now time.Time) float64 {
-	full := s.callTime(s.profile.MaxBatchSize).Seconds()
+	full := s.profile.CallOverhead.Seconds() + float64(s.profile.MaxBatchSize)*s.queuedPieceTime()
 	total := 0.0
 	for _, w := range s.order {
 		if now.Before(w.availableAt(s.needsAll)) {
--- a/internal/batching/memory_test.go
+++ b/internal/batching/memory_test.go
@@ -494,3 +494,37 @@
 	w.backOff(now.Add(2 * time.Second))
 	require.Equal(t, now.Add(2*time.Second), w.availableAt(true))
 }
+
+// Load pattern: two stages run at one service, and pieces of one take 0.3 of the time of the
+// other's. Guards against calls and waits that are expected by the average of both, so that
+// calls are abandoned too early or too late, and requests are rejected that could be served.
+func TestTimeIsLearnedForEachKindOfPiece(t *testing.T) {
+	m := newMemorySimulation(t, secondStage, 4)
+	m.factor[6_000] = 0.3
+	m.hold = 50 * time.Millisecond
+	for i := range 400 {
+		m.add(time.Duration(i)*40*time.Millisecond, 4, []int64{60_000, 6_000}[m.random.IntN(2)], 2*time.Second, 9*time.Second)
+	}
+	off, calls := 0.0, 0
+	m.onCall = func(c *Call, took time.Duration) {
+		if m.now.Sub(time.Unix(1000, 0)) > 8*time.Second {
+			calls++
+			off = max(off, c.Expected.Seconds()/took.Seconds()-1, 1-c.Expected.Seconds()/took.Seconds())
+		}
+	}
+	m.run(20 * time.Second)
+	require.Greater(t, calls, 50)
+	require.Less(t, off, 0.05, "expected duration of a call")
+	for bytes, factor := range map[int64]float64{60_000: 1, 6_000: 0.3} {
+		m.at(0, func() {
+			for range 60 {
+				m.add(0, 8, bytes, 9*time.Second, 20*time.Second)
+			}
+		})
+		m.run(time.Millisecond)
+		calls := float64(m.s.waiting) / 24 / 4
+		want := calls * (0.2 + 24*0.0071*factor)
+		require.InEpsilon(t, want, m.s.Backlog(m.now).Seconds(), 0.05, "time for the queue")
+		m.run(20 * time.Second)
+	}
+}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -84,6 +84,10 @@
 	checkInterval = 50 * time.Millisecond
 	// pieceWeight is the weight of one call in the average time per piece.
 	pieceWeight = 0.1
+	// maxPieceKinds limits the sizes of results for which the time per piece is learned, and
+	// maxPieceFactor that time relative to the profile.
+	maxPieceKinds  = 64
+	maxPieceFactor = 4.0
 	// arrivalWindow is the averaging time of the arrival rate. It is longer than a burst,
 	// after which the requests that have missed their objective are served.
 	arrivalWindow = 12 * time.Second
@@ -146,7 +150,8 @@
 	pieceTime          float64  // average call time per piece, in seconds
 	arrivals           float64  // pieces per second that can meet their objective
 	arrivedAt          time.Time
-	deadlinesCheckedAt time.Time // last check of deadlines
+	deadlinesCheckedAt time.Time         // last check of deadlines
+	pieceTimes         map[int64]float64 // the same by size of the result, see pieceTimeOf
 	load               *Load
 	stopping           bool // jobs with pieces in no call end
 	// blockedSince is when jobs first found no memory, and reserved are the targets whose
@@ -162,7 +167,7 @@
 func NewScheduler(p catalog.BatchProfile) *Scheduler {
 	return &Scheduler{
 		profile: p, workers: map[string]*worker{}, results: map[string]storedResult{},
-		blockedSince: map[*Job]time.Time{}, reserved: map[*worker]*Job{},
+		pieceTimes: map[int64]float64{}, blockedSince: map[*Job]time.Time{}, reserved: map[*worker]*Job{},
 		pieceTime: p.PieceTime.Seconds(), load: NewLoad(),
 	}
 }
@@ -228,7 +233,7 @@
 		return
 	}
 	wait := s.wait(j, now)
-	need := s.callTime(min(j.Pieces, s.profile.MaxBatchSize))
+	need := s.jobTime(j, min(j.Pieces, s.profile.MaxBatchSize))
 	if now.Add(wait + need).After(j.Deadline) {
 		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: retryAfter(wait)})
 		return
@@ -322,7 +327,7 @@
 	var unmeetable []*Job
 	q := queueAhead{}
 	for _, j := range s.jobs {
-		need := s.callTime(min(j.pending, s.profile.MaxBatchSize))
+		need := s.jobTime(j, min(j.pending, s.profile.MaxBatchSize))
 		j.expectedWait = s.waitBehind(j, q, o)
 		if now.Add(j.expectedWait + need).After(j.Deadline) {
 			unmeetable = append(unmeetable, j)
@@ -382,7 +387,7 @@
 	s.jobs = slices.DeleteFunc(s.jobs, func(j *Job) bool { return len(j.queue) == 0 })
 	s.nextID++
 	c.ID = s.nextID
-	c.Expected = time.Duration(float64(s.callTime(len(c.Pieces))) * max(w.ratio(now), 1))
+	c.Expected = time.Duration(float64(s.piecesTime(c.Pieces)) * max(w.ratio(now), 1))
 	c.Queued, c.TargetBytes = s.waiting, w.resultBytes
 	w.running = append(w.running, c)
 	return c
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -424,11 +424,12 @@
 		return // past its timeout: this process was suspended meanwhile
 	}
 	took := now.Sub(c.StartedAt).Seconds()
-	seen := min(took/s.callTime(len(c.Pieces)).Seconds(), maxRatio)
+	seen := min(took/s.piecesTime(c.Pieces).Seconds(), maxRatio)
 	before := w.ratio(now)
 	w.relativeLatency, w.latencyUpdatedAt = before+ratioWeight*(seen-before), now
 	if w.ratio(now) < slowRatio {
 		each := max(took-s.profile.CallOverhead.Seconds(), 0) / float64(len(c.Pieces))
+		s.learnPieceTimes(c.Pieces, max(took-s.profile.CallOverhead.Seconds(), 0))
 		s.pieceTime += pieceWeight * (min(each, 2*s.profile.PieceTime.Seconds()) - s.pieceTime)
 	}
 }
