batching: Take the stated speed of targets as a sample

Answers of workers may carry in Worker-Load how long work takes on their machine at the moment, which changes many times a second; it was not read.

The scheduler mixes it into the target's relative latency by half and forgets it with a time constant of 300 ms. The latency measured from calls is kept apart, so that it isn't learned twice.

No figures were measured under load.

--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -125,6 +125,9 @@
 type CallCompleted struct {
 	Outcomes []PieceOutcome
 	Handles  []string
+	// Latency is how long work takes at the target at the moment, relative to the usual time;
+	// 0 if it didn't say.
+	Latency float64
 }
 
 // count returns the number of pieces with an outcome.
--- a/internal/batching/memory_test.go
+++ b/internal/batching/memory_test.go
@@ -528,3 +528,22 @@
 		m.run(20 * time.Second)
 	}
 }
+
+// Guards against a target that is called although it says that it is slow at the moment, and
+// against one that is avoided for longer than that.
+func TestStatedLatencyIsShortLived(t *testing.T) {
+	s, c, now := newCall(t, firstStage, 8, 8_000)
+	now = now.Add(c.Expected)
+	s.Finish(c, CallCompleted{Handles: make([]string, 8), Outcomes: make([]PieceOutcome, 8), Latency: 3}, now)
+	w := s.workers["a"]
+	require.Greater(t, w.ratio(now), slowRatio)
+	require.InDelta(t, 1, w.measuredRatio(now), 0.01, "the call itself took the usual time")
+	s.SetTargets([]Target{{ID: "a"}, {ID: "b"}})
+	s.Add(&Job{RequestID: "r2", Pieces: 8, ResultBytes: 8_000, Objective: now.Add(time.Second), Deadline: now.Add(9 * time.Second)}, func(Outcome) {}, now)
+	next, _ := s.Next(now)
+	require.NotNil(t, next)
+	require.Equal(t, "b", next.Target.ID)
+	require.InDelta(t, 1, w.ratio(now.Add(4*sampleMemory)), 0.05)
+	s.RecordReport(c.Target, &TargetReport{Latency: 3}, now)
+	require.Greater(t, w.ratio(now), 2.0, "two samples weigh more")
+}
--- a/internal/batching/reports.go
+++ b/internal/batching/reports.go
@@ -33,6 +33,9 @@
 	Queued    int   // calls that wait at the target
 	Busy      int   // calls that run
 	FreeBytes int64 // free result memory
+	// Latency is how long work takes at the moment, relative to the usual time; 0 if the target
+	// didn't say. Unlike the rest it is of the time of the answer.
+	Latency float64
 }
 
 // memoryUse is the memory that own results take at a target from a time on.
@@ -176,6 +179,9 @@
 	w.report.inFlight = false
 	w.report.answered = true
 	before := w.othersBytes(now)
+	if r != nil {
+		w.recordSample(r.Latency, now)
+	}
 	if r == nil || s.profile.ResultBytes <= 0 {
 		return before, false
 	}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -108,6 +108,10 @@
 	// constant with which the average returns to 1.
 	maxRatio   = 6.0
 	ratioDecay = 3 * time.Second
+	// sampleWeight is the weight of what a target says of its speed, which changes many times
+	// a second, and sampleMemory the time constant with which it is forgotten.
+	sampleWeight = 0.5
+	sampleMemory = 300 * time.Millisecond
 	// initialBackoff is the backoff of a target after a failed call among successes, and
 	// unknownBackoff that of one which answers fewer than minSuccessShare of its calls, or has
 	// answered none yet. It doubles with each consecutive failure up to maxBackoff.
@@ -422,6 +426,7 @@
 	switch o := o.(type) {
 	case CallCompleted:
 		w.recordAnswer(true, false, now)
+		w.recordSample(o.Latency, now)
 		for i, p := range c.Pieces {
 			s.finishPiece(c, p, o.Outcomes[i], o.Handles[i], now)
 		}
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -24,6 +24,9 @@
 	report           reportState
 	relativeLatency  float64
 	latencyUpdatedAt time.Time // last update of relativeLatency
+	// sampledLatency is an average of what the target said of its speed, as of sampledAt.
+	sampledLatency float64
+	sampledAt      time.Time
 	// failures counts consecutive failed calls, successShare is the share of calls with a
 	// usable answer, an average that favours recent calls, and failedAt the last failure.
 	failures     int
@@ -34,10 +37,29 @@
 	present      bool
 }
 
-// ratio returns the duration of calls at the target relative to the profile. The
+// ratio returns the expected duration of a call now, relative to the profile: the measured one,
+// and for a moment what the target last said of its speed.
+func (w *worker) ratio(now time.Time) float64 {
+	measured := w.measuredRatio(now)
+	if w.sampledAt.IsZero() {
+		return measured
+	}
+	return measured + (w.sampledLatency-measured)*math.Exp(-now.Sub(w.sampledAt).Seconds()/sampleMemory.Seconds())
+}
+
+// recordSample records what the target said of its speed; 0 means nothing.
+func (w *worker) recordSample(latency float64, now time.Time) {
+	if latency <= 0 {
+		return
+	}
+	before := w.ratio(now)
+	w.sampledLatency, w.sampledAt = before+sampleWeight*(min(latency, maxRatio)-before), now
+}
+
+// measuredRatio returns the measured duration of calls at the target relative to the profile. The
 // measurement decays toward 1, because a target that is avoided gives no newer one,
 // and because this process may have been what was slow.
-func (w *worker) ratio(now time.Time) float64 {
+func (w *worker) measuredRatio(now time.Time) float64 {
 	return 1 + (w.relativeLatency-1)*math.Exp(-now.Sub(w.latencyUpdatedAt).Seconds()/ratioDecay.Seconds())
 }
 
@@ -425,9 +447,9 @@
 	}
 	took := now.Sub(c.StartedAt).Seconds()
 	seen := min(took/s.piecesTime(c.Pieces).Seconds(), maxRatio)
-	before := w.ratio(now)
+	before := w.measuredRatio(now)
 	w.relativeLatency, w.latencyUpdatedAt = before+ratioWeight*(seen-before), now
-	if w.ratio(now) < slowRatio {
+	if w.measuredRatio(now) < slowRatio {
 		each := max(took-s.profile.CallOverhead.Seconds(), 0) / float64(len(c.Pieces))
 		s.learnPieceTimes(c.Pieces, max(took-s.profile.CallOverhead.Seconds(), 0))
 		s.pieceTime += pieceWeight * (min(each, 2*s.profile.PieceTime.Seconds()) - s.pieceTime)
