batching: Check full targets while others are paused

When free targets lacked memory, the queue was checked again after the longer of 10 ms and the end of the first pause, up to 4 s, unless something else happened. Memory attributed to other collectors decays without an event, so that targets idled. The earlier of both is used now.

TestRejectedPiecesRequestReports fails on the former order.

--- a/internal/batching/memory_test.go
+++ b/internal/batching/memory_test.go
@@ -547,3 +547,41 @@
 	s.RecordReport(c.Target, &TargetReport{Latency: 3}, now)
 	require.Greater(t, w.ratio(now), 2.0, "two samples weigh more")
 }
+
+// Guards against reports for longer than a second after a rejection, against an old report that
+// hides the memory that was missing, and against a full target that is only checked again when
+// the long pause of another one ends.
+func TestRejectedPiecesRequestReports(t *testing.T) {
+	s, c, now := newCall(t, secondStage, 24, 60_000)
+	due, _ := s.ReportsDue(now)
+	require.Empty(t, due)
+	s.SetTargets([]Target{{ID: "a"}, {ID: "b"}})
+	for range 8 {
+		s.workers["b"].recordAnswer(false, true, now)
+	}
+	o := CallCompleted{Handles: make([]string, 24)}
+	for range 24 {
+		o.Outcomes = append(o.Outcomes, PieceOutOfMemory)
+	}
+	now = now.Add(100 * time.Millisecond)
+	s.Finish(c, o, now)
+	_, again := s.Next(now)
+	require.Positive(t, again)
+	require.LessOrEqual(t, again, memoryRetryInterval)
+	rejectedAt, reports := now, 0
+	for ; now.Sub(rejectedAt) < 3*time.Second; now = now.Add(20 * time.Millisecond) {
+		due, _ = s.ReportsDue(now)
+		for _, target := range due {
+			require.Equal(t, "a", target.ID)
+			reports++
+			require.Less(t, now.Sub(rejectedAt), reportsAfterRejection)
+			s.RecordReport(target, &TargetReport{FreeBytes: 2_000_000}, now)
+			if reports == 1 {
+				require.Less(t, s.freeMemory(s.workers["a"], now), int64(100_000), "the report is of before the call")
+			} else if now.Sub(rejectedAt) > reportAge {
+				require.Equal(t, int64(2_000_000), s.freeMemory(s.workers["a"], now))
+			}
+		}
+	}
+	require.Equal(t, 5, reports)
+}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -310,7 +310,10 @@
 	}
 	next, again := s.chooseTarget(now)
 	if next.worker == nil {
-		return nil, max(again, s.nextBackoffEnd(now))
+		if end := s.nextBackoffEnd(now); end > 0 && (again == 0 || end < again) {
+			again = end
+		}
+		return nil, again
 	}
 	return s.startCall(next, now), 0
 }
