--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -52,6 +52,15 @@
 	// memoryRetryInterval is how soon a target without free memory is checked again.
 	// Gateways release results about as often.
 	memoryRetryInterval = 10 * time.Millisecond
+	// passingShare is how many times smaller the results of a job have to be than those of an
+	// earlier one without memory, to pass it.
+	passingShare = 2
+	// memoryPatience is how long a job finds no memory before memory is reserved for it. A
+	// call takes about as long.
+	memoryPatience = 400 * time.Millisecond
+	// reservedFraction is the fraction of a target's memory that a call of other jobs may take
+	// while the rest is reserved. Results of 8 kB among ones of 1.5 MB need less.
+	reservedFraction = 20
 	// inputWaitLimit is how long a job that has missed its objective waits behind others
 	// when its inputs take up memory at other targets.
 	inputWaitLimit = 700 * time.Millisecond
@@ -75,6 +84,10 @@
 	checkInterval = 50 * time.Millisecond
 	// pieceWeight is the weight of one call in the average time per piece.
 	pieceWeight = 0.1
+	// maxPieceKinds limits the sizes of results for which the time per piece is learned, and
+	// maxPieceFactor that time relative to the profile.
+	maxPieceKinds  = 64
+	maxPieceFactor = 4.0
 	// arrivalWindow is the averaging time of the arrival rate. It is longer than a burst,
 	// after which the requests that have missed their objective are served.
 	arrivalWindow = 12 * time.Second
@@ -95,10 +108,22 @@
 	// constant with which the average returns to 1.
 	maxRatio   = 6.0
 	ratioDecay = 3 * time.Second
-	// initialBackoff is the backoff of a target after a failed call. It doubles with each
-	// consecutive failure up to maxBackoff.
-	initialBackoff = 250 * time.Millisecond
-	maxBackoff     = 4 * time.Second
+	// sampleWeight is the weight of what a target says of its speed, which changes many times
+	// a second, and sampleMemory the time constant with which it is forgotten.
+	sampleWeight = 0.5
+	sampleMemory = 300 * time.Millisecond
+	// initialBackoff is the backoff of a target after a failed call among successes, and
+	// unknownBackoff that of one which answers fewer than minSuccessShare of its calls, or has
+	// answered none yet. It doubles with each consecutive failure up to maxBackoff.
+	initialBackoff  = 50 * time.Millisecond
+	unknownBackoff  = 250 * time.Millisecond
+	maxBackoff      = 4 * time.Second
+	minSuccessShare = 0.5
+	// answerWeight is the weight of one call in the share of answered calls, and
+	// unknownSuccessShare the share of a target that was not called yet. When a target
+	// crashes that has always answered, four failures bring the share below minSuccessShare.
+	answerWeight        = 0.2
+	unknownSuccessShare = 0.45
 	// rejectedBackoff is the backoff of a target that rejected a call because it is full.
 	rejectedBackoff = 60 * time.Millisecond
 	// A call that takes longer than callTimeoutFactor times the expected duration plus
@@ -129,15 +154,24 @@
 	pieceTime          float64  // average call time per piece, in seconds
 	arrivals           float64  // pieces per second that can meet their objective
 	arrivedAt          time.Time
-	deadlinesCheckedAt time.Time // last check of deadlines
+	deadlinesCheckedAt time.Time         // last check of deadlines
+	pieceTimes         map[int64]float64 // the same by size of the result, see pieceTimeOf
 	load               *Load
 	stopping           bool // jobs with pieces in no call end
+	// blockedSince is when jobs first found no memory, and reserved are the targets whose
+	// memory is left to one of them.
+	blockedSince    map[*Job]time.Time
+	reserved        map[*worker]*Job
+	needsAll        bool      // a full call waits, and no target is free that answers well
+	collectingSince time.Time // last call of BeginCollecting
+	seenAt          time.Time // last time passed by a caller
 }
 
 // NewScheduler returns a Scheduler without targets.
 func NewScheduler(p catalog.BatchProfile) *Scheduler {
 	return &Scheduler{
 		profile: p, workers: map[string]*worker{}, results: map[string]storedResult{},
+		pieceTimes: map[int64]float64{}, blockedSince: map[*Job]time.Time{}, reserved: map[*worker]*Job{},
 		pieceTime: p.PieceTime.Seconds(), load: NewLoad(),
 	}
 }
@@ -195,6 +229,7 @@
 // Add queues a job. onFinish is called once with its outcome, from Add, Next or
 // Finish. A job that can't be done by its deadline is rejected at once.
 func (s *Scheduler) Add(j *Job, end func(Outcome), now time.Time) {
+	s.seenAt = now
 	j.queuedAt = now
 	j.onFinish = end
 	j.pending = j.Pieces
@@ -209,7 +244,7 @@
 		return
 	}
 	wait := s.wait(j, now)
-	need := s.callTime(min(j.Pieces, s.profile.MaxBatchSize))
+	need := s.jobTime(j, min(j.Pieces, s.profile.MaxBatchSize))
 	if now.Add(wait + need).After(j.Deadline) {
 		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: retryAfter(wait)})
 		return
@@ -236,6 +271,7 @@
 		}
 	}
 	j.results = nil
+	delete(s.blockedSince, j)
 	if len(j.queue) > 0 {
 		s.waiting -= len(j.queue)
 		j.queue = nil
@@ -259,6 +295,7 @@
 // Next returns a call to start now. If there is none, again is the time after which to
 // call Next again when nothing else happens; 0 means that this isn't needed.
 func (s *Scheduler) Next(now time.Time) (call *Call, again time.Duration) {
+	s.seenAt = now
 	if len(s.jobs) == 0 {
 		return nil, 0
 	}
@@ -278,11 +315,14 @@
 	if s.jobs[0].group == groupHeldBack {
 		return nil, heldBackRetryInterval
 	}
-	w, again := s.chooseTarget(now)
-	if w == nil {
-		return nil, max(again, s.nextBackoffEnd(now))
+	next, again := s.chooseTarget(now)
+	if next.worker == nil {
+		if end := s.nextBackoffEnd(now); end > 0 && (again == 0 || end < again) {
+			again = end
+		}
+		return nil, again
 	}
-	return s.startCall(w, now), 0
+	return s.startCall(next, now), 0
 }
 
 // sort orders the jobs by rank.
@@ -301,7 +341,7 @@
 	var unmeetable []*Job
 	q := queueAhead{}
 	for _, j := range s.jobs {
-		need := s.callTime(min(j.pending, s.profile.MaxBatchSize))
+		need := s.jobTime(j, min(j.pending, s.profile.MaxBatchSize))
 		j.expectedWait = s.waitBehind(j, q, o)
 		if now.Add(j.expectedWait + need).After(j.Deadline) {
 			unmeetable = append(unmeetable, j)
@@ -320,14 +360,14 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// startCall builds a call from the first jobs for which the target has free memory.
+// startCall builds a call from the first jobs for which the chosen target has free memory.
 // Jobs of the target's failure domain go before others of about the same urgency. A
 // job is split only when it is the first or larger than a call. The results of one call take
 // up to half of the memory, so that the next call finds room while they wait for their
 // readers: a target with larger calls idles meanwhile.
-func (s *Scheduler) startCall(w *worker, now time.Time) *Call {
+func (s *Scheduler) startCall(next choice, now time.Time) *Call {
+	w, first := next.worker, next.job
 	c := &Call{Target: w.Target, StartedAt: now, worker: w}
-	first := s.jobs[0]
 	resultBytes := int64(0)
 	for _, j := range s.jobsFor(w) {
 		space := s.profile.MaxBatchSize - len(c.Pieces)
@@ -336,6 +376,9 @@
 			if len(c.Pieces) > 0 {
 				room = min(room, s.profile.ResultBytes/2-resultBytes)
 			}
+			if s.isReservedFromPassing(w, j) {
+				room = min(room, s.reservedSpace()-resultBytes)
+			}
 			space = min(space, int(room/j.ResultBytes))
 		}
 		remote := j.isRemoteAt(w.FailureDomain) && j != first && !s.isCrowded() && s.mayWaitForLocal(j, now)
@@ -348,16 +391,17 @@
 			c.Pieces = append(c.Pieces, Piece{Job: j, Segment: segment})
 		}
 		j.queue = j.queue[n:]
+		delete(s.blockedSince, j)
 		j.startedAt = now
 		j.countOnPath()
 		s.waiting -= n
-		w.resultBytes += int64(n) * j.ResultBytes
+		w.addBytes(int64(n)*j.ResultBytes, now)
 		resultBytes += int64(n) * j.ResultBytes
 	}
 	s.jobs = slices.DeleteFunc(s.jobs, func(j *Job) bool { return len(j.queue) == 0 })
 	s.nextID++
 	c.ID = s.nextID
-	c.Expected = time.Duration(float64(s.callTime(len(c.Pieces))) * max(w.ratio(now), 1))
+	c.Expected = time.Duration(float64(s.piecesTime(c.Pieces)) * max(w.ratio(now), 1))
 	c.Queued, c.TargetBytes = s.waiting, w.resultBytes
 	w.running = append(w.running, c)
 	return c
@@ -386,33 +430,31 @@
 
 // Finish records the outcome of a call.
 func (s *Scheduler) Finish(c *Call, o CallOutcome, now time.Time) {
+	s.seenAt = now
 	w := c.worker
 	w.running = slices.DeleteFunc(w.running, func(other *Call) bool { return other == c })
 	switch o := o.(type) {
 	case CallCompleted:
-		w.failures = 0
+		w.recordAnswer(true, false, now)
+		w.recordSample(o.Latency, now)
 		for i, p := range c.Pieces {
-			s.finishPiece(w, p, o.Outcomes[i], o.Handles[i], now)
+			s.finishPiece(c, p, o.Outcomes[i], o.Handles[i], now)
 		}
 		s.recordCall(w, c, o, now)
 	case CallRejected:
 		w.backOff(now.Add(rejectedBackoff))
-		s.requeue(w, c, false)
+		s.requeue(c, false, now)
 	case CallFailed:
-		pause := initialBackoff
-		for range min(w.failures, 10) {
-			pause = min(2*pause, maxBackoff)
-		}
-		w.failures++
-		w.backOff(now.Add(pause))
+		w.recordAnswer(false, now.Sub(c.StartedAt) < s.profile.CallOverhead, now)
 		s.retainMemory(w, c, now)
-		s.requeue(w, c, true)
+		s.requeue(c, true, now)
 	}
 }
 
-func (s *Scheduler) finishPiece(w *worker, p Piece, o PieceOutcome, handle string, now time.Time) {
+func (s *Scheduler) finishPiece(c *Call, p Piece, o PieceOutcome, handle string, now time.Time) {
+	w := c.worker
 	if o != PieceDone {
-		w.resultBytes -= p.Job.ResultBytes
+		w.removeUnused(p.Job.ResultBytes, c.StartedAt, now)
 	}
 	switch o {
 	case PieceDone:
@@ -439,9 +481,13 @@
 }
 
 // requeue returns the pieces of a call that didn't run, or may not have run.
-func (s *Scheduler) requeue(w *worker, c *Call, counts bool) {
+func (s *Scheduler) requeue(c *Call, counts bool, now time.Time) {
 	for _, p := range c.Pieces {
-		w.resultBytes -= p.Job.ResultBytes
+		if counts {
+			c.worker.addBytes(-p.Job.ResultBytes, now) // retained under another name
+		} else {
+			c.worker.removeUnused(p.Job.ResultBytes, c.StartedAt, now)
+		}
 		s.requeuePiece(p, counts)
 	}
 }
