--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -55,6 +55,9 @@
 	// passingShare is how many times smaller the results of a job have to be than those of an
 	// earlier one without memory, to pass it.
 	passingShare = 2
+	// passAfter is how long a job finds no memory before others pass it. While results are
+	// released all the time, a call of small jobs takes the place of a full one.
+	passAfter = 60 * time.Millisecond
 	// memoryPatience is how long a job finds no memory before memory is reserved for it. A
 	// call takes about as long.
 	memoryPatience = 400 * time.Millisecond
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -259,6 +259,9 @@
 		if _, known := s.blockedSince[j]; !known {
 			s.blockedSince[j] = now
 		}
+		if now.Sub(s.blockedSince[j]) < passAfter {
+			return choice{}, memoryRetryInterval, true
+		}
 		maxBytes = j.ResultBytes / passingShare
 	}
 	return choice{}, memoryRetryInterval, true
