batching: Ignore reports that state memory in large steps

Cause: reports state whole megabytes, rounded down. Change: a report names its resolution; where the memory has fewer than ten steps, reports decide nothing and rejections do as before; elsewhere half a step is added.

--- a/internal/batching/memory_test.go
+++ b/internal/batching/memory_test.go
@@ -322,6 +322,20 @@
 	require.Equal(t, secondStage.ResultBytes-500_000, s.freeMemory(w, now))
 }
 
+// Load pattern: a collector takes over at targets with 0.85 MB that report whole megabytes. Guards
+// against targets that look full until the last result of the earlier collector has ended.
+func TestCoarseReportsDecideNothing(t *testing.T) {
+	small := thirdStage
+	small.ResultBytes = 850_000
+	s, c, now := newCall(t, small, 34, 6_000)
+	s.BeginCollecting(now)
+	s.RecordReport(c.Target, &TargetReport{FreeBytes: 0, Resolution: 1_000_000}, now)
+	require.Equal(t, small.ResultBytes-34*6_000, s.freeMemory(s.workers["a"], now))
+	due, again := s.ReportsDue(now.Add(time.Second))
+	require.Empty(t, due)
+	require.Zero(t, again)
+}
+
 // reportingClient is a TargetClient whose reports and calls take a time.
 type reportingClient struct {
 	slowClient
--- a/internal/batching/reports.go
+++ b/internal/batching/reports.go
@@ -26,13 +26,19 @@
 	// reportHold is how long the memory of other collectors in a report counts in full when
 	// no newer report arrives. It is longer than a few lost reports.
 	reportHold = time.Second
+	// minReportSteps is the number of steps that the memory of a target has to have in its
+	// reports. A target with 0.85 MB that reports whole megabytes looks full all the time; what
+	// it rejects says more.
+	minReportSteps = 10
 )
 
 // TargetReport is what a target reports of itself.
 type TargetReport struct {
 	Queued    int   // calls that wait at the target
 	Busy      int   // calls that run
-	FreeBytes int64 // free result memory
+	FreeBytes int64 // free result memory, rounded down to a multiple of Resolution
+	// Resolution is the step in which FreeBytes is stated, in bytes.
+	Resolution int64
 	// Latency is how long work takes at the moment, relative to the usual time; 0 if the target
 	// didn't say. Unlike the rest it is of the time of the answer.
 	Latency float64
@@ -122,14 +128,14 @@
 
 // awaitsReport reports whether calls to a target wait for its first report.
 func (s *Scheduler) awaitsReport(w *worker, now time.Time) bool {
-	return s.profile.ResultBytes > 0 && !w.report.answered && !s.collectingSince.IsZero() && now.Before(s.collectingSince.Add(firstReportWait))
+	return s.profile.ResultBytes > 0 && !s.reportsAreCoarse && !w.report.answered && !s.collectingSince.IsZero() && now.Before(s.collectingSince.Add(firstReportWait))
 }
 
 // ReportsDue returns the targets to request a report from now, and the time after which to call
 // it again; 0 means that this isn't needed before a call ends or collecting begins.
 // RecordReport has to be called once for each.
 func (s *Scheduler) ReportsDue(now time.Time) (due []Target, again time.Duration) {
-	if s.profile.ResultBytes <= 0 {
+	if s.profile.ResultBytes <= 0 || s.reportsAreCoarse {
 		return nil, 0
 	}
 	newly := s.isCollectingNewly(now)
@@ -185,8 +191,12 @@
 	if r == nil || s.profile.ResultBytes <= 0 {
 		return before, false
 	}
+	if s.reportsAreCoarse = r.Resolution*minReportSteps > s.profile.ResultBytes; s.reportsAreCoarse {
+		return before, false
+	}
 	at := now.Add(-reportAge)
-	others = min(max(s.profile.ResultBytes-r.FreeBytes-w.bytesAt(at), 0), s.profile.ResultBytes)
+	free := r.FreeBytes + r.Resolution/2
+	others = min(max(s.profile.ResultBytes-free-w.bytesAt(at), 0), s.profile.ResultBytes)
 	if at.Before(w.rejectedAt) {
 		others = max(others, before) // the report is older than the rejection
 	}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -167,7 +167,9 @@
 	reserved        map[*worker]*Job
 	needsAll        bool      // a full call waits, and no target is free that answers well
 	collectingSince time.Time // last call of BeginCollecting
-	seenAt          time.Time // last time passed by a caller
+	// reportsAreCoarse says that reports state memory in steps too large for these targets.
+	reportsAreCoarse bool
+	seenAt           time.Time // last time passed by a caller
 }
 
 // NewScheduler returns a Scheduler without targets.
