discovery: Keep until when targets are cold

Cause: announcements name how much longer a target is cold, and the table ignored it, so that no gateway could hold requests back. Change: the table keeps the end of the cold time by its own clock, and LiveTarget reports it. Turning cold, or an end more than 300 ms later or 1 s earlier than watchers were told, is a change that travels; the passing of the time is none. Records that are sent carry the time left at that moment, in a copy, also in full answers. AnnouncedSince says whether the state is known from an announcement made after a time. Measured: TestColdTimeTravels and TestAnnouncedSince pass, as do the tests of discovery and directory.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -471,7 +471,7 @@
 	for {
 		partsChanged, limitsChanged := s.d.o.Quarantine.Changed(), s.d.o.Limits.Changed()
 		tableChanged, leaving, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
-		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince()); {
+		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince(), s.d.o.Timers.Now()); {
 		case w.GetFull() || s.d.hasCatalogFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
 			return s.d.response(r), nil
 		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r) || s.d.hasLimitsFor(r)) && collected == nil:
@@ -598,7 +598,7 @@
 
 // response returns the changes that a watcher doesn't have yet.
 func (d *Directory) response(r *wire.WatchRequest) *wire.WatchResponse {
-	w := d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince())
+	w := d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince(), d.o.Timers.Now())
 	d.o.Table.AddHeard(w, r.GetHeardFormat(), d.o.Timers.Now())
 	for _, m := range d.o.Node.Status().Members {
 		w.Control = append(w.Control, m.Member.GetAddress())
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -6,6 +6,11 @@
 // the one that is gone, then the higher sequence, so that a late announcement never
 // restores a target that has left.
 //
+// A Table also knows until when each incarnation is cold, by the clock of its process.
+// Records carry the time that is left when they are sent. An incarnation that turns cold, or
+// whose cold time ends at another time than the watchers were told, has changed; the passing of
+// the time is no change.
+//
 // # Usage
 //
 //	t := discovery.NewTable(discovery.Options{HeartbeatTimeout: 6 * time.Second})
@@ -13,7 +18,7 @@
 //	for _, r := range t.Live("generators", now) {
 //		// route to r
 //	}
-//	delta := t.ChangesSince(epoch, version)
+//	delta := t.ChangesSince(epoch, version, now)
 //	t.AddHeard(delta, format, now)
 package discovery
 
@@ -25,6 +30,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
@@ -42,6 +48,16 @@
 	// maxObsolete is the number of obsolete changes that are kept, in addition to the number
 	// of targets.
 	maxObsolete = 64
+	// coldTolerance is the time by which the end of an incarnation's cold time may be later than
+	// watchers were told without being a change: announcements and answers take different times.
+	coldTolerance = 300 * time.Millisecond
+	// coldEarlyTolerance is the same for an earlier end. It is longer, because the old end is safe.
+	coldEarlyTolerance = time.Second
+	// maxAnnouncementDelay is how late an announcement may arrive.
+	maxAnnouncementDelay = 4 * time.Second
+	// agedCacheTime is how long a copy of a record is used that carries the cold time left. It
+	// overstates the time by this much at most.
+	agedCacheTime = 50 * time.Millisecond
 )
 
 // Options configures a Table.
@@ -59,6 +75,47 @@
 	firstSeen              time.Time // when this process learned of the incarnation
 	lastAnnounced          time.Time // last time that any process reported an announcement
 	lastDirectAnnouncement time.Time // last announcement received by this process
+	lastHeard              time.Time // last list with the target, or announcement received by this process
+	coldUntil              time.Time // end of the cold time, by the newest announcement
+	toldColdUntil          time.Time // the end that the last change told
+	aged                   *wire.RegisteredTarget
+	agedAt                 time.Time // when aged was right
+}
+
+// setRecord stores a record that was received now.
+func (e *entry) setRecord(r *wire.RegisteredTarget, now time.Time) {
+	e.record, e.coldUntil, e.lastAnnounced, e.aged = r, coldEnd(r, now), now, nil
+}
+
+// coldEnd returns the end of the cold time that a record received now names.
+func coldEnd(r *wire.RegisteredTarget, now time.Time) time.Time {
+	return now.Add(time.Duration(r.GetWarmUpMs()) * time.Millisecond)
+}
+
+// isColdChange reports whether watchers have to hear of another end of the cold time.
+func (e *entry) isColdChange(until, now time.Time) bool {
+	return until.Sub(later(e.toldColdUntil, now)) > coldTolerance || e.toldColdUntil.Sub(later(until, now)) > coldEarlyTolerance
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// current returns the record with the cold time left. Records are shared, so that one with
+// another time is a copy.
+func (e *entry) current(now time.Time) *wire.RegisteredTarget {
+	left := max(e.coldUntil.Sub(now), 0)
+	if e.aged == nil || left == 0 && e.aged.GetWarmUpMs() > 0 || left > 0 && now.Sub(e.agedAt) > agedCacheTime {
+		e.aged, e.agedAt = e.record, now
+		if ms := uint32((left + time.Millisecond - 1).Milliseconds()); ms != e.record.GetWarmUpMs() {
+			e.aged = proto.CloneOf(e.record)
+			e.aged.WarmUpMs = ms
+		}
+	}
+	return e.aged
 }
 
 // change is one change of a record. It is obsolete if the entry has changed again.
@@ -115,7 +172,7 @@
 	defer t.mu.Unlock()
 	changed := t.merge(r, now)
 	if e := t.entries[r.GetId()]; e != nil && e.record == r {
-		e.lastDirectAnnouncement = now
+		e.lastDirectAnnouncement, e.lastHeard = now, now
 	}
 	return changed
 }
@@ -146,7 +203,7 @@
 	}
 	for _, id := range w.GetHeard() {
 		if e := t.entries[id]; e != nil {
-			e.lastAnnounced = now
+			e.lastAnnounced, e.lastHeard = now, now
 		}
 	}
 }
@@ -157,7 +214,8 @@
 	e := t.entries[r.GetId()]
 	if e == nil {
 		t.numbers++
-		e = &entry{record: r, number: t.numbers, firstSeen: now, lastAnnounced: now}
+		e = &entry{number: t.numbers, firstSeen: now}
+		e.setRecord(r, now)
 		t.entries[r.GetId()] = e
 		t.recordChange(e)
 		return true
@@ -168,12 +226,11 @@
 	if !newer(r, e.record) {
 		return false
 	}
-	changed := !sameState(r, e.record)
+	changed := !sameState(r, e.record) || e.isColdChange(coldEnd(r, now), now)
 	if r.GetBornMs() != e.record.GetBornMs() {
-		e.firstSeen = now
+		e.firstSeen, e.lastHeard = now, time.Time{}
 	}
-	e.record = r
-	e.lastAnnounced = now
+	e.setRecord(r, now)
 	if changed {
 		t.recordChange(e)
 	}
@@ -184,6 +241,7 @@
 func (t *Table) recordChange(e *entry) {
 	t.version++
 	e.version = t.version
+	e.toldColdUntil = e.coldUntil
 	if len(t.changes) > maxObsolete+2*len(t.entries) {
 		t.changes = slices.DeleteFunc(t.changes, t.isObsolete)
 	}
@@ -224,8 +282,7 @@
 	return r.GetState() == wire.TargetState_TARGET_STATE_GONE
 }
 
-// sameState reports whether two records differ only in the sequence and the remaining
-// warm-up time.
+// sameState reports whether two records differ only in the sequence and the cold time left.
 func sameState(a, b *wire.RegisteredTarget) bool {
 	return a.GetBornMs() == b.GetBornMs() && a.GetState() == b.GetState() && a.GetAddress() == b.GetAddress() &&
 		a.GetService() == b.GetService() && a.GetSlots() == b.GetSlots() && a.GetFailureDomain() == b.GetFailureDomain() &&
@@ -257,8 +314,9 @@
 }
 
 // ChangesSince returns the records that changed after the given version of the given epoch,
-// or all records if the epoch is a different one.
-func (t *Table) ChangesSince(epoch string, version uint64) *wire.WatchResponse {
+// or all records if the epoch is a different one. The records carry the cold time that is left
+// now.
+func (t *Table) ChangesSince(epoch string, version uint64, now time.Time) *wire.WatchResponse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := &wire.WatchResponse{Epoch: t.epoch, Version: t.version, Full: epoch != t.epoch}
@@ -274,7 +332,7 @@
 	}
 	slices.SortFunc(changed, compareEntries)
 	for _, e := range changed {
-		w.Targets = append(w.Targets, e.record)
+		w.Targets = append(w.Targets, e.current(now))
 		w.Numbers = append(w.Numbers, e.number)
 	}
 	return w
@@ -321,6 +379,9 @@
 	record   *wire.RegisteredTarget
 	silent   bool
 	standing standing
+	// coldUntil is the end of the cold time, and knownUntil the time up to which announcements
+	// that were made have been received for certain.
+	coldUntil, knownUntil time.Time
 }
 
 // Record returns the target's own record.
@@ -336,6 +397,13 @@
 // process, or a time in the past.
 func (l LiveTarget) PausedUntil() time.Time { return l.standing.pausedUntil }
 
+// ColdUntil returns the end of the time for which the target is cold, or a time in the past.
+func (l LiveTarget) ColdUntil() time.Time { return l.coldUntil }
+
+// AnnouncedSince reports whether ColdUntil is known from an announcement that the target made
+// after a time.
+func (l LiveTarget) AnnouncedSince(at time.Time) bool { return l.knownUntil.After(at) }
+
 // Silent reports whether no announcement was received within the heartbeat timeout.
 func (l LiveTarget) Silent() bool { return l.silent }
 
@@ -349,7 +417,15 @@
 	}
 	list := make([]LiveTarget, 0, len(t.live[service]))
 	for _, e := range t.live[service] {
-		list = append(list, LiveTarget{record: e.record, silent: now.Sub(e.lastAnnounced) > t.o.HeartbeatTimeout, standing: t.notices[incarnation{id: e.record.GetId(), bornMs: e.record.GetBornMs()}]})
+		l := LiveTarget{
+			record: e.record, silent: now.Sub(e.lastAnnounced) > t.o.HeartbeatTimeout, coldUntil: e.coldUntil,
+			standing: t.notices[incarnation{id: e.record.GetId(), bornMs: e.record.GetBornMs()}],
+		}
+		if !e.lastHeard.IsZero() {
+			// A listed announcement is up to heardWindow old, and was made before it arrived.
+			l.knownUntil = e.lastHeard.Add(-t.heardWindow() - maxAnnouncementDelay)
+		}
+		list = append(list, l)
 	}
 	return list
 }
--- a/internal/discovery/table_test.go
+++ b/internal/discovery/table_test.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,7 +55,7 @@
 	gateway.Merge(&wire.WatchResponse{Targets: []*wire.RegisteredTarget{record("a", "x:1", 10, 5, ready)}}, epochStart)
 	now := epochStart.Add(3 * time.Second)
 	require.True(t, restarted.Leave("a", 0, now))
-	left := restarted.ChangesSince("", 0)
+	left := restarted.ChangesSince("", 0, now)
 	gateway.Merge(left, now)
 	require.Empty(t, liveIDs(gateway, now))
 	gateway.Merge(&wire.WatchResponse{Targets: []*wire.RegisteredTarget{record("a", "x:1", 10, 6, ready)}}, now)
@@ -120,17 +122,17 @@
 func TestSinceSendsOnlyChanges(t *testing.T) {
 	table := NewTable(Options{HeartbeatTimeout: time.Minute})
 	table.Announce(record("a", "x:1", 10, 1, ready), epochStart)
-	first := table.ChangesSince("", 0)
+	first := table.ChangesSince("", 0, epochStart)
 	require.True(t, first.GetFull())
 	require.Len(t, first.GetTargets(), 1)
 	table.Announce(record("a", "x:1", 10, 2, ready), epochStart.Add(time.Second))
-	next := table.ChangesSince(first.GetEpoch(), first.GetVersion())
+	next := table.ChangesSince(first.GetEpoch(), first.GetVersion(), epochStart.Add(time.Second))
 	table.AddHeard(next, wire.HeardFormat_HEARD_FORMAT_NAMES, epochStart.Add(time.Second))
 	require.Empty(t, next.GetTargets(), "only the sequence changed")
 	require.Equal(t, []string{"a"}, next.GetHeard())
 	table.Announce(record("a", "x:1", 10, 3, draining), epochStart.Add(time.Second))
-	require.Len(t, table.ChangesSince(first.GetEpoch(), first.GetVersion()).GetTargets(), 1)
-	require.True(t, table.ChangesSince("another", 99).GetFull())
+	require.Len(t, table.ChangesSince(first.GetEpoch(), first.GetVersion(), epochStart.Add(time.Second)).GetTargets(), 1)
+	require.True(t, table.ChangesSince("another", 99, epochStart.Add(time.Second)).GetFull())
 }
 
 // Guards against a watcher that misses a change, or a target that left, because obsolete
@@ -156,7 +158,7 @@
 				table.Announce(record(id, id+":1", born, uint64(i), state), now)
 			}
 			if rapid.IntRange(0, 3).Draw(rt, "watch") == 0 {
-				w := table.ChangesSince(epoch, version)
+				w := table.ChangesSince(epoch, version, now)
 				epoch, version = w.GetEpoch(), w.GetVersion()
 				follower.Merge(w, now)
 				for id, e := range table.entries {
@@ -218,3 +220,88 @@
 		})
 	})
 }
+
+// Guards against watchers that don't hear that a target has turned cold, in the middle of its life
+// as well, or that hear an old time: announcements arrive late and in any order, three processes
+// pass records on, and full answers follow minutes later.
+func TestColdTimeTravels(t *testing.T) {
+	const tolerance, heartbeat, hops = 2 * time.Second, 1200 * time.Millisecond, 3
+	rapid.Check(t, func(rt *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		maxDelay := rapid.SampledFrom([]time.Duration{0, 400 * time.Millisecond, 3 * time.Second}).Draw(rt, "delay")
+		type arrival struct {
+			at time.Time
+			r  *wire.RegisteredTarget
+		}
+		var tables [hops]*Table
+		var epochs [hops]string
+		var versions [hops]uint64
+		for i := range tables {
+			tables[i] = NewTable(Options{HeartbeatTimeout: time.Minute})
+		}
+		var arrivals []arrival
+		end := epochStart.Add(10 * time.Second) // of the cold time, by the target
+		turnsAt := epochStart.Add(time.Duration(20+random.IntN(40)) * time.Second)
+		sequence, changes := uint64(0), 0
+		for now := epochStart; now.Before(epochStart.Add(2 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+			if now.Equal(turnsAt) {
+				end = now.Add(30 * time.Second)
+			}
+			if now.Sub(epochStart)%heartbeat == 0 {
+				sequence++
+				r := record("a", "x:1", 10, sequence, ready)
+				r.WarmUpMs = uint32(max(end.Sub(now), 0).Milliseconds())
+				arrivals = append(arrivals, arrival{now.Add(time.Duration(random.Int64N(int64(maxDelay + 1)))), r})
+			}
+			arrivals = slices.DeleteFunc(arrivals, func(a arrival) bool {
+				if a.at.After(now) {
+					return false
+				}
+				said := a.r.GetWarmUpMs()
+				if tables[0].Announce(a.r, now) {
+					changes++
+				}
+				require.Equal(rt, said, a.r.GetWarmUpMs(), "a shared record")
+				return true
+			})
+			for i := 1; i < hops; i++ {
+				if random.IntN(400) == 0 {
+					epochs[i] = "" // the watcher gets a full answer
+				}
+				if random.IntN(3) > 0 {
+					w := tables[i-1].ChangesSince(epochs[i], versions[i], now)
+					epochs[i], versions[i] = w.GetEpoch(), w.GetVersion()
+					tables[i].Merge(w, now)
+				}
+			}
+			if now.Sub(epochStart) < 5*time.Second || now.Sub(turnsAt).Abs() < heartbeat+maxDelay+time.Second && !now.Before(turnsAt) {
+				continue
+			}
+			for i, table := range tables {
+				until := table.Live("s", now)[0].ColdUntil()
+				if end.After(now) {
+					require.False(rt, until.Before(end.Add(-coldTolerance)), "process %d: %v too early", i, end.Sub(until))
+				}
+				if late := until.Sub(end); until.After(now) {
+					require.LessOrEqual(rt, late, maxDelay+tolerance, "process %d", i)
+				}
+			}
+		}
+		if maxDelay < coldTolerance {
+			require.LessOrEqual(rt, changes, 2, "the passing of time is no change")
+		}
+	})
+}
+
+// Guards against an announcement that was made before a time, and arrives or is listed after it,
+// which counts as news of the target's state since then.
+func TestAnnouncedSince(t *testing.T) {
+	table, now := NewTable(Options{HeartbeatTimeout: 6 * time.Second}), epochStart.Add(time.Minute)
+	table.Merge(&wire.WatchResponse{Targets: []*wire.RegisteredTarget{record("a", "x:1", 10, 1, ready)}}, epochStart)
+	require.False(t, table.Live("s", now)[0].AnnouncedSince(epochStart), "a record may be old")
+	table.Merge(&wire.WatchResponse{Heard: []string{"a"}}, now)
+	require.False(t, table.Live("s", now)[0].AnnouncedSince(now.Add(-table.heardWindow())))
+	require.True(t, table.Live("s", now)[0].AnnouncedSince(now.Add(-table.heardWindow()-maxAnnouncementDelay-time.Millisecond)))
+	table.Merge(&wire.WatchResponse{Targets: []*wire.RegisteredTarget{record("a", "x:1", 20, 1, ready)}}, now)
+	require.False(t, table.Live("s", now)[0].AnnouncedSince(epochStart), "another incarnation")
+}
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -74,7 +74,7 @@
 					}
 					next[i] = now.Add(time.Duration(1+random.IntN(int((watchWait+200*time.Millisecond)/(10*time.Millisecond)))) * 10 * time.Millisecond)
 					format := lists[i].format(now, gateway.heardInterval())
-					resp := vm.ChangesSince(lists[i].epoch, 0)
+					resp := vm.ChangesSince(lists[i].epoch, 0, now)
 					vm.AddHeard(resp, format, now)
 					lists[i].resolve(format, resp, now)
 					gateway.Merge(resp, now)
@@ -128,7 +128,7 @@
 	const watchers, targets, watchEvery = 300, 3000, 250
 	for b.Loop() {
 		table := NewTable(Options{HeartbeatTimeout: 6 * time.Second})
-		since := table.ChangesSince("", 0).GetEpoch()
+		since := table.ChangesSince("", 0, epochStart).GetEpoch()
 		var versions [watchers]uint64
 		for i := range targets {
 			table.Announce(record(fmt.Sprintf("i-%08d", i), fmt.Sprintf("10.0.0.1:%d", i), 1, 1, ready), epochStart)
@@ -136,7 +136,7 @@
 				continue
 			}
 			for w := range watchers {
-				resp := table.ChangesSince(since, versions[w])
+				resp := table.ChangesSince(since, versions[w], epochStart.Add(time.Duration(i)*time.Millisecond))
 				table.AddHeard(resp, wire.HeardFormat_HEARD_FORMAT_NUMBERS, epochStart.Add(time.Duration(i)*time.Millisecond))
 				versions[w] = resp.GetVersion()
 			}
