pacing: Bound the requests to cold targets

Cause: a cold target crashes if it gets far more requests a second than it takes, and only the limits that targets name were kept. Change: the gateways tell the register which incarnations of services with a cold profile are cold and until when. The stricter of both limits holds. Only gateways that a majority of the control VMs has listed without a gap send; those that are cut off stop before they are replaced. The page of limits, log lines and the counter cold_targets show them.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -331,7 +331,7 @@
 		check := func(limited bool) {
 			senders := 0
 			for _, p := range gateways {
-				l, ok := p.Limits()["engine"]
+				l, ok := p.Limits(time.Now())["engine"]
 				require.Equal(t, limited, ok)
 				if l.PartPerSecond > 0 {
 					senders++
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -70,7 +70,7 @@
 
 // receive merges the limits of a response, and takes over its list of gateways. A control VM
 // that has started again gets all observations once more.
-func (x *limitsExchange) receive(address string, r *wire.WatchRequest, resp *wire.WatchResponse, p *pacing.Register, now time.Time) {
+func (x *limitsExchange) receive(address string, r *wire.WatchRequest, resp *wire.WatchResponse, p *pacing.Register, startedAt, now time.Time) {
 	if p == nil {
 		return
 	}
@@ -80,10 +80,11 @@
 	}
 	*r.LimitsSince = resp.GetLimitsVersion()
 	p.Merge(DecodeLimits(resp.GetLimits(), now), now)
+	listed := false
 	switch digest := resp.GetGatewaysDigest(); {
 	case digest == 0:
 	case digest == r.GetGatewaysDigest():
-		if !p.ConfirmMembers(address, now) {
+		if listed = p.ConfirmMembers(address, now); !listed {
 			r.GatewaysDigest = 0 // the next response has the list
 		}
 	default:
@@ -91,5 +92,7 @@
 		slices.Sort(ids)
 		p.SetMembers(address, ids, now)
 		r.GatewaysDigest = digest
+		listed = true
 	}
+	p.RecordContact(address, len(resp.GetControl()), listed, startedAt, now)
 }
--- a/internal/discovery/limits_test.go
+++ b/internal/discovery/limits_test.go
@@ -25,7 +25,7 @@
 		if r.GetGatewaysDigest() != digest {
 			resp.GatewayIds = ids
 		}
-		x.receive(vm, r, resp, p, now)
+		x.receive(vm, r, resp, p, now, now)
 	}
 	watch("vm-1", 1, 2, 3)
 	watch("vm-2", 1, 2)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -212,7 +212,7 @@
 			continue
 		}
 		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
-		limits.receive(address, r, resp, w.o.Limits, w.o.Timers.Now())
+		limits.receive(address, r, resp, w.o.Limits, startedAt, w.o.Timers.Now())
 		r.Epoch, r.Since = resp.GetEpoch(), resp.GetVersion()
 		heard.resolve(r.GetHeardFormat(), resp, w.o.Timers.Now())
 		w.o.Table.Merge(resp, w.o.Timers.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,7 +66,7 @@
 	startupSpread = 400 * time.Millisecond
 )
 
-// Options holds what a Gateway needs; all are required.
+// Options holds what a Gateway needs; all are required unless they say otherwise.
 type Options struct {
 	Timers   *timer.Service
 	Codec    Codec
@@ -80,6 +80,11 @@
 	Quarantine *quarantine.Register
 	// Limits holds the limits that targets name.
 	Limits *pacing.Register
+	// Cold bounds the requests to cold targets.
+	Cold pacing.ColdBounds
+	// UnknownSince returns the time before which announcements of the targets in a failure domain
+	// don't count, or zero. It may be nil.
+	UnknownSince func(failureDomain string) time.Time
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -334,6 +339,7 @@
 	}
 	now := g.o.Timers.Now()
 	g.dropPaces()
+	g.syncCold(c, now)
 	for _, name := range c.Services() {
 		service, _ := c.Service(name)
 		if service.Batch() != nil {
--- a/internal/pacing/bench_test.go
+++ b/internal/pacing/bench_test.go
@@ -40,6 +40,6 @@
 	}
 	for n := 0; b.Loop(); n++ {
 		r.SetMembers("vm-1", ids[:370+n%2], now)
-		r.Limits()
+		r.Limits(now)
 	}
 }
--- a/internal/pacing/fleet_test.go
+++ b/internal/pacing/fleet_test.go
@@ -237,7 +237,7 @@
 				}
 				require.GreaterOrEqual(t, float64(used), 0.9*perS*(endedAt-namedAt-inTouch).Seconds())
 				for _, g := range f.gateways {
-					require.Empty(t, g.register.Limits())
+					require.Empty(t, g.register.Limits(simStart.Add(simTime)))
 				}
 				require.Greater(t, f.worst(simTime-window, simTime), int(perS*window.Seconds()))
 			})
--- a/internal/pacing/pace.go
+++ b/internal/pacing/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,22 +30,46 @@
 	senders   int
 }
 
+// split is how a limit is divided among its senders.
+type split struct {
+	perSecond float64 // of all senders
+	senders   int     // at most
+	burst     float64 // requests that all senders may send at once
+}
+
+// namedSplit returns how a limit that a target names is divided. More senders than requests a
+// second would each send so rarely that requests miss them.
+func namedSplit(rate float64) split {
+	if rate < minRate {
+		return split{perSecond: usableShare * minRate, senders: 1, burst: 1}
+	}
+	s := split{perSecond: usableShare * rate, senders: int(rate) + spareSenders, burst: burstTime*rate + burstSpare}
+	if rate <= minRate {
+		s.burst = 1
+	}
+	return s
+}
+
+// stricter returns the least of two splits.
+func (s split) stricter(other split) split {
+	return split{perSecond: min(s.perSecond, other.perSecond), senders: min(s.senders, other.senders), burst: min(s.burst, other.burst)}
+}
+
 // partOf returns this gateway's part of a limit; r.mu is held.
 func (r *Register) partOf(e *entry) part {
 	if e.partOf != r.membersVersion {
-		e.part, e.partOf = r.computePart(e.target, e.rate()), r.membersVersion
+		p := part{}
+		if e.isLimited() {
+			p = r.computePart(e.target, namedSplit(e.rate()), r.members)
+		}
+		e.part, e.partOf = p, r.membersVersion
 	}
 	return e.part
 }
 
 // computePart chooses the senders: the first gateways by the hash of their ids and the target.
-// More senders than requests a second would each send so rarely that requests miss them.
-func (r *Register) computePart(target string, rate float64) part {
-	n := len(r.members)
-	senders := min(n, int(min(rate, float64(n)))+spareSenders)
-	if rate < minRate {
-		rate, senders = minRate, min(n, 1)
-	}
+func (r *Register) computePart(target string, s split, members []uint64) part {
+	senders := min(len(members), s.senders)
 	if senders == 0 {
 		return part{}
 	}
@@ -52,7 +77,7 @@
 	before := 0
 	own := memberScore(target, r.self)
 	listed := false
-	for _, id := range r.members {
+	for _, id := range members {
 		if id == r.self {
 			listed = true
 		} else if memberScore(target, id) > own {
@@ -62,11 +87,8 @@
 	if !listed || before >= senders {
 		return p
 	}
-	p.perSecond = usableShare * rate / float64(senders)
-	p.burst = max((burstTime*rate+burstSpare)/float64(senders), 1)
-	if rate <= minRate {
-		p.burst = 1
-	}
+	p.perSecond = s.perSecond / float64(senders)
+	p.burst = max(s.burst/float64(senders), 1)
 	return p
 }
 
@@ -84,6 +106,7 @@
 	target    string
 	bornMs    int64
 	limitID   uint64 // limit for which tokens holds
+	coldID    uint64 // limit of a cold target for which it does
 	members   uint64 // version of the members for which it does
 	tokens    float64
 	updatedAt time.Time
@@ -125,13 +148,27 @@
 	p.r.mu.Lock()
 	defer p.r.mu.Unlock()
 	part, limited := p.update(now)
-	switch {
-	case !limited || p.tokens >= 1:
+	if !limited || p.tokens >= 1 {
 		return 0
-	case part.perSecond <= 0:
-		return seconds(1 / max(p.r.entries[p.target].rate(), minRate))
 	}
-	return seconds((1 - p.tokens) / part.perSecond)
+	rate, left := 0.0, time.Duration(math.MaxInt64)
+	if c := p.r.coldEntry(p.target, p.bornMs, now); c != nil {
+		rate, left = c.rate, c.until.Sub(now)
+	} else {
+		rate = p.r.entries[p.target].rate()
+	}
+	if part.perSecond <= 0 {
+		return min(seconds(1/max(rate, minRate)), left)
+	}
+	return min(p.hold(now)+seconds((1-p.tokens)/part.perSecond), left)
+}
+
+// hold returns the time until this gateway earns its part of the limit of a cold target.
+func (p *Pace) hold(now time.Time) time.Duration {
+	if c := p.r.coldEntry(p.target, p.bornMs, now); c != nil {
+		return max(c.sendFrom.Sub(now), 0)
+	}
+	return 0
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -145,11 +182,18 @@
 	p.r.mu.Lock()
 	defer p.r.mu.Unlock()
 	part, limited := p.update(now)
+	if p.hold(now) > 0 {
+		return 0, limited
+	}
 	return part.perSecond, limited
 }
 
 // update brings the tokens up to date; p.r.mu is held. A new limit begins without any.
 func (p *Pace) update(now time.Time) (own part, limited bool) {
+	if c := p.r.coldEntry(p.target, p.bornMs, now); c != nil {
+		return p.updateCold(c, now), true
+	}
+	p.coldID = 0
 	e := p.r.entries[p.target]
 	if e == nil || !e.isLimited() || e.bornMs != p.bornMs {
 		p.limitID = 0
--- a/internal/pacing/register.go
+++ b/internal/pacing/register.go
@@ -53,6 +53,15 @@
 	lists          map[string]memberList
 	members        []uint64 // all listed gateways, sorted
 	membersVersion uint64
+
+	cold     map[string]*coldEntry // by target
+	colds    uint64                // limits of cold targets so far
+	onCold   func(target string, reason ColdReason, left time.Duration, partPerSecond float64, senders int)
+	contacts map[string]*contact // by control VM
+	places   []uint64            // members and those that have just left, sorted
+	left     map[uint64]time.Time
+	// nextLeave is when the next of those that have left loses its place.
+	nextLeave time.Time
 }
 
 // NewRegister returns an empty Register of the named process.
@@ -60,6 +69,8 @@
 	return &Register{
 		self: MemberID(self), entries: map[string]*entry{}, changed: make(chan struct{}), lists: map[string]memberList{}, membersVersion: 1,
 		onChange: func(Statement, float64, int) {},
+		cold:     map[string]*coldEntry{}, contacts: map[string]*contact{}, left: map[uint64]time.Time{},
+		onCold: func(string, ColdReason, time.Duration, float64, int) {},
 	}
 }
 
@@ -135,6 +146,9 @@
 	r.touch(e)
 	p := r.partOf(e)
 	r.onChange(s, p.perSecond, p.senders)
+	if c := r.cold[s.target]; c != nil {
+		r.refreshCold(c, s.receivedAt)
+	}
 	return true
 }
 
@@ -154,13 +168,18 @@
 
 // expire drops statements without news; r.mu is held.
 func (r *Register) expire(now time.Time) {
-	maps.DeleteFunc(r.entries, func(_ string, e *entry) bool {
-		old := now.Sub(e.receivedAt) > retention
-		if old && e.isLimited() {
+	for target, e := range r.entries {
+		if now.Sub(e.receivedAt) <= retention {
+			continue
+		}
+		delete(r.entries, target)
+		if e.isLimited() {
 			r.limited.Add(-1)
 		}
-		return old
-	})
+		if c := r.cold[target]; c != nil {
+			r.refreshCold(c, now)
+		}
+	}
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -239,8 +258,10 @@
 	slices.Sort(all)
 	all = slices.Compact(all)
 	if !slices.Equal(all, r.members) {
+		r.recordLeft(all, now)
 		r.members = all
 		r.membersVersion++
+		r.refreshPlaces(now)
 	}
 }
 
@@ -252,7 +273,7 @@
 }
 
 // Limits returns the limits that hold, as rendered for operators, by target.
-func (r *Register) Limits() map[string]Status {
+func (r *Register) Limits(now time.Time) map[string]Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := map[string]Status{}
@@ -262,6 +283,12 @@
 			list[target] = Status{PerSecond: e.rate(), PartPerSecond: p.perSecond, Senders: p.senders}
 		}
 	}
+	for target := range r.cold {
+		if c := r.coldEntry(target, r.cold[target].bornMs, now); c != nil {
+			p, _ := r.coldPart(c, now)
+			list[target] = Status{PerSecond: c.rate, PartPerSecond: p.perSecond, Senders: p.senders, ColdLeftMs: c.until.Sub(now).Milliseconds()}
+		}
+	}
 	return list
 }
 
@@ -270,4 +297,5 @@
 	PerSecond     float64 `json:"per_second"`
 	PartPerSecond float64 `json:"part_per_second"` // of this gateway
 	Senders       int     `json:"senders"`
+	ColdLeftMs    int64   `json:"cold_left_ms,omitempty"`
 }
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -103,7 +103,7 @@
 	mux.Handle(wire.ReplicaPathPrefix, control.ReplicaHandler(node))
 	admin := listener.NewAdminMux(m, d.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
-	limits.RegisterAdminHandlers(admin)
+	limits.RegisterAdminHandlers(admin, t.Now)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -59,8 +59,10 @@
 	Heartbeat     time.Duration // heartbeat period of the targets
 	// Retries limits the requests that all gateways together send again.
 	Retries budget.SharedOptions
-	Codec   gateway.Codec
-	Decode  func(document []byte) (*catalog.Catalog, error)
+	// Cold bounds the requests to cold targets.
+	Cold   pacing.ColdBounds
+	Codec  gateway.Codec
+	Decode func(document []byte) (*catalog.Catalog, error)
 	// ReadinessHandler returns the handler for the load balancer's checks.
 	ReadinessHandler func(listener.ReadyFunc) http.Handler
 }
@@ -82,11 +84,11 @@
 	})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
-		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
+		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries), Cold: o.Cold,
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
-	limits.RegisterAdminHandlers(admin)
+	limits.RegisterAdminHandlers(admin, t.Now)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(WatcherComponent, follower)
 	k.Register(StagesComponent, stages)
@@ -111,7 +113,7 @@
 	return q
 }
 
-// newLimits returns a register that logs and counts the limits that targets name.
+// newLimits returns a register that logs and counts the limits of targets.
 func newLimits(name string, t *timer.Service, m *metrics.Metrics) *pacing.Register {
 	r := pacing.NewRegister(name)
 	r.OnChange(func(s pacing.Statement, part float64, senders int) {
@@ -125,6 +127,14 @@
 			m.CountReason("target_limits", "ended")
 		}
 	})
+	r.OnCold(func(target string, reason pacing.ColdReason, left time.Duration, part float64, senders int) {
+		if reason.Begins() {
+			klog.InfoS("Target is cold", "target", target, "cause", reason, "left_ms", left.Milliseconds(), "part_per_second", part, "senders", senders)
+		} else {
+			klog.InfoS("Target is no longer cold", "target", target, "cause", reason, "left_ms", left.Milliseconds())
+		}
+		m.CountReason("cold_targets", string(reason))
+	})
 	return r
 }
 
