pacing: Test who may send to cold targets

Cause: the fleet test rarely met gateways that go on after they were replaced. Change: more and longer cuts and tighter bounds in the fleet test, tests of contact, joining and leaving, and of a target that names a limit while it is cold.

--- a/internal/pacing/cold_test.go
+++ b/internal/pacing/cold_test.go
@@ -181,7 +181,7 @@
 
 // cut cuts some gateways from one or all control VMs.
 func (f *coldFleet) cut(now time.Time) {
-	until, vm := now.Add(time.Duration(f.rng.Int64N(int64(6*time.Second)))), f.rng.IntN(2*len(f.vms))
+	until, vm := now.Add(2*time.Second+f.steps(5*time.Second)), f.rng.IntN(2*len(f.vms))
 	share := f.rng.Float64()
 	for _, g := range f.gateways {
 		for i := range f.vms {
@@ -258,8 +258,8 @@
 func TestColdTargetGetsNoMoreThanItsBound(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 3, 3, 12, 12, 12, 31, 31, 103, 370}).Draw(rt, "gateways")
-		perS := rapid.SampledFrom([]float64{0.1, 1, 9.8, 11, 60}).Draw(rt, "cold_rate")
-		l := NewColdLimit(perS, rapid.SampledFrom([]ColdBounds{{1.5, 5}, {1.2, 3}, {1, 1}}).Draw(rt, "bounds"))
+		perS := rapid.SampledFrom([]float64{0.1, 1, 9.8, 11, 11, 60}).Draw(rt, "cold_rate")
+		l := NewColdLimit(perS, rapid.SampledFrom([]ColdBounds{{1.5, 5}, {1, 1}, {1, 2}}).Draw(rt, "bounds"))
 		inUse, many := rapid.Bool().Draw(rt, "in_use"), rapid.Bool().Draw(rt, "many_targets")
 		targets, cold, demand := 1, 1, 30*perS+20
 		if many {
@@ -272,7 +272,7 @@
 		f := newColdFleet(n, targets, cold, inUse, l, coldEnd, rapid.Uint64().Draw(rt, "seed"))
 		f.run(demand, !inUse && rapid.Bool().Draw(rt, "bursty"), trouble{
 			restarts:  rapid.SampledFrom([]float64{0, 0.5}).Draw(rt, "restarts"),
-			cuts:      rapid.SampledFrom([]float64{0, 0.3}).Draw(rt, "cuts"),
+			cuts:      rapid.SampledFrom([]float64{0, 0.5, 0.5}).Draw(rt, "cuts"),
 			vmRestart: rapid.SampledFrom([]time.Duration{0, coldFrom + time.Second, 12 * time.Second}).Draw(rt, "vm_restart"),
 			allVMs:    rapid.Bool().Draw(rt, "all_vms"),
 		})
@@ -301,3 +301,92 @@
 		}
 	}
 }
+
+// Guards against a gateway that sends to a cold target while others don't know of it, or after
+// they have taken its place, and against one that takes a place whose owner may still send.
+func TestSendersOfColdTargetsAreInContact(t *testing.T) {
+	names := []string{"gateway-1", "gateway-2"}
+	ids := []uint64{MemberID(names[0]), MemberID(names[1])}
+	slices.Sort(ids)
+	first := names[0]
+	if memberScore("a", MemberID(names[1])) > memberScore("a", MemberID(names[0])) {
+		first = names[1]
+	}
+	second := names[1-slices.Index(names, first)]
+	now := simStart
+	newGateway := func(name string) (*Register, *Pace) {
+		r := NewRegister(name)
+		r.SyncCold([]ColdTarget{NewColdTarget("a", 1, NewColdLimit(11, ColdBounds{1, 1}), now.Add(time.Hour), false)}, now)
+		return r, r.Pace("a", 1)
+	}
+	watch := func(r *Register, ids []uint64, listed int) {
+		for i := range 3 {
+			if i < listed {
+				r.SetMembers(fmt.Sprint(i), ids, now)
+			}
+			r.RecordContact(fmt.Sprint(i), 3, i < listed, now.Add(-pollTime), now)
+		}
+	}
+	// follow watches for a time and returns when a request was allowed first.
+	follow := func(r *Register, p *Pace, ids []uint64, listed int, d time.Duration) time.Duration {
+		for begin := now; now.Sub(begin) < d; now = now.Add(100 * time.Millisecond) {
+			if now.Sub(begin)%pollTime == 0 {
+				watch(r, ids, listed)
+			}
+			if rate, limited := p.Rate(now); limited && rate > 0 {
+				return now.Sub(begin)
+			}
+		}
+		return d
+	}
+	r, p := newGateway(first)
+	require.Equal(t, 10*time.Second, follow(r, p, ids, 1, 10*time.Second), "a minority of the control VMs lists it")
+	require.Equal(t, 10*time.Second, follow(r, p, []uint64{MemberID(second)}, 3, 10*time.Second), "it isn't listed")
+	r, p = newGateway(first)
+	joined := follow(r, p, ids, 2, 10*time.Second)
+	require.GreaterOrEqual(t, joined, contactLease-pollTime, "older lists don't contain it")
+	require.LessOrEqual(t, joined, joinTime+pollTime)
+	now = now.Add(contactLease - 2*pollTime)
+	require.True(t, p.Allows(now))
+	now = now.Add(2 * pollTime)
+	require.False(t, p.Allows(now), "out of contact")
+	require.Positive(t, p.Wait(now))
+
+	r, p = newGateway(second)
+	require.Equal(t, 10*time.Second, follow(r, p, ids, 3, 10*time.Second))
+	// The other one was dropped from the lists 1.5 s after its last watch, and sends for contactLease.
+	taken := follow(r, p, []uint64{MemberID(second)}, 3, 10*time.Second)
+	require.GreaterOrEqual(t, watchGone+taken, contactLease)
+	require.LessOrEqual(t, taken, 2*time.Second)
+}
+
+// Guards against a limit of a cold target that loosens the one that it names, or the reverse, and
+// against either of them outliving its end.
+func TestStricterLimitHolds(t *testing.T) {
+	for _, named := range []float64{0, 2, 200} {
+		now := simStart
+		r := NewRegister("gateway")
+		r.SetMembers("0", []uint64{MemberID("gateway")}, now)
+		r.RecordContact("0", 1, true, now, now)
+		now = now.Add(joinTime)
+		r.RecordContact("0", 1, true, now.Add(-pollTime), now)
+		p := r.Pace("a", 1)
+		r.SyncCold([]ColdTarget{NewColdTarget("a", 1, NewColdLimit(11, ColdBounds{1.5, 5}), now.Add(2*time.Second), false)}, now)
+		cold, _ := p.Rate(now)
+		r.Observe(NewStatement("a", 1, NewLimit(named), now, now))
+		both, limited := p.Rate(now)
+		require.True(t, limited)
+		want := NewRegister("gateway")
+		want.SetMembers("0", []uint64{MemberID("gateway")}, now)
+		want.Observe(NewStatement("a", 1, NewLimit(named), now, now))
+		alone, _ := want.Pace("a", 1).Rate(now)
+		require.InDelta(t, min(cold, alone), both, 1e-9)
+		after, limited := p.Rate(now.Add(2 * time.Second))
+		require.True(t, limited)
+		require.InDelta(t, alone, after, 1e-9, "the cold time is over")
+		r.SyncCold(nil, now.Add(2*time.Second))
+		r.Observe(NewStatement("a", 1, Unlimited{}, now.Add(3*time.Second), now.Add(3*time.Second)))
+		require.Zero(t, r.limited.Load())
+		require.True(t, p.Allows(now.Add(4*time.Second)))
+	}
+}
