docs: Describe the limits of cold targets

Cause: operators and developers need to know who sends to cold targets, and why. Measured: no code changed.

--- a/internal/pacing/limit.go
+++ b/internal/pacing/limit.go
@@ -8,6 +8,10 @@
 // to one another. Each sender has an equal part of the limit. A Register uses neither network
 // nor clock.
 //
+// Targets that are cold have limits by the same mechanism, with fewer senders, because the sum of
+// any second is bounded. They come from announcements and the catalog, end by the clock of each
+// process, and are no statements: processes learn of them with the records of targets.
+//
 // # Usage
 //
 //	r := pacing.NewRegister("gateway-1")
@@ -19,6 +23,8 @@
 //	}
 //	statements, version := r.ObservedSince(0) // for control VMs
 //	r.Merge(statements, now)
+//	r.RecordContact("vm-1", controlVMs, listed, watchStartedAt, now)
+//	r.SyncCold([]pacing.ColdTarget{pacing.NewColdTarget("engine-1", bornMs, limit, until, inUse)}, now)
 package pacing
 
 import (
