batching: Check that evacuated targets aren't asked for reports

The collector asks targets for reports since it plans with their memory; the test of evacuated domains now counts reports as well. It passes without a change.

--- a/internal/batching/evacuation_test.go
+++ b/internal/batching/evacuation_test.go
@@ -1,6 +1,7 @@
 package batching
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -17,7 +18,17 @@
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
-// Guards against stage calls and releases at targets of an evacuated domain, against stages that
+// askedClient counts reports among the calls.
+type askedClient struct{ noticeClient }
+
+func (c *askedClient) Report(_ context.Context, t Target) (TargetReport, discovery.Notice, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls["report of "+t.ID] = append(c.calls["report of "+t.ID], time.Since(c.began))
+	return TargetReport{FreeBytes: invoicing.ResultBytes}, discovery.Notice{}, nil
+}
+
+// Guards against stage calls, reports and releases at targets of an evacuated domain, against stages that
 // wait for such a target until their deadline, and against targets that stay unused after the
 // revocation.
 func TestCollectorLeavesEvacuatedTargetsAlone(t *testing.T) {
@@ -26,7 +37,7 @@
 		cat, err := catalog.New(catalog.Input{Version: 1, Services: []catalog.ServiceInput{{Name: "s", Batch: &invoicing}}})
 		require.NoError(t, err)
 		table, set, m := discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), evacuation.NewSet(), metrics.New("test")
-		client := &noticeClient{began: time.Now(), calls: map[string][]time.Duration{}}
+		client := &askedClient{noticeClient{began: time.Now(), calls: map[string][]time.Duration{}}}
 		r := NewCollector(Options{Timers: timer.NewService(), Table: table, TargetClient: client, Metrics: m, Evacuations: set, Catalog: func() *catalog.Catalog { return cat }})
 		for _, domain := range []string{"milford", "swansea"} {
 			table.Announce(&wire.RegisteredTarget{Id: domain, FailureDomain: domain, Service: "s", Address: domain + ":1", State: wire.TargetState_TARGET_STATE_READY, BornMs: 1, Sequence: 1}, time.Now())
@@ -55,12 +66,14 @@
 		calls := run()
 		require.NotZero(t, calls["milford"])
 		require.NotZero(t, calls["swansea"])
+		require.NotZero(t, calls["report of milford"])
 		set.Adopt(1, []string{"milford"}, time.Now())
 		time.Sleep(settled)
 		released := len(client.list())
 		require.NotZero(t, released)
 		calls = run()
 		require.Zero(t, calls["milford"])
+		require.Zero(t, calls["report of milford"])
 		require.NotZero(t, calls["swansea"])
 		require.Len(t, client.list(), released)
 		// Stages are waiting when the last domain is evacuated.
