batching: Allow for the stages that follow in the margin of a first stage

A request starts its first stage as on time if its expected duration and a margin fit into its objective. The margin of 200 ms was the same for one stage and for three, although the errors of the estimated waits add up. In a burst of a kind with three stages, requests started that missed their objective before the last stage, where they took the place of others.

The margin grows by 50 ms for each stage that follows.

--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -67,6 +67,10 @@
 	// firstStageMargin is added to the expected time of a request that has not started its
 	// first stage, to decide whether it is on time. Calls and waits vary by about as much.
 	firstStageMargin = 200 * time.Millisecond
+	// laterStageMargin is added for each stage that follows. The errors of the estimates add
+	// up: without it a kind with three stages starts requests in a burst that are late at
+	// the last one, and those take the place of others that are still on time.
+	laterStageMargin = 50 * time.Millisecond
 	// lowMemoryShare is the used share of a target's result memory above which the target
 	// counts as short of memory. A full call takes nearly half of the memory.
 	lowMemoryShare = 0.6
@@ -164,7 +168,7 @@
 	need := s.callTime(min(j.pending, s.profile.MaxBatchSize))
 	expected := need + j.Path.expectedDuration(need, j.rank())
 	if j.hasNotStarted() {
-		expected += firstStageMargin
+		expected += firstStageMargin + time.Duration(len(j.Path.stages))*laterStageMargin
 	}
 	switch {
 	case !now.Add(expected).After(j.Objective):
--- a/internal/batching/simulation_test.go
+++ b/internal/batching/simulation_test.go
@@ -74,12 +74,15 @@
 	nextCheck time.Time // time of the next check if nothing else happens
 	// slow is the factor by which calls take longer at a target.
 	slow map[string]float64
+	// pieceTime returns the time that a job's piece adds to a call; nil means the profile's.
+	pieceTime func(*Job) time.Duration
 	// hold is how long results are needed after their job is done.
 	hold time.Duration
 	// fetch is the time after which they have been fetched, and are released where memory is
 	// short; 0 means that they are held.
 	fetch       time.Duration
 	resultBytes map[string]int64
+	stored      map[string]int64 // bytes of the results that targets hold, by handle
 	calls       map[string]int
 	// pieces counts the pieces of calls, and outcomes counts jobs by outcome.
 	pieces   int
@@ -95,7 +98,7 @@
 func newSimulationAt(t *testing.T, c *clock, p catalog.BatchProfile, targets int) *simulation {
 	w := &simulation{
 		clock: c, t: t, s: NewScheduler(p), profile: p, random: rand.New(rand.NewPCG(1, 2)), slow: map[string]float64{},
-		resultBytes: map[string]int64{}, calls: map[string]int{}, outcomes: map[OutcomeKind]int{},
+		resultBytes: map[string]int64{}, stored: map[string]int64{}, calls: map[string]int{}, outcomes: map[OutcomeKind]int{},
 	}
 	c.simulations = append(c.simulations, w)
 	var list []Target
@@ -130,10 +133,19 @@
 		w.resultBytes[c.Target.ID] += p.Job.ResultBytes
 		require.LessOrEqual(w.t, w.resultBytes[c.Target.ID], w.profile.ResultBytes, "a call starts only where there is memory for its results")
 		w.n++
+		handle := fmt.Sprint(c.Target.ID, "/", w.n)
+		w.stored[handle] = p.Job.ResultBytes
 		o.Outcomes = append(o.Outcomes, PieceDone)
-		o.Handles = append(o.Handles, fmt.Sprint(c.Target.ID, "/", w.n))
+		o.Handles = append(o.Handles, handle)
+	}
+	took := w.profile.CallOverhead
+	for _, p := range c.Pieces {
+		if w.pieceTime != nil {
+			took += w.pieceTime(p.Job)
+		} else {
+			took += w.profile.PieceTime
+		}
 	}
-	took := w.profile.CallOverhead + w.profile.PieceTime*time.Duration(len(c.Pieces))
 	if x := w.slow[c.Target.ID]; x > 0 {
 		took = time.Duration(float64(took) * x)
 	}
@@ -141,14 +153,23 @@
 		w.s.Finish(c, o, w.now)
 		w.free(w.s.Orphans())
 	})
+	// The target is as fast as the scheduler to forget a result.
+	w.at(took+w.profile.ResultTTL-time.Nanosecond, func() {
+		for _, handle := range o.Handles {
+			w.forget(c.Target.ID, handle)
+		}
+	})
+}
+
+// forget ends a result at its target.
+func (w *simulation) forget(target, handle string) {
+	w.resultBytes[target] -= w.stored[handle]
+	delete(w.stored, handle)
 }
 
 func (w *simulation) free(results []Result) {
 	for _, r := range results {
-		stored, ok := w.s.results[r.Handle]
-		if ok {
-			w.resultBytes[r.Target] -= stored.bytes
-		}
+		w.forget(r.Target, r.Handle)
 		w.s.RemoveResults([]string{r.Handle})
 	}
 }
