--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -79,6 +79,10 @@
 	// firstStageMargin is added to the expected time of a request that has not started its
 	// first stage, to decide whether it is on time. Calls and waits vary by about as much.
 	firstStageMargin = 200 * time.Millisecond
+	// laterStageMargin is added for each stage that follows. The errors of the estimates add
+	// up: without it a kind with three stages starts requests in a burst that are late at
+	// the last one, and those take the place of others that are still on time.
+	laterStageMargin = 50 * time.Millisecond
 	// lowMemoryShare is the used share of a target's result memory above which the target
 	// counts as short of memory. A full call takes nearly half of the memory.
 	lowMemoryShare = 0.6
@@ -94,9 +98,10 @@
 	// arrivalWindow is the averaging time of the arrival rate. It is longer than a burst,
 	// after which the requests that have missed their objective are served.
 	arrivalWindow = 12 * time.Second
-	// minLateShare is the minimum share of the targets' capacity for requests that have
-	// missed their objective.
-	minLateShare = 0.05
+	// minLateShare is the minimum share of the targets' capacity that is expected for requests
+	// that have missed their objective. A burst ends before the deadline of patient ones; with
+	// 0.05 they were rejected although there was room after it.
+	minLateShare = 0.3
 	// maxBatchDelay is how long pieces wait for others when every target but one is busy.
 	// It is a tenth of a full call.
 	maxBatchDelay = 40 * time.Millisecond
@@ -136,6 +141,10 @@
 	// otherBytesDecay is the time constant with which the memory attributed to other
 	// collectors decays. Requests release their results within about a second.
 	otherBytesDecay = 500 * time.Millisecond
+	// sizeAdvanceFactor is the part of the time of its further pieces by which a job is ordered
+	// earlier. Jobs with many pieces find room in a call less often and were served a third as
+	// often as others in a burst; with all of the time they crowd out several smaller ones.
+	sizeAdvanceFactor = 0.7
 	// minRetryAfter is the minimum retry delay sent to a rejected caller. A caller that
 	// retries sooner meets the same burst and is rejected again.
 	minRetryAfter = 1200 * time.Millisecond
@@ -203,11 +212,11 @@
 	need := s.callTime(min(j.pending, s.profile.MaxBatchSize))
 	expected := need + j.Path.expectedDuration(need, j.rank())
 	if j.hasNotStarted() {
-		expected += firstStageMargin
+		expected += firstStageMargin + time.Duration(len(j.Path.stages))*laterStageMargin
 	}
 	switch {
 	case !now.Add(expected).After(j.Objective):
-		return groupOnTime, j.latestFinish.Add(behind)
+		return groupOnTime, j.latestFinish.Add(behind - s.sizeAdvance(j))
 	case j.hasResults():
 		return groupPastObjective, j.queuedAt.Add(inputWaitLimit + behind)
 	case j.Path.congested(heldBackBacklog):
@@ -216,6 +225,12 @@
 	return groupPastObjective, j.Deadline.Add(behind)
 }
 
+// sizeAdvance returns by how much earlier a job is ordered than one with a single piece.
+func (s *Scheduler) sizeAdvance(j *Job) time.Duration {
+	n := min(j.Pieces, s.profile.MaxBatchSize)
+	return time.Duration(sizeAdvanceFactor * float64(s.callTime(n)-s.callTime(1)))
+}
+
 // Stop ends the jobs with pieces in no call, now and later. Running calls go on.
 func (s *Scheduler) Stop() {
 	s.stopping = true
