warmup: Raise the share of returned targets by their answers

Cause: a target that starts or recovers gets all requests at once, or few for long. Change: package warmup with its exchange by the watches, the share in routing, and evidence from answers in the gateway.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,7 @@
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -105,6 +106,8 @@
 	Quarantine *quarantine.Register
 	// Limits holds the limits that targets name.
 	Limits *pacing.Register
+	// Warmups holds the ramps of targets.
+	Warmups *warmup.Register
 }
 
 // confirmation is the newest version confirmed by a quorum.
@@ -160,7 +163,10 @@
 	d.wg.Go(func() { d.o.Timers.Every(d.ctx, confirmInterval, d.confirm) })
 	d.wg.Go(func() { d.o.Timers.Every(d.ctx, memberCheckInterval, d.maintainMembers) })
 	d.wg.Go(func() {
-		d.o.Timers.Every(d.ctx, expireInterval, func(context.Context) { d.o.Table.Expire(d.o.Timers.Now()) })
+		d.o.Timers.Every(d.ctx, expireInterval, func(context.Context) {
+			d.o.Table.Expire(d.o.Timers.Now())
+			d.o.Warmups.Expire(d.o.Timers.Now())
+		})
 	})
 	return nil
 }
@@ -466,25 +472,27 @@
 	s.d.recordWatcher(r)
 	s.d.o.Quarantine.Merge(discovery.DecodeParts(r.GetParts(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	s.d.o.Limits.Merge(discovery.DecodeLimits(r.GetLimits(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
+	s.d.o.Warmups.MergeObserved(r.GetProcess(), discovery.DecodeRamps(r.GetRamps(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	wait := s.d.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWatchWait))
 	var collected <-chan time.Time // set once there are changes to send
 	for {
-		partsChanged, limitsChanged := s.d.o.Quarantine.Changed(), s.d.o.Limits.Changed()
+		partsChanged, limitsChanged, rampsChanged := s.d.o.Quarantine.Changed(), s.d.o.Limits.Changed(), s.d.o.Warmups.Changed()
 		tableChanged, leaving, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
 		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince()); {
 		case w.GetFull() || s.d.hasCatalogFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
 			return s.d.response(r), nil
-		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r) || s.d.hasLimitsFor(r)) && collected == nil:
+		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r) || s.d.hasLimitsFor(r) || s.d.hasRampsFor(r)) && collected == nil:
 			collected = s.d.o.Timers.After(changeDelay)
 		}
 		if collected != nil {
-			tableChanged, partsChanged, limitsChanged = nil, nil, nil
+			tableChanged, partsChanged, limitsChanged, rampsChanged = nil, nil, nil, nil
 		}
 		select {
 		case <-tableChanged:
 		case <-leaving:
 		case <-partsChanged:
 		case <-limitsChanged:
+		case <-rampsChanged:
 		case <-catalogChanged:
 		case <-collected:
 			return s.d.response(r), nil
@@ -527,6 +535,23 @@
 	return d.o.Limits.Version() > d.limitsSince(r)
 }
 
+// hasRampsFor reports whether ramps of targets have changed since a gateway's last watch.
+func (d *Directory) hasRampsFor(r *wire.WatchRequest) bool {
+	if r.GetPeer() || r.RampsSince == nil {
+		return false
+	}
+	return d.o.Warmups.Version() > d.rampsSince(r)
+}
+
+// rampsSince returns the version of the ramps that a watcher has; 0 if it has those of an earlier
+// process of this VM.
+func (d *Directory) rampsSince(r *wire.WatchRequest) uint64 {
+	if r.GetEpoch() != d.o.Table.Epoch() {
+		return 0
+	}
+	return r.GetRampsSince()
+}
+
 // limitsSince returns the version of the limits that a watcher has; 0 if it has those of an
 // earlier process of this VM.
 func (d *Directory) limitsSince(r *wire.WatchRequest) uint64 {
@@ -610,6 +635,8 @@
 	w.Parts, w.PartsVersion = discovery.EncodeParts(records, d.o.Timers.Now()), partsVersion
 	statements, limitsVersion := d.o.Limits.ChangesSince(d.limitsSince(r))
 	w.Limits, w.LimitsVersion = discovery.EncodeLimits(statements, d.o.Timers.Now()), limitsVersion
+	states, rampsVersion := d.o.Warmups.ChangesSince(d.rampsSince(r))
+	w.Ramps, w.RampsVersion = discovery.EncodeRamps(states, d.o.Timers.Now()), rampsVersion
 	version, document := d.o.Store.Newest()
 	w.CatalogVersion = version
 	if d.o.CollectorUptime != nil {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -50,6 +51,8 @@
 	Quarantine *quarantine.Register
 	// Limits holds the limits that targets name. It is nil on a control VM.
 	Limits *pacing.Register
+	// Warmups holds the ramps of targets. It is nil on a control VM.
+	Warmups *warmup.Register
 	// OnResponse is called with each response and the time at which its watch started.
 	OnResponse func(address string, resp *wire.WatchResponse, startedAt time.Time)
 }
@@ -193,6 +196,7 @@
 	var heard heardList
 	var parts partsExchange
 	var limits limitsExchange
+	var ramps rampsExchange
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
@@ -200,6 +204,7 @@
 		startedAt := w.o.Timers.Now()
 		parts.request(r, w.o.Quarantine, startedAt)
 		limits.request(r, w.o.Limits, startedAt)
+		ramps.request(r, w.o.Warmups, startedAt)
 		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
@@ -213,6 +218,7 @@
 		}
 		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
 		limits.receive(address, r, resp, w.o.Limits, w.o.Timers.Now())
+		ramps.receive(r, resp, w.o.Warmups, w.o.Timers.Now())
 		r.Epoch, r.Since = resp.GetEpoch(), resp.GetVersion()
 		heard.resolve(r.GetHeardFormat(), resp, w.o.Timers.Now())
 		w.o.Table.Merge(resp, w.o.Timers.Now())
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -62,7 +62,10 @@
 		return x.deliverWhole(pool, choice, resp, first, success)
 	}
 	w := x.watchEvents(ctx, cancel)
-	err := x.copyEvents(resp, w)
+	err := x.copyEvents(resp, w, func() {
+		now := x.g.o.Timers.Now()
+		choice = pool.Begun(choice, routing.Success{Latency: now.Sub(began), Expected: x.expectedFirst()}, now)
+	})
 	w.stop()
 	now := x.g.o.Timers.Now()
 	if err == nil {
@@ -170,8 +173,9 @@
 
 // copyEvents passes on whole events as they arrive, and records the last one. A target may
 // stop in the middle of an event: the rest is passed on only if the framing of the answer
-// shows that it is complete.
-func (x *exchange) copyEvents(resp *upstream.Response, w *eventWatch) error {
+// shows that it is complete. begun is called when the first event has arrived.
+func (x *exchange) copyEvents(resp *upstream.Response, w *eventWatch, begun func()) error {
+	first := true
 	rc := http.NewResponseController(x.w)
 	var pending []byte
 	buf := make([]byte, copyBuffer)
@@ -179,6 +183,10 @@
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
 		if events := eventstream.Scan(pending); events.End() > 0 {
+			if first && events.HasData() {
+				first = false
+				begun()
+			}
 			x.sendHeader(resp)
 			if _, werr := x.w.Write(pending[:events.End()]); werr != nil {
 				return werr
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -80,6 +81,10 @@
 	Quarantine *quarantine.Register
 	// Limits holds the limits that targets name.
 	Limits *pacing.Register
+	// Warmups holds the ramps of targets, and WarmUpAll says that the targets of all services
+	// warm up, not only those of services with cold targets.
+	Warmups   *warmup.Register
+	WarmUpAll bool
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -107,6 +112,7 @@
 	mu        sync.Mutex
 	pools     map[string]*routing.Pool
 	paces     map[incarnationKey]*pacing.Pace
+	ramps     *ramps
 	gates     map[string]*pacing.Gate       // by service
 	weights   map[string]map[string]float64 // by route and failure domain
 	states    map[string]map[string]routing.TargetState
@@ -131,7 +137,7 @@
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
+		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, ramps: newRamps(o.Warmups, o.WarmUpAll), gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 	}
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
@@ -344,7 +350,7 @@
 			p = routing.NewPool(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: g.o.Seed, Health: health(service)})
 			g.pools[name] = p
 		}
-		p.Sync(g.targets(name, now), now)
+		p.Sync(g.targets(name, g.ramps.of(service, now), now), now)
 	}
 	g.weights = g.weigh(c, now)
 }
@@ -376,7 +382,7 @@
 // spread returns the share of a service's targets in each failure domain.
 func (g *Gateway) spread(service string, now time.Time) map[string]float64 {
 	share := map[string]float64{}
-	targets := g.targets(service, now)
+	targets := g.targets(service, nil, now)
 	for _, t := range targets {
 		share[t.FailureDomain] += 1 / float64(len(targets))
 	}
@@ -404,8 +410,9 @@
 }
 
 // targets returns the members of a service. When all of them are silent, the
-// news of them is what is missing, and they count as present.
-func (g *Gateway) targets(service string, now time.Time) []routing.Target {
+// news of them is what is missing, and they count as present. ramp returns their ramps; nil for
+// none.
+func (g *Gateway) targets(service string, ramp func(*wire.RegisteredTarget) routing.Ramp, now time.Time) []routing.Target {
 	live := g.o.Table.Live(service, now)
 	allSilent := true
 	for _, l := range live {
@@ -419,6 +426,9 @@
 			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent, Paused: l.PausedUntil().After(now),
 			Pacer: g.pace(r),
 		})
+		if ramp != nil {
+			list[len(list)-1].Ramp = ramp(r)
+		}
 	}
 	return list
 }
@@ -452,12 +462,14 @@
 	return gate
 }
 
-// dropPaces drops the paces of targets that are gone; g.mu is held.
+// dropPaces drops the paces and ramps of targets that are gone; g.mu is held.
 func (g *Gateway) dropPaces() {
-	maps.DeleteFunc(g.paces, func(k incarnationKey, _ *pacing.Pace) bool {
+	gone := func(k incarnationKey) bool {
 		r, ok := g.o.Table.Target(k.target)
 		return !ok || r.GetBornMs() != k.bornMs
-	})
+	}
+	maps.DeleteFunc(g.paces, func(k incarnationKey, _ *pacing.Pace) bool { return gone(k) })
+	g.ramps.drop(gone)
 }
 
 func incarnation(r *wire.RegisteredTarget) string {
@@ -519,6 +531,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Timers.Now()
+	if g.o.Warmups != nil {
+		g.o.Warmups.Tick(now)
+		g.o.Metrics.Gauge("warming_targets", float64(g.o.Warmups.Active()))
+	}
 	for service, p := range g.pools {
 		p.Tick(now)
 		g.logStates(service, p.Status(now))
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -23,6 +23,7 @@
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -90,10 +91,10 @@
 	runner := batching.NewCollector(batching.Options{
 		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, TargetClient: o.Target(newUpstream(t, m)),
 	})
-	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
+	parts, limits, warmups := newQuarantine(o.Name, m), newLimits(o.Name, t, m), warmup.NewRegister()
 	d := directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
-		Quarantine: parts, Limits: limits,
+		Quarantine: parts, Limits: limits, Warmups: warmups,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
@@ -104,6 +105,7 @@
 	admin := listener.NewAdminMux(m, d.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
 	limits.RegisterAdminHandlers(admin)
+	warmups.RegisterAdminHandlers(admin, t.Now)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -59,8 +60,11 @@
 	Heartbeat     time.Duration // heartbeat period of the targets
 	// Retries limits the requests that all gateways together send again.
 	Retries budget.SharedOptions
-	Codec   gateway.Codec
-	Decode  func(document []byte) (*catalog.Catalog, error)
+	// WarmUpAll makes the targets of all services warm up, not only those of services with cold
+	// targets.
+	WarmUpAll bool
+	Codec     gateway.Codec
+	Decode    func(document []byte) (*catalog.Catalog, error)
 	// ReadinessHandler returns the handler for the load balancer's checks.
 	ReadinessHandler func(listener.ReadyFunc) http.Handler
 }
@@ -73,20 +77,21 @@
 	client := control.NewHTTPClient(nil)
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
 	stages := stagelink.NewClient(stagelink.Options{Timers: t})
-	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
+	parts, limits, warmups := newQuarantine(o.Name, m), newLimits(o.Name, t, m), newWarmups(m)
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
-		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits,
+		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits, Warmups: warmups,
 		CatalogVersion: func() uint64 { return g.KnownVersion() },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
-		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
+		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Warmups: warmups, WarmUpAll: o.WarmUpAll, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
 	limits.RegisterAdminHandlers(admin)
+	warmups.RegisterAdminHandlers(admin, t.Now)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(WatcherComponent, follower)
 	k.Register(StagesComponent, stages)
@@ -128,6 +133,16 @@
 	return r
 }
 
+// newWarmups returns a register that logs and counts the changes of targets' shares.
+func newWarmups(m *metrics.Metrics) *warmup.Register {
+	r := warmup.NewRegister()
+	r.OnChange(func(e warmup.Event) {
+		klog.InfoS("Target warms up", "target", e.Target, "change", e.Kind, "share", e.Share, "good", e.Good, "bad", e.Bad, "episode", e.Episode, "applies", e.Applies)
+		m.CountReason("target_ramps", string(e.Kind))
+	})
+	return r
+}
+
 func newUpstream(t *timer.Service, m *metrics.Metrics) *upstream.Pool {
 	return upstream.NewPool(upstream.Options{Timers: t, OnDial: func(string) { m.Count("target_connections", 1) }})
 }
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -169,6 +169,10 @@
 	t.failures = 0
 	t.samples = 0
 	t.slowness = p.median
+	if t.Ramp != nil {
+		t.Ramp.Returned(now)
+		p.sharesAt = time.Time{}
+	}
 }
 
 // probeDone judges a finished probe and reports whether the target returned.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -59,6 +59,8 @@
 	ref   *target
 	epoch uint64
 	probe bool
+	sent  uint64 // of the target's ramp
+	begun bool   // the answer has begun
 }
 
 // Pick chooses a target and counts the call as in flight there. It allocates
@@ -93,6 +95,9 @@
 	if t.Pacer != nil {
 		t.Pacer.Take(now)
 	}
+	if t.Ramp != nil {
+		c.sent = t.Ramp.Sent(now)
+	}
 	if _, ok := p.policy.(Adaptive); ok && r.Prefix != "" && !r.Rendezvous {
 		// The target holds the prefix once it has begun the call. Learning it
 		// here keeps a burst with the same prefix together.
@@ -137,6 +142,7 @@
 	if !ok {
 		return Choice{}
 	}
+	p.refreshShares(now)
 	if r.Rendezvous && r.Prefix != "" {
 		if t, alternative := p.rendezvous(g.all, r, now); t != nil {
 			return Choice{ref: t, Reason: ReasonRendezvous, RunnerUp: alternative}
@@ -177,7 +183,7 @@
 	if preferred.score <= best.score {
 		return true
 	}
-	use := (preferred.t.load(p.meanOthers, now) + 1) / preferred.t.slots
+	use := (preferred.t.shared(p.meanOthers, now) + 1) / preferred.t.slots
 	return use <= preferredUse && p.cost(preferred.t) <= preferredSlowness*p.cost(best.t)
 }
 
@@ -188,14 +194,18 @@
 
 // cost is the target's latency relative to an ordinary target, raised by failures.
 func (p *Pool) cost(t *target) float64 {
-	return max(t.slowness, minSlowness) * (1 + failurePenalty*t.failures)
+	slowness := t.slowness
+	if t.warming {
+		slowness = min(slowness, p.median)
+	}
+	return max(slowness, minSlowness) * (1 + failurePenalty*t.failures)
 }
 
 // minSlowness keeps a zero latency sample from making a target free of cost.
 const minSlowness = 1e-6
 
 func (p *Pool) score(t *target, now time.Time) float64 {
-	return p.cost(t) * (t.load(p.meanOthers, now) + 1) / t.slots
+	return p.cost(t) * (t.shared(p.meanOthers, now) + 1) / t.slots
 }
 
 // sample returns the best and the second best of a few random targets. When all
@@ -207,7 +217,7 @@
 	found := 0
 	for range 2 * choices {
 		t := from[p.rng.IntN(len(from))]
-		if t == best.t || t == second.t || excluded(r, t, now) {
+		if t == best.t || t == second.t || excluded(r, t, now) || t.share < 1 && p.rng.Float64() >= t.share {
 			continue
 		}
 		best, second = rank(best, second, candidate{t, p.score(t, now)})
@@ -218,7 +228,8 @@
 	start := p.rng.IntN(len(from))
 	for i := range from {
 		t := from[(start+i)%len(from)]
-		if t == best.t || t == second.t || excluded(r, t, now) {
+		// A target that warms up was passed over above, unless there is no other one.
+		if t == best.t || t == second.t || excluded(r, t, now) || t.share < 1 && best.t != nil {
 			continue
 		}
 		best, second = rank(best, second, candidate{t, p.score(t, now)})
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -50,6 +50,9 @@
 	failures   float64 // share of failed calls, averaged over all targets
 	affinity   affinity
 	scratch    []*target
+	ramps      int       // targets with a ramp
+	sharesAt   time.Time // when the shares were last computed
+	usual      float64   // latency over the expected one, averaged; 0 before the first answer
 }
 
 // NewPool returns an empty Pool.
@@ -138,6 +141,7 @@
 // changed brings the derived state up to date after a membership change.
 func (p *Pool) changed(now time.Time) {
 	p.tally()
+	p.noteReturns(now)
 	p.enforceCap(now)
 	p.rebuild()
 }
@@ -268,6 +272,9 @@
 		return
 	}
 	t.count(-1, now)
+	if t.Ramp != nil {
+		p.observe(t, c, o, now)
+	}
 	p.learn(t, c.probe, o, now)
 }
 
--- a/internal/routing/rendezvous.go
+++ b/internal/routing/rendezvous.go
@@ -17,17 +17,20 @@
 	rendezvousCost = 2.0
 	// minDomainWeight keeps targets in use whose failure domain has no weight.
 	minDomainWeight = 0.05
+	// minShares keeps the bound finite in an empty pool.
+	minShares = 1e-6
 )
 
 // rendezvous returns the first target in the order of the prefix's hash that is
 // not loaded far above the mean. All entries have the same order, so that the
 // requests that share a prefix meet at one target wherever they come in.
 func (p *Pool) rendezvous(from []*target, r Request, now time.Time) (chosen *target, alternative string) {
-	total := 0.0
+	total, shares := 0.0, 0.0
 	for _, t := range from {
 		total += t.load(p.meanOthers, now)
+		shares += t.share
 	}
-	bound := rendezvousFactor*total/float64(max(len(from), 1)) + rendezvousSpare
+	bound := rendezvousFactor*total/max(shares, minShares) + rendezvousSpare
 	var first, best candidate
 	for _, t := range from {
 		if excluded(r, t, now) {
@@ -35,7 +38,7 @@
 		}
 		c := candidate{t, pairScore(r, t)}
 		first = higher(first, c)
-		if t.load(p.meanOthers, now) <= bound && p.cost(t) <= rendezvousCost*max(p.median, minSlowness) {
+		if t.load(p.meanOthers, now) <= t.share*bound && p.cost(t) <= rendezvousCost*max(p.median, minSlowness) {
 			best = higher(best, c)
 		}
 	}
@@ -69,7 +72,7 @@
 	if r.DomainWeights != nil {
 		weight = max(r.DomainWeights[t.FailureDomain], minDomainWeight)
 	}
-	return -weight / math.Log(uniform)
+	return -weight * t.share / math.Log(uniform)
 }
 
 // HomeDomain returns the failure domain of the target that a request would be sent to now
@@ -81,6 +84,7 @@
 	if !found || r.Prefix == "" {
 		return "", false
 	}
+	p.refreshShares(now)
 	t, _ := p.rendezvous(g.all, r, now)
 	if t == nil {
 		return "", false
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -19,6 +19,21 @@
 	NotReady          bool
 	Paused            bool // it takes no calls for a while, at its own request
 	Pacer             Pacer
+	// Ramp limits the share of a target that has started or recovered; nil for none.
+	Ramp Ramp
+}
+
+// Ramp is the ramp-up of a target. Its methods must not call the Pool.
+type Ramp interface {
+	// Share returns the part of its usual calls that the target gets, above 0 and at most 1.
+	Share(now time.Time) float64
+	// Sent identifies the share with which a call is sent, for Observe.
+	Sent(now time.Time) uint64
+	// Observe records whether the target has answered a call well.
+	Observe(sent uint64, good bool, now time.Time)
+	// Returned is called when the target takes calls again after an ejection, or after
+	// returnTime or more in which it took none.
+	Returned(now time.Time)
 }
 
 // Pacer paces the calls to a target. A target without one gets any number of calls.
@@ -57,6 +72,9 @@
 	relaxRate = 0.035
 	// reportHalfLife is the age at which a load report counts half.
 	reportHalfLife = 500 * time.Millisecond
+	// returnTime is the time without calls after which a target that takes calls again has
+	// returned: its queue may be empty, and what it had cached may be gone.
+	returnTime = time.Second
 	// leavingTime is how long a refusal as leaving is believed when membership
 	// doesn't confirm it. Membership takes at most 3 s.
 	leavingTime = 5 * time.Second
@@ -80,6 +98,12 @@
 	failures float64 // share of failed calls, averaged
 	heard    bool    // whether there was a result since the last tick
 
+	share float64 // of its usual calls, relative to the other targets; 1 without a ramp
+	// warming says that the share is below 1. The latency then decides by the share, not by
+	// the average, which would hold the first answers of a cold target against it for long.
+	warming bool
+	awayAt  time.Time // when it stopped to be available; zero while it is
+
 	health  health
 	leaving bool // learnt from a refusal, before membership says so
 	refused time.Time
@@ -92,7 +116,7 @@
 }
 
 func newTarget(t Target, now time.Time) *target {
-	n := &target{reportedAt: now}
+	n := &target{reportedAt: now, share: 1}
 	n.describe(t)
 	n.reset()
 	return n
@@ -124,6 +148,7 @@
 	t.health = health{}
 	t.history = [historySize]uint16{}
 	t.cacheNext = 0
+	t.awayAt = time.Time{}
 }
 
 // available reports whether membership allows calls to the target.
@@ -224,6 +249,9 @@
 
 func (t *target) average(r float64) {
 	t.heard = true
+	if t.warming {
+		t.samples = 0 // only the last one is kept
+	}
 	t.samples++
 	if t.samples == 1 {
 		t.slowness = r
