warmup: Simulate targets that return

Cause: the effect of shares on floods and idle targets has to be seen with few and many gateways. Change: a simulation of 1 to 370 gateways, a proof time at the whole share, careful growth after a halving, and no second rule by average latency while a share rises.

--- a/internal/routing/ramp.go
+++ b/internal/routing/ramp.go
@@ -30,8 +30,8 @@
 			continue
 		}
 		if t.Ramp != nil {
-			t.share = min(max(t.Ramp.Share(now), minShares), 1)
-			t.warming = t.share < 1
+			share, rising := t.Ramp.Share(now)
+			t.share, t.warming = min(max(share, minShares), 1), rising
 		}
 		sum += t.share
 		highest = max(highest, t.share)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -25,8 +25,9 @@
 
 // Ramp is the ramp-up of a target. Its methods must not call the Pool.
 type Ramp interface {
-	// Share returns the part of its usual calls that the target gets, above 0 and at most 1.
-	Share(now time.Time) float64
+	// Share returns the part of its usual calls that the target gets, above 0 and at most 1, and
+	// whether it has only risen so far. It still counts as rising for a while at 1.
+	Share(now time.Time) (share float64, rising bool)
 	// Sent identifies the share with which a call is sent, for Observe.
 	Sent(now time.Time) uint64
 	// Observe records whether the target has answered a call well.
@@ -99,8 +100,9 @@
 	heard    bool    // whether there was a result since the last tick
 
 	share float64 // of its usual calls, relative to the other targets; 1 without a ramp
-	// warming says that the share is below 1. The latency then decides by the share, not by
-	// the average, which would hold the first answers of a cold target against it for long.
+	// warming says that the share has only risen so far. The latency then decides by the
+	// share, not by the average, which would hold the first answers of a cold target against
+	// it for long.
 	warming bool
 	awayAt  time.Time // when it stopped to be available; zero while it is
 
--- a/internal/warmup/fleet_test.go
+++ b/internal/warmup/fleet_test.go
@@ -333,21 +333,31 @@
 		returned []int
 		condition
 		rolling bool
+		bad     float64       // bound, as a part of the requests of their usual load after the return
+		first   float64       // bound, as a part of the usual load
+		whole   time.Duration // bound; 0 where the target doesn't get well
 	}{
-		{name: "one", returned: one, condition: condition{slowness: 1, cold: 1.9}},
-		{name: "half", returned: half, condition: condition{slowness: 1, cold: 1.9}},
-		{name: "slow", returned: one, condition: condition{slowness: 3}},
-		{name: "fast", returned: one, condition: condition{slowness: 0.8}},
-		{name: "fails", returned: one, condition: condition{fails: true}},
-		{name: "rolling", returned: all, condition: condition{slowness: 1, cold: 1.9}, rolling: true},
+		{"one", one, condition{slowness: 1, cold: 1.9}, false, 0.02, 0.25, 6 * time.Second},
+		// The load of half of the targets is twice as high.
+		{"half", half, condition{slowness: 1, cold: 1.9}, false, 0.02, 0.5, 6 * time.Second},
+		{"slow", one, condition{slowness: 3}, false, 0.25, 0.25, 0},
+		{"fast", one, condition{slowness: 0.8}, false, 0, 0.25, 6 * time.Second},
+		{"fails", one, condition{fails: true}, false, 0.15, 0.25, 0},
+		{"rolling", all, condition{slowness: 1, cold: 1.9}, true, 0.02, 0.5, 6 * time.Second},
 	} {
 		for _, n := range []int{1, 12, 103, 370} {
 			t.Run(fmt.Sprint(c.name, " ", n), func(t *testing.T) {
+				t.Parallel()
 				before, after := simulate(n, false, c.returned, c.condition, c.rolling), simulate(n, true, c.returned, c.condition, c.rolling)
 				t.Logf("bad %d -> %d, callers %d -> %d, first 500 ms %.2f -> %.2f, whole %v -> %v", before.bad, after.bad, before.callers, after.callers, before.first, after.first, before.whole, after.whole)
+				usual := simPerS * float64(len(c.returned)) * (simTime - backAt).Seconds()
+				require.LessOrEqual(t, float64(after.bad), c.bad*usual)
+				require.LessOrEqual(t, after.first, c.first)
+				if c.whole > 0 {
+					require.LessOrEqual(t, after.whole, c.whole)
+					require.LessOrEqual(t, after.bad, before.bad)
+				}
 			})
 		}
 	}
 }
-
-var _ = require.New
--- a/internal/warmup/ramp.go
+++ b/internal/warmup/ramp.go
@@ -13,7 +13,7 @@
 //	r := warmup.NewRegister()
 //	p := r.Ramp("engine-1", bornMs)
 //	p.Begin(now)                 // the incarnation is new
-//	share := p.Share(now)        // multiplies the traffic of the target
+//	share, rising := p.Share(now) // multiplies the traffic of the target
 //	sent := p.Sent(now)          // with each request
 //	p.Observe(sent, good, now)   // with its answer
 //	r.Tick(now)                  // a few times a second
@@ -196,18 +196,19 @@
 // that goes on.
 func (p *Ramp) Returned(now time.Time) { p.r.begin(p, false, now) }
 
-// Share returns the part of its usual traffic that the target gets from this gateway.
-func (p *Ramp) Share(now time.Time) float64 {
+// Share returns the part of its usual traffic that the target gets from this gateway, and whether
+// the ramp goes on without a halving so far.
+func (p *Ramp) Share(now time.Time) (share float64, rising bool) {
 	if p.r.active.Load() == 0 {
-		return 1
+		return 1, false
 	}
 	p.r.mu.Lock()
 	defer p.r.mu.Unlock()
 	e := p.r.ongoing(p, now)
 	if e == nil || !e.applies() {
-		return 1
+		return 1, false
 	}
-	return e.current(e.merged(), now)
+	return e.current(e.merged(), now), !e.careful
 }
 
 // Sent returns what identifies the round of a request that is sent now, for Observe.
