--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -360,3 +361,67 @@
 		check(false)
 	})
 }
+
+// Guards against gateways that keep a share that others have raised, because their answers aren't
+// added up or a control VM that restarts forgets the ramp.
+func TestGatewaysShareTheEvidenceOfRamps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vm := newDirectory(t)
+		var handler atomic.Pointer[http.Handler]
+		serve := func() {
+			h := vm.Handler()
+			handler.Store(&h)
+		}
+		serve()
+		client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			w := httptest.NewRecorder()
+			(*handler.Load()).ServeHTTP(w, r)
+			return w.Result(), nil
+		})}
+		var ramps []*warmup.Ramp
+		var gateways []*warmup.Register
+		join := func() {
+			n := len(gateways)
+			r := warmup.NewRegister()
+			gateways, ramps = append(gateways, r), append(ramps, r.Ramp("engine", 1))
+			w := discovery.NewWatcher(discovery.WatcherOptions{
+				Timers: timer.NewService(), HTTP: client, Process: fmt.Sprint("gateway-", n), Seeds: []string{"vm-1"},
+				Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Warmups: r, CatalogVersion: func() uint64 { return 1 },
+			})
+			require.NoError(t, w.Start(t.Context()))
+			t.Cleanup(func() { require.NoError(t, w.Stop(context.Background())) })
+		}
+		for range 4 {
+			join()
+		}
+		check := func(round uint32) {
+			shares := map[float64]bool{}
+			for i, r := range gateways {
+				r.Tick(time.Now())
+				status := r.Ramps(time.Now())["engine"]
+				require.Equal(t, round, status.Round)
+				require.True(t, status.Applies)
+				share, _ := ramps[i].Share(time.Now())
+				shares[math.Round(share*50)] = true
+			}
+			require.Len(t, shares, 1, "all gateways use the same share")
+		}
+		time.Sleep(time.Second)
+		ramps[0].Begin(time.Now())
+		time.Sleep(time.Second)
+		check(0)
+		for _, p := range ramps {
+			for range 2 {
+				p.Observe(p.Sent(time.Now()), true, time.Now())
+			}
+		}
+		time.Sleep(time.Second)
+		check(1)
+		vm = newDirectory(t) // one that has just started
+		serve()
+		time.Sleep(2 * time.Second)
+		join()
+		time.Sleep(time.Second)
+		check(1)
+	})
+}
--- a/internal/warmup/ramp.go
+++ b/internal/warmup/ramp.go
@@ -152,11 +152,14 @@
 	return s.round < other.round
 }
 
-// sameRound reports whether two states are of the same round.
-func (s State) sameRound(other State) bool {
-	return s.bornMs == other.bornMs && s.episode == other.episode && s.round == other.round
+// sameEpisode reports whether two states are of the same ramp.
+func (s State) sameEpisode(other State) bool {
+	return s.bornMs == other.bornMs && s.episode == other.episode
 }
 
+// sameRound reports whether two states are of the same round.
+func (s State) sameRound(other State) bool { return s.sameEpisode(other) && s.round == other.round }
+
 // next returns the state after the round if its answers end it.
 func (s State) next(c counts, now time.Time) (State, bool) {
 	if now.Sub(s.since) < roundTime {
--- a/internal/warmup/register.go
+++ b/internal/warmup/register.go
@@ -140,17 +140,16 @@
 
 // enter makes a state of a later round the one of an entry; r.mu is held.
 func (r *Register) enter(e *entry, s State, now time.Time) {
-	if s.bornMs != e.bornMs || s.episode != e.episode {
+	if !e.sameEpisode(s) {
 		e.joined, e.events = false, 0
 		if e.ended {
 			r.active.Add(1)
 		}
 		e.ended = false
 	}
-	everywhere := s.everywhere || e.everywhere && s.bornMs == e.bornMs && s.episode == e.episode
+	s.everywhere = s.everywhere || e.everywhere && e.sameEpisode(s)
 	s.counts = counts{}
 	e.State, e.own, e.totals, e.observers, e.changedAt, e.decidable = s, counts{}, counts{}, nil, now, false
-	e.everywhere = everywhere
 	if e.ended {
 		e.ended = false
 		r.active.Add(1)
@@ -245,7 +244,11 @@
 			r.adopt(e, s, now)
 		case e.precedes(s):
 			r.adopt(e, s, now)
-		case !e.sameRound(s):
+		case e.sameEpisode(s) && s.everywhere && !e.everywhere:
+			e.everywhere, e.changedAt = true, now
+			r.touch(e)
+		}
+		if !e.sameRound(s) {
 			continue
 		}
 		r.unite(e, s, now)
@@ -260,7 +263,7 @@
 
 // adopt takes over a state of a later round; r.mu is held.
 func (r *Register) adopt(e *entry, s State, now time.Time) {
-	began := e.bornMs != s.bornMs || e.episode != s.episode
+	began := !e.sameEpisode(s)
 	kind := Raised
 	switch {
 	case began:
@@ -289,8 +292,8 @@
 
 // unite joins two states of the same round; r.mu is held.
 func (r *Register) unite(e *entry, s State, now time.Time) {
-	told := s.everywhere && !e.everywhere || e.share > s.share+shareTolerance || e.since.Sub(s.since) > sinceTolerance
-	e.everywhere, e.careful = e.everywhere || s.everywhere, e.careful || s.careful
+	told := s.careful && !e.careful || e.share > s.share+shareTolerance || e.since.Sub(s.since) > sinceTolerance
+	e.careful = e.careful || s.careful
 	e.share = min(e.share, s.share)
 	if s.since.Before(e.since) {
 		e.since = s.since
