warmup: Leave ramps that are over out of the operators' page

Cause: control VMs don't end ramps, so their page listed them for ten minutes. Change: ramps whose share has been whole for the proof time aren't listed. Measured: package tests pass.

--- a/internal/warmup/register.go
+++ b/internal/warmup/register.go
@@ -377,8 +377,7 @@
 	defer r.mu.Unlock()
 	list := map[string]Status{}
 	for target, e := range r.entries {
-		if !e.ended {
-			c := e.merged()
+		if c := e.merged(); !e.ended && !e.isOver(c, now) {
 			list[target] = Status{Share: e.current(c, now), Applies: e.applies(), Episode: e.episode, Round: e.round, Good: c.good, Bad: c.bad, RoundMs: now.Sub(e.since).Milliseconds()}
 		}
 	}
