speed: Learn the speed of engines at all gateways together

Cause: engines differ in speed, and with many gateways each sees a target too rarely to know. Change: package speed with its exchange by the watches, the share in routing times the published speed, and learnSpeeds in the settings; off by default.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -35,6 +35,7 @@
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -72,6 +73,8 @@
 	// removed.
 	memberCheckInterval = 250 * time.Millisecond
 	replaceTimeout      = 1500 * time.Millisecond
+	// speedInterval is the interval at which the speeds of targets are estimated.
+	speedInterval = 500 * time.Millisecond
 	// expireInterval is the interval at which old targets are removed.
 	expireInterval = 10 * time.Second
 )
@@ -108,6 +111,8 @@
 	Limits *pacing.Register
 	// Warmups holds the ramps of targets.
 	Warmups *warmup.Register
+	// Speeds holds the speeds of targets.
+	Speeds *speed.Register
 }
 
 // confirmation is the newest version confirmed by a quorum.
@@ -166,11 +171,21 @@
 		d.o.Timers.Every(d.ctx, expireInterval, func(context.Context) {
 			d.o.Table.Expire(d.o.Timers.Now())
 			d.o.Warmups.Expire(d.o.Timers.Now())
+			d.o.Speeds.Keep(d.isCurrent)
 		})
 	})
+	d.wg.Go(func() {
+		d.o.Timers.Every(d.ctx, speedInterval, func(context.Context) { d.o.Speeds.Tick(d.o.Timers.Now()) })
+	})
 	return nil
 }
 
+// isCurrent reports whether an incarnation of a target hasn't ended.
+func (d *Directory) isCurrent(target string, bornMs int64) bool {
+	r, ok := d.o.Table.Target(target)
+	return ok && r.GetBornMs() == bornMs
+}
+
 // Ready reports whether a quorum has confirmed this VM's catalog as the newest one, and the
 // reason if not.
 func (d *Directory) Ready() (ok bool, reason string) {
@@ -473,19 +488,20 @@
 	s.d.o.Quarantine.Merge(discovery.DecodeParts(r.GetParts(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	s.d.o.Limits.Merge(discovery.DecodeLimits(r.GetLimits(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	s.d.o.Warmups.MergeObserved(r.GetProcess(), discovery.DecodeRamps(r.GetRamps(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
+	s.d.o.Speeds.MergeSums(r.GetProcess(), discovery.DecodeSpeedSums(r.GetSpeedSums()), s.d.o.Timers.Now())
 	wait := s.d.o.Timers.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxWatchWait))
 	var collected <-chan time.Time // set once there are changes to send
 	for {
-		partsChanged, limitsChanged, rampsChanged := s.d.o.Quarantine.Changed(), s.d.o.Limits.Changed(), s.d.o.Warmups.Changed()
+		partsChanged, limitsChanged, rampsChanged, speedsChanged := s.d.o.Quarantine.Changed(), s.d.o.Limits.Changed(), s.d.o.Warmups.Changed(), s.d.o.Speeds.Changed()
 		tableChanged, leaving, catalogChanged, confirmed := s.d.o.Table.Changed(), s.d.o.Table.Leaving(), s.d.o.Store.Changed(), s.d.nextConfirmation()
 		switch w := s.d.o.Table.ChangesSince(r.GetEpoch(), r.GetSince()); {
 		case w.GetFull() || s.d.hasCatalogFor(r) || slices.ContainsFunc(w.GetTargets(), isLeaving):
 			return s.d.response(r), nil
-		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r) || s.d.hasLimitsFor(r) || s.d.hasRampsFor(r)) && collected == nil:
+		case (len(w.GetTargets()) > 0 || s.d.hasPartsFor(r) || s.d.hasLimitsFor(r) || s.d.hasRampsFor(r) || s.d.hasSpeedsFor(r)) && collected == nil:
 			collected = s.d.o.Timers.After(changeDelay)
 		}
 		if collected != nil {
-			tableChanged, partsChanged, limitsChanged, rampsChanged = nil, nil, nil, nil
+			tableChanged, partsChanged, limitsChanged, rampsChanged, speedsChanged = nil, nil, nil, nil, nil
 		}
 		select {
 		case <-tableChanged:
@@ -493,6 +509,7 @@
 		case <-partsChanged:
 		case <-limitsChanged:
 		case <-rampsChanged:
+		case <-speedsChanged:
 		case <-catalogChanged:
 		case <-collected:
 			return s.d.response(r), nil
@@ -552,6 +569,23 @@
 	return r.GetRampsSince()
 }
 
+// hasSpeedsFor reports whether speeds of targets have changed since a gateway's last watch.
+func (d *Directory) hasSpeedsFor(r *wire.WatchRequest) bool {
+	if r.GetPeer() || r.SpeedsSince == nil {
+		return false
+	}
+	return d.o.Speeds.Version() > d.speedsSince(r)
+}
+
+// speedsSince returns the version of the speeds that a watcher has; 0 if it has those of an earlier
+// process of this VM.
+func (d *Directory) speedsSince(r *wire.WatchRequest) uint64 {
+	if r.GetEpoch() != d.o.Table.Epoch() {
+		return 0
+	}
+	return r.GetSpeedsSince()
+}
+
 // limitsSince returns the version of the limits that a watcher has; 0 if it has those of an
 // earlier process of this VM.
 func (d *Directory) limitsSince(r *wire.WatchRequest) uint64 {
@@ -637,6 +671,10 @@
 	w.Limits, w.LimitsVersion = discovery.EncodeLimits(statements, d.o.Timers.Now()), limitsVersion
 	states, rampsVersion := d.o.Warmups.ChangesSince(d.rampsSince(r))
 	w.Ramps, w.RampsVersion = discovery.EncodeRamps(states, d.o.Timers.Now()), rampsVersion
+	if r.SpeedsSince != nil {
+		values, speedsVersion := d.o.Speeds.ChangesSince(d.speedsSince(r))
+		w.Speeds, w.SpeedsVersion = discovery.EncodeSpeeds(values), speedsVersion
+	}
 	version, document := d.o.Store.Newest()
 	w.CatalogVersion = version
 	if d.o.CollectorUptime != nil {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -21,6 +21,7 @@
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -40,7 +41,7 @@
 	})
 	require.NoError(t, err)
 	m := metrics.New("test")
-	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1, Quarantine: quarantine.NewRegister("vm-1"), Limits: pacing.NewRegister("vm-1"), Warmups: warmup.NewRegister()})
+	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1, Quarantine: quarantine.NewRegister("vm-1"), Limits: pacing.NewRegister("vm-1"), Warmups: warmup.NewRegister(), Speeds: speed.NewRegister()})
 	require.NoError(t, node.Start(t.Context()))
 	t.Cleanup(func() {
 		require.NoError(t, node.Stop(context.Background()))
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
@@ -53,6 +54,8 @@
 	Limits *pacing.Register
 	// Warmups holds the ramps of targets. It is nil on a control VM.
 	Warmups *warmup.Register
+	// Speeds holds the speeds of targets. It is nil on a control VM, and where they aren't used.
+	Speeds *speed.Register
 	// OnResponse is called with each response and the time at which its watch started.
 	OnResponse func(address string, resp *wire.WatchResponse, startedAt time.Time)
 }
@@ -205,6 +208,7 @@
 		parts.request(r, w.o.Quarantine, startedAt)
 		limits.request(r, w.o.Limits, startedAt)
 		ramps.request(r, w.o.Warmups, startedAt)
+		requestSpeeds(address, r, w.o.Speeds, startedAt)
 		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
@@ -219,6 +223,7 @@
 		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
 		limits.receive(address, r, resp, w.o.Limits, w.o.Timers.Now())
 		ramps.receive(r, resp, w.o.Warmups, w.o.Timers.Now())
+		receiveSpeeds(address, r, resp, w.o.Speeds, w.o.Timers.Now())
 		r.Epoch, r.Since = resp.GetEpoch(), resp.GetVersion()
 		heard.resolve(r.GetHeardFormat(), resp, w.o.Timers.Now())
 		w.o.Table.Merge(resp, w.o.Timers.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/routing"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
 	"github.com/cardamomline/cardamomline/internal/warmup"
@@ -85,6 +86,8 @@
 	// warm up, not only those of services with cold targets.
 	Warmups   *warmup.Register
 	WarmUpAll bool
+	// Speeds holds the speeds of engines; nil if they aren't used.
+	Speeds *speed.Register
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -350,7 +353,11 @@
 			p = routing.NewPool(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: g.o.Seed, Health: health(service)})
 			g.pools[name] = p
 		}
-		p.Sync(g.targets(name, g.ramps.of(service, now), now), now)
+		list := g.targets(name, g.ramps.of(service, now), now)
+		if g.o.Speeds != nil && service.Engine() != nil {
+			g.addSpeeds(list)
+		}
+		p.Sync(list, now)
 	}
 	g.weights = g.weigh(c, now)
 }
@@ -469,6 +476,9 @@
 		return !ok || r.GetBornMs() != k.bornMs
 	}
 	maps.DeleteFunc(g.paces, func(k incarnationKey, _ *pacing.Pace) bool { return gone(k) })
+	if g.o.Speeds != nil {
+		g.o.Speeds.Keep(func(target string, bornMs int64) bool { return !gone(incarnationKey{target: target, bornMs: bornMs}) })
+	}
 	g.ramps.drop(gone)
 }
 
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -92,9 +92,10 @@
 		Timers: t, Table: table, Metrics: m, Catalog: catalogs.newest, TargetClient: o.Target(newUpstream(t, m)),
 	})
 	parts, limits, warmups := newQuarantine(o.Name, m), newLimits(o.Name, t, m), warmup.NewRegister()
+	speeds := newSpeeds(m)
 	d := directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
-		Quarantine: parts, Limits: limits, Warmups: warmups,
+		Quarantine: parts, Limits: limits, Warmups: warmups, Speeds: speeds,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.DirectoryPathPrefix, d.Handler())
@@ -106,6 +107,7 @@
 	parts.RegisterAdminHandlers(admin, t.Now)
 	limits.RegisterAdminHandlers(admin)
 	warmups.RegisterAdminHandlers(admin, t.Now)
+	speeds.RegisterAdminHandlers(admin)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cardamomline/cardamomline/internal/metrics"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
@@ -63,8 +64,10 @@
 	// WarmUpAll makes the targets of all services warm up, not only those of services with cold
 	// targets.
 	WarmUpAll bool
-	Codec     gateway.Codec
-	Decode    func(document []byte) (*catalog.Catalog, error)
+	// LearnSpeeds makes the gateway use the speeds of engines that all gateways learn together.
+	LearnSpeeds bool
+	Codec       gateway.Codec
+	Decode      func(document []byte) (*catalog.Catalog, error)
 	// ReadinessHandler returns the handler for the load balancer's checks.
 	ReadinessHandler func(listener.ReadyFunc) http.Handler
 }
@@ -78,20 +81,27 @@
 	table := discovery.NewTable(discovery.Options{HeartbeatTimeout: heartbeatTimeoutFactor * o.Heartbeat})
 	stages := stagelink.NewClient(stagelink.Options{Timers: t})
 	parts, limits, warmups := newQuarantine(o.Name, m), newLimits(o.Name, t, m), newWarmups(m)
+	var speeds *speed.Register
+	if o.LearnSpeeds {
+		speeds = newSpeeds(m)
+	}
 	var g *gateway.Gateway
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
-		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits, Warmups: warmups,
+		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits, Warmups: warmups, Speeds: speeds,
 		CatalogVersion: func() uint64 { return g.KnownVersion() },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
-		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Warmups: warmups, WarmUpAll: o.WarmUpAll, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
+		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Warmups: warmups, WarmUpAll: o.WarmUpAll, Speeds: speeds, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries),
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
 	limits.RegisterAdminHandlers(admin)
 	warmups.RegisterAdminHandlers(admin, t.Now)
+	if speeds != nil {
+		speeds.RegisterAdminHandlers(admin)
+	}
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(WatcherComponent, follower)
 	k.Register(StagesComponent, stages)
@@ -143,6 +153,16 @@
 	return r
 }
 
+// newSpeeds returns a register that logs and counts the changes of targets' speeds.
+func newSpeeds(m *metrics.Metrics) *speed.Register {
+	r := speed.NewRegister()
+	r.OnChange(func(target string, value float64) {
+		klog.InfoS("Target speed", "target", target, "speed", value)
+		m.Count("target_speed_changes", 1)
+	})
+	return r
+}
+
 func newUpstream(t *timer.Service, m *metrics.Metrics) *upstream.Pool {
 	return upstream.NewPool(upstream.Options{Timers: t, OnDial: func(string) { m.Count("target_connections", 1) }})
 }
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -198,7 +198,8 @@
 	if t.warming {
 		slowness = min(slowness, p.median)
 	}
-	return max(slowness, minSlowness) * (1 + failurePenalty*t.failures)
+	// What the known speed explains is in the share already.
+	return max(slowness*t.speed, minSlowness) * (1 + failurePenalty*t.failures)
 }
 
 // minSlowness keeps a zero latency sample from making a target free of cost.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -50,7 +50,7 @@
 	failures   float64 // share of failed calls, averaged over all targets
 	affinity   affinity
 	scratch    []*target
-	ramps      int       // targets with a ramp
+	shared     int       // targets with a ramp or a speed
 	sharesAt   time.Time // when the shares were last computed
 	usual      float64   // latency over the expected one, averaged; 0 before the first answer
 }
@@ -272,9 +272,7 @@
 		return
 	}
 	t.count(-1, now)
-	if t.Ramp != nil {
-		p.observe(t, c, o, now)
-	}
+	p.observe(t, c, o, now)
 	p.learn(t, c.probe, o, now)
 }
 
--- a/internal/routing/ramp.go
+++ b/internal/routing/ramp.go
@@ -16,16 +16,16 @@
 	usualWeight = 0.02
 )
 
-// refreshShares computes the share of each usable target relative to the highest one. Without
-// ramps all of them are 1.
+// refreshShares computes the share of each usable target relative to the highest one, from its
+// ramp and its speed. Without these all of them are 1.
 func (p *Pool) refreshShares(now time.Time) {
-	if p.ramps == 0 || !p.sharesAt.IsZero() && now.Sub(p.sharesAt) < sharesPeriod {
+	if p.shared == 0 || !p.sharesAt.IsZero() && now.Sub(p.sharesAt) < sharesPeriod {
 		return
 	}
 	p.sharesAt = now
-	sum, n, highest := 0.0, 0, 0.0
+	sum, n, equal, whole := 0.0, 0, true, 0.0
 	for _, t := range p.order {
-		t.share, t.warming = 1, false
+		t.share, t.speed, t.warming, t.reduced = 1, 1, false, false
 		if !t.available() || t.health.ejected {
 			continue
 		}
@@ -33,21 +33,32 @@
 			share, rising := t.Ramp.Share(now)
 			t.share, t.warming = min(max(share, minShares), 1), rising
 		}
+		if t.Speed != nil {
+			t.speed = t.Speed.Speed()
+		}
+		equal = equal && t.share == 1 && t.speed == 1
+		whole = max(whole, t.share)
 		sum += t.share
-		highest = max(highest, t.share)
 		n++
 	}
-	if n == 0 || sum == float64(n) {
+	if n == 0 || equal {
 		return
 	}
 	raise := 0.0
 	if mean := sum / float64(n); mean < minMeanShare {
 		raise = (minMeanShare - mean) / (1 - mean)
 	}
-	highest += raise * (1 - highest)
+	highest := 0.0
+	for _, t := range p.order {
+		if t.available() && !t.health.ejected {
+			t.reduced = t.share < whole
+			t.share = (t.share + raise*(1-t.share)) * t.speed
+			highest = max(highest, t.share)
+		}
+	}
 	for _, t := range p.order {
 		if t.available() && !t.health.ejected {
-			t.share = (t.share + raise*(1-t.share)) / highest
+			t.share /= highest
 		}
 	}
 }
@@ -57,15 +68,16 @@
 	return t.load(meanOthers, now) / t.share
 }
 
-// noteReturns tells the ramps of targets that take calls again, and counts the ramps.
+// noteReturns tells the ramps of targets that take calls again, and counts the targets whose share
+// may differ.
 func (p *Pool) noteReturns(now time.Time) {
-	p.ramps = 0
+	p.shared = 0
 	p.sharesAt = time.Time{}
 	for _, t := range p.order {
-		if t.Ramp != nil {
-			p.ramps++
+		if t.Ramp != nil || t.Speed != nil {
+			p.shared++
 		} else {
-			t.share, t.warming = 1, false
+			t.share, t.speed, t.warming, t.reduced = 1, 1, false, false
 		}
 		switch {
 		case !t.available():
@@ -86,28 +98,40 @@
 func (p *Pool) Begun(c Choice, s Success, now time.Time) Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t := c.ref; t != nil && t.epoch == c.epoch && t.Ramp != nil {
+	if t := c.ref; t != nil && t.epoch == c.epoch {
 		p.observe(t, c, s, now)
 	}
 	c.begun = true
 	return c
 }
 
-// observe tells the ramp of a target of an answer, or of a call that has gone on for long.
+// observe tells the ramp and the speed of a target of an answer, or of a call that has gone on for
+// long.
 func (p *Pool) observe(t *target, c Choice, o Outcome, now time.Time) {
-	late := lateFactor * p.usual
+	if t.Ramp == nil && t.Speed == nil {
+		return
+	}
+	good := false
 	switch o := o.(type) {
 	case Success:
-		if !c.begun {
-			t.Ramp.Observe(c.sent, !p.isLate(t, ratio(o.Latency, o.Expected)), now)
+		if c.begun {
+			return
+		}
+		r := ratio(o.Latency, o.Expected)
+		if t.Speed != nil && p.usual > 0 && !t.reduced && !t.warming {
+			t.Speed.Observe(r/p.usual, now)
 		}
+		good = !p.isLate(t, r)
 	case Failure, Overloaded:
-		t.Ramp.Observe(c.sent, false, now)
 	case Canceled:
-		if !c.begun && o.Expected > 0 && p.usual > 0 && ratio(o.Ran, o.Expected) > late {
-			t.Ramp.Observe(c.sent, false, now)
+		if c.begun || o.Expected <= 0 || p.usual <= 0 || ratio(o.Ran, o.Expected) <= lateFactor*p.usual {
+			return
 		}
 	case Draining, UnresponsiveConnection:
+		return
+	}
+	if t.Ramp != nil {
+		t.Ramp.Observe(c.sent, good, now)
 	}
 }
 
@@ -117,7 +141,7 @@
 	limit := lateFactor * p.usual
 	late := p.usual > 0 && r > limit
 	switch {
-	case t.share < 1:
+	case t.reduced:
 	case p.usual == 0:
 		p.usual = r
 	default:
--- a/internal/routing/ramp_test.go
+++ b/internal/routing/ramp_test.go
@@ -175,3 +175,30 @@
 	require.Equal(t, StateUsable, p.Status(now)[0].State)
 	require.Equal(t, 1, ramps[0].returned)
 }
+
+// scriptedSpeed is a known speed.
+type scriptedSpeed float64
+
+func (s scriptedSpeed) Speed() float64             { return float64(s) }
+func (s scriptedSpeed) Observe(float64, time.Time) {}
+
+// Guards against a slow target that gets as much as the others, and against one whose slowness counts
+// twice, by its known speed and by its average latency.
+func TestSlowTargetGetsLessBySpeed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, _ := rampPool(10, nil)
+	p.Upsert(Target{Name: "t9", Address: "x", Incarnation: "1", FailureDomain: "d0", Slots: 8, Speed: scriptedSpeed(0.5)}, now)
+	got := 0
+	for i := range 20000 {
+		c, err := p.Pick(Request{Rendezvous: true, Prefix: fmt.Sprint(i)}, now)
+		require.NoError(t, err)
+		latency := 100 * time.Millisecond
+		if c.Target == "t9" {
+			got++
+			latency *= 2
+		}
+		p.Finish(c, Success{Latency: latency, Expected: 100 * time.Millisecond}, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.InDelta(t, 20000*0.5/9.5, got, 150)
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -21,6 +21,16 @@
 	Pacer             Pacer
 	// Ramp limits the share of a target that has started or recovered; nil for none.
 	Ramp Ramp
+	// Speed is what is known of the target's speed; nil if it isn't used.
+	Speed Speed
+}
+
+// Speed is the speed of a target relative to the usual one. Its methods must not call the Pool.
+type Speed interface {
+	// Speed returns the speed, 1 being the usual one.
+	Speed() float64
+	// Observe records the latency of an answer over what is usual in the pool.
+	Observe(latency float64, now time.Time)
 }
 
 // Ramp is the ramp-up of a target. Its methods must not call the Pool.
@@ -99,7 +109,9 @@
 	failures float64 // share of failed calls, averaged
 	heard    bool    // whether there was a result since the last tick
 
-	share float64 // of its usual calls, relative to the other targets; 1 without a ramp
+	speed   float64 // known speed; 1 if it is the usual one or not known
+	reduced bool    // the ramp is below that of other targets
+	share   float64 // of its usual calls, relative to the other targets; 1 without a ramp
 	// warming says that the share has only risen so far. The latency then decides by the
 	// share, not by the average, which would hold the first answers of a cold target against
 	// it for long.
@@ -118,7 +130,7 @@
 }
 
 func newTarget(t Target, now time.Time) *target {
-	n := &target{reportedAt: now, share: 1}
+	n := &target{reportedAt: now, share: 1, speed: 1}
 	n.describe(t)
 	n.reset()
 	return n
