speed: Count slowness once where targets are rarely seen

Cause: the average latency of a target with few calls is near the median whatever its speed; dividing it by the published speed made slow targets look fast.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -364,7 +364,8 @@
 }
 
 // Guards against gateways that keep a share that others have raised, because their answers aren't
-// added up or a control VM that restarts forgets the ramp.
+// added up or a control VM that restarts forgets the ramp, and against a speed that only the gateways
+// know that have seen the target.
 func TestGatewaysShareTheEvidenceOfRamps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		vm := newDirectory(t)
@@ -381,13 +382,14 @@
 		})}
 		var ramps []*warmup.Ramp
 		var gateways []*warmup.Register
+		var speeds []*speed.Register
 		join := func() {
 			n := len(gateways)
 			r := warmup.NewRegister()
-			gateways, ramps = append(gateways, r), append(ramps, r.Ramp("engine", 1))
+			gateways, ramps, speeds = append(gateways, r), append(ramps, r.Ramp("engine", 1)), append(speeds, speed.NewRegister())
 			w := discovery.NewWatcher(discovery.WatcherOptions{
 				Timers: timer.NewService(), HTTP: client, Process: fmt.Sprint("gateway-", n), Seeds: []string{"vm-1"},
-				Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Warmups: r, CatalogVersion: func() uint64 { return 1 },
+				Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Warmups: r, Speeds: speeds[n], CatalogVersion: func() uint64 { return 1 },
 			})
 			require.NoError(t, w.Start(t.Context()))
 			t.Cleanup(func() { require.NoError(t, w.Stop(context.Background())) })
@@ -411,6 +413,9 @@
 		ramps[0].Begin(time.Now())
 		time.Sleep(time.Second)
 		check(0)
+		for range 200 {
+			speeds[0].Observe("engine", 1, 2, time.Now())
+		}
 		for _, p := range ramps {
 			for range 2 {
 				p.Observe(p.Sent(time.Now()), true, time.Now())
@@ -418,6 +423,9 @@
 		}
 		time.Sleep(time.Second)
 		check(1)
+		for _, s := range speeds {
+			require.InDelta(t, 0.5, s.Speed("engine", 1), 0.1)
+		}
 		vm = newDirectory(t) // one that has just started
 		serve()
 		time.Sleep(2 * time.Second)
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -198,8 +198,7 @@
 	if t.warming {
 		slowness = min(slowness, p.median)
 	}
-	// What the known speed explains is in the share already.
-	return max(slowness*t.speed, minSlowness) * (1 + failurePenalty*t.failures)
+	return max(p.unexplained(slowness, t.speed), minSlowness) * (1 + failurePenalty*t.failures)
 }
 
 // minSlowness keeps a zero latency sample from making a target free of cost.
--- a/internal/routing/ramp.go
+++ b/internal/routing/ramp.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// unexplained returns the average latency without what the known speed explains, which is in the
+// share already. The average of a target with few calls is near the median whatever its speed is,
+// so that it is moved no further than to the median.
+func (p *Pool) unexplained(slowness, speed float64) float64 {
+	switch {
+	case speed < 1:
+		return max(slowness*speed, min(slowness, p.median))
+	case speed > 1:
+		return min(slowness*speed, max(slowness, p.median))
+	}
+	return slowness
+}
+
 // shared returns the load of a target as if it were at its whole share.
 func (t *target) shared(meanOthers float64, now time.Time) float64 {
 	return t.load(meanOthers, now) / t.share
