--- a/internal/directory/evacuate_test.go
+++ b/internal/directory/evacuate_test.go
@@ -23,7 +23,9 @@
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -122,7 +124,7 @@
 		require.NoError(t, err)
 		d := New(Options{
 			Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m,
-			HTTP: &http.Client{Transport: network}, Voters: size, Quarantine: quarantine.NewRegister(address), Limits: pacing.NewRegister(address),
+			HTTP: &http.Client{Transport: network}, Voters: size, Quarantine: quarantine.NewRegister(address), Limits: pacing.NewRegister(address), Warmups: warmup.NewRegister(), Speeds: speed.NewRegister(),
 		})
 		d.SetFailureDomains([]string{"milford", "swansea"})
 		c.mu.Lock()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -14,7 +14,9 @@
 	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/timer"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -56,6 +58,10 @@
 	// Evacuations holds the evacuated failure domains, which OnResponse adopts. It is nil on a
 	// control VM.
 	Evacuations *evacuation.Set
+	// Warmups holds the ramps of targets. It is nil on a control VM.
+	Warmups *warmup.Register
+	// Speeds holds the speeds of targets. It is nil on a control VM, and where they aren't used.
+	Speeds *speed.Register
 	// OnResponse is called with each response and the time at which its watch started.
 	OnResponse func(address string, resp *wire.WatchResponse, startedAt time.Time)
 }
@@ -233,6 +239,7 @@
 	var heard heardList
 	var parts partsExchange
 	var limits limitsExchange
+	var ramps rampsExchange
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
@@ -244,6 +251,8 @@
 		if w.o.Evacuations != nil {
 			r.EvacuationRevision = proto.Uint64(w.o.Evacuations.Revision())
 		}
+		ramps.request(r, w.o.Warmups, startedAt)
+		requestSpeeds(address, r, w.o.Speeds, startedAt)
 		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
@@ -257,6 +266,8 @@
 		}
 		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
 		limits.receive(address, r, resp, w.o.Limits, startedAt, w.o.Timers.Now())
+		ramps.receive(r, resp, w.o.Warmups, w.o.Timers.Now())
+		receiveSpeeds(address, r, resp, w.o.Speeds, w.o.Timers.Now())
 		r.Epoch, r.Since = resp.GetEpoch(), resp.GetVersion()
 		heard.resolve(r.GetHeardFormat(), resp, w.o.Timers.Now())
 		w.o.Table.Merge(resp, w.o.Timers.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,8 +31,10 @@
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/routing"
+	"github.com/cardamomline/cardamomline/internal/speed"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -90,6 +92,12 @@
 	// UnknownSince returns the time before which announcements of the targets in a failure domain
 	// don't count, or zero. It may be nil.
 	UnknownSince func(failureDomain string) time.Time
+	// Warmups holds the ramps of targets, and WarmUpAll says that the targets of all services
+	// warm up, not only those of services with cold targets.
+	Warmups   *warmup.Register
+	WarmUpAll bool
+	// Speeds holds the speeds of engines; nil if they aren't used.
+	Speeds *speed.Register
 	// Decode reads the document of a catalog.
 	DecodeCatalog func(document []byte) (*catalog.Catalog, error)
 	// Domain is the failure domain of this VM.
@@ -117,6 +125,7 @@
 	mu        sync.Mutex
 	pools     map[string]*routing.Pool
 	paces     map[incarnationKey]*pacing.Pace
+	ramps     *ramps
 	gates     map[string]*pacing.Gate       // by service
 	weights   map[string]map[string]float64 // by route and failure domain
 	evacuated map[string]bool               // services whose targets are all in evacuated domains
@@ -145,7 +154,7 @@
 		o.Evacuations = evacuation.NewSet()
 	}
 	g := &Gateway{
-		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
+		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, ramps: newRamps(o.Warmups, o.WarmUpAll), gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 	}
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
@@ -362,7 +371,11 @@
 			p = routing.NewPool(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: g.o.Seed, Health: health(service)})
 			g.pools[name] = p
 		}
-		p.Sync(g.targets(name, now), now)
+		list := g.targets(name, g.ramps.of(service, now), now)
+		if g.o.Speeds != nil && service.Engine() != nil {
+			g.addSpeeds(list)
+		}
+		p.Sync(list, now)
 	}
 	g.weights = g.weigh(c, now)
 	g.evacuated = g.evacuatedServices(c, now)
@@ -395,7 +408,7 @@
 // spread returns the share of a service's targets in each failure domain that isn't evacuated.
 func (g *Gateway) spread(service string, now time.Time) map[string]float64 {
 	share := map[string]float64{}
-	targets := slices.DeleteFunc(g.targets(service, now), func(t routing.Target) bool { return t.Evacuated })
+	targets := slices.DeleteFunc(g.targets(service, nil, now), func(t routing.Target) bool { return t.Evacuated })
 	for _, t := range targets {
 		share[t.FailureDomain] += 1 / float64(len(targets))
 	}
@@ -423,8 +436,9 @@
 }
 
 // targets returns the members of a service. When all of them are silent, the
-// news of them is what is missing, and they count as present.
-func (g *Gateway) targets(service string, now time.Time) []routing.Target {
+// news of them is what is missing, and they count as present. ramp returns their ramps; nil for
+// none.
+func (g *Gateway) targets(service string, ramp func(*wire.RegisteredTarget) routing.Ramp, now time.Time) []routing.Target {
 	live := g.o.Table.Live(service, now)
 	allSilent := true
 	for _, l := range live {
@@ -438,6 +452,9 @@
 			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent, Paused: l.PausedUntil().After(now),
 			Evacuated: g.o.Evacuations.Contains(r.GetFailureDomain()), Pacer: g.pace(r),
 		})
+		if ramp != nil {
+			list[len(list)-1].Ramp = ramp(r)
+		}
 	}
 	return list
 }
@@ -471,12 +488,17 @@
 	return gate
 }
 
-// dropPaces drops the paces of targets that are gone; g.mu is held.
+// dropPaces drops the paces and ramps of targets that are gone; g.mu is held.
 func (g *Gateway) dropPaces() {
-	maps.DeleteFunc(g.paces, func(k incarnationKey, _ *pacing.Pace) bool {
+	gone := func(k incarnationKey) bool {
 		r, ok := g.o.Table.Target(k.target)
 		return !ok || r.GetBornMs() != k.bornMs
-	})
+	}
+	maps.DeleteFunc(g.paces, func(k incarnationKey, _ *pacing.Pace) bool { return gone(k) })
+	if g.o.Speeds != nil {
+		g.o.Speeds.Keep(func(target string, bornMs int64) bool { return !gone(incarnationKey{target: target, bornMs: bornMs}) })
+	}
+	g.ramps.drop(gone)
 }
 
 func incarnation(r *wire.RegisteredTarget) string {
@@ -541,6 +563,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Timers.Now()
+	if g.o.Warmups != nil {
+		g.o.Warmups.Tick(now)
+		g.o.Metrics.Gauge("warming_targets", float64(g.o.Warmups.Active()))
+	}
 	for service, p := range g.pools {
 		p.Tick(now)
 		g.logStates(service, p.Status(now))
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -23,6 +23,7 @@
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/upstream"
+	"github.com/cardamomline/cardamomline/internal/warmup"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -100,10 +101,11 @@
 			return catalogs.newest()
 		}, TargetClient: o.Target(newUpstream(t, m)), Evacuations: evacuations,
 	})
-	parts, limits := newQuarantine(o.Name, m), newLimits(o.Name, t, m)
+	parts, limits, warmups := newQuarantine(o.Name, m), newLimits(o.Name, t, m), warmup.NewRegister()
+	speeds := newSpeeds(m)
 	d = directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
-		Quarantine: parts, Limits: limits,
+		Quarantine: parts, Limits: limits, Warmups: warmups, Speeds: speeds,
 	})
 	d.SetFailureDomains(o.FailureDomains)
 	mux := http.NewServeMux()
@@ -116,6 +118,8 @@
 	parts.RegisterAdminHandlers(admin, t.Now)
 	limits.RegisterAdminHandlers(admin, t.Now)
 	evacuations.RegisterAdminHandlers(admin, t.Now)
+	warmups.RegisterAdminHandlers(admin, t.Now)
+	speeds.RegisterAdminHandlers(admin)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -20,6 +20,32 @@
 	Paused            bool // it takes no calls for a while, at its own request
 	Evacuated         bool // an operator has ordered that nothing is sent to its failure domain
 	Pacer             Pacer
+	// Ramp limits the share of a target that has started or recovered; nil for none.
+	Ramp Ramp
+	// Speed is what is known of the target's speed; nil if it isn't used.
+	Speed Speed
+}
+
+// Speed is the speed of a target relative to the usual one. Its methods must not call the Pool.
+type Speed interface {
+	// Speed returns the speed, 1 being the usual one.
+	Speed() float64
+	// Observe records the latency of an answer over what is usual in the pool.
+	Observe(latency float64, now time.Time)
+}
+
+// Ramp is the ramp-up of a target. Its methods must not call the Pool.
+type Ramp interface {
+	// Share returns the part of its usual calls that the target gets, above 0 and at most 1, and
+	// whether it has only risen so far. It still counts as rising for a while at 1.
+	Share(now time.Time) (share float64, rising bool)
+	// Sent identifies the share with which a call is sent, for Observe.
+	Sent(now time.Time) uint64
+	// Observe records whether the target has answered a call well.
+	Observe(sent uint64, good bool, now time.Time)
+	// Returned is called when the target takes calls again after an ejection, or after
+	// returnTime or more in which it took none.
+	Returned(now time.Time)
 }
 
 // Pacer paces the calls to a target. A target without one gets any number of calls.
@@ -58,6 +84,9 @@
 	relaxRate = 0.035
 	// reportHalfLife is the age at which a load report counts half.
 	reportHalfLife = 500 * time.Millisecond
+	// returnTime is the time without calls after which a target that takes calls again has
+	// returned: its queue may be empty, and what it had cached may be gone.
+	returnTime = time.Second
 	// leavingTime is how long a refusal as leaving is believed when membership
 	// doesn't confirm it. Membership takes at most 3 s.
 	leavingTime = 5 * time.Second
@@ -81,6 +110,15 @@
 	failures float64 // share of failed calls, averaged
 	heard    bool    // whether there was a result since the last tick
 
+	speed   float64 // known speed; 1 if it is the usual one or not known
+	reduced bool    // the ramp is below that of other targets
+	share   float64 // of its usual calls, relative to the other targets; 1 without a ramp
+	// warming says that the share has only risen so far. The latency then decides by the
+	// share, not by the average, which would hold the first answers of a cold target against
+	// it for long.
+	warming bool
+	awayAt  time.Time // when it stopped to be available; zero while it is
+
 	health  health
 	leaving bool // learnt from a refusal, before membership says so
 	refused time.Time
@@ -93,7 +131,7 @@
 }
 
 func newTarget(t Target, now time.Time) *target {
-	n := &target{reportedAt: now}
+	n := &target{reportedAt: now, share: 1, speed: 1}
 	n.describe(t)
 	n.reset()
 	return n
@@ -125,6 +163,7 @@
 	t.health = health{}
 	t.history = [historySize]uint16{}
 	t.cacheNext = 0
+	t.awayAt = time.Time{}
 }
 
 // available reports whether membership allows calls to the target.
@@ -225,6 +264,9 @@
 
 func (t *target) average(r float64) {
 	t.heard = true
+	if t.warming {
+		t.samples = 0 // only the last one is kept
+	}
 	t.samples++
 	if t.samples == 1 {
 		t.slowness = r
