batching: Serve callers that come back before other late ones

A caller that was rejected comes back once. Its request usually has missed its objective by then and waited behind all others that had, estimated with the capacity that is left over in the burst, so that it was rejected again.

The gateway sends with a stage how long the caller has waited before, as it finds from the time that the caller states. Such requests go first among those that have missed their objective, unless a later stage is congested, and are rejected only when the pieces ahead of them alone take too long. They don't go before requests that can meet their objective. The largest Retry-After is 15 s instead of 6 s, because a longer wait was told as 6 s. The "Stage not run" line has waited_before_ms, and stage_repeat_outcomes counts outcomes of such requests.

Tried: to serve them before requests that can meet their objective.

--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -199,6 +199,7 @@
 		Objective: now.Add(time.Duration(req.GetObjectiveLeftMs()) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(req.GetDeadlineLeftMs())*time.Millisecond - path.MinDuration()),
 		Path:      path,
+		Waited:    time.Duration(req.GetWaitedMs()) * time.Millisecond,
 	}
 	for _, p := range req.GetRelease() {
 		j.Release = append(j.Release, Result{Handle: p.GetHandle(), Target: p.GetTarget(), FailureDomain: p.GetFailureDomain()})
@@ -207,12 +208,13 @@
 	s.update(func(sch *Scheduler) { sch.Add(j, func(o Outcome) { finished <- o }, now) })
 	select {
 	case o := <-finished:
-		r.observe(s.name, o)
+		r.observe(s.name, j, o)
 		if o.Kind != Done {
 			klog.InfoS("Stage not run", "request", j.RequestID, "stage", j.Stage, "service", s.name, "reason", o.Reason, "pieces", j.Pieces,
 				"waited_ms", r.o.Timers.Since(now).Milliseconds(), "backlog_ms", s.scheduler.Load().Backlog().Milliseconds(),
 				"objective_in_ms", j.Objective.Sub(r.o.Timers.Now()).Milliseconds(), "deadline_in_ms", j.Deadline.Sub(r.o.Timers.Now()).Milliseconds(),
-				"expected_ms", path.expectedDuration(0, j.rank()).Milliseconds(), "least_ms", path.MinDuration().Milliseconds(), "group", j.group, "rank", j.rank(), "retry_after_ms", o.RetryAfter.Milliseconds())
+				"expected_ms", path.expectedDuration(0, j.rank()).Milliseconds(), "least_ms", path.MinDuration().Milliseconds(), "group", j.group, "rank", j.rank(), "retry_after_ms", o.RetryAfter.Milliseconds(),
+				"waited_before_ms", j.Waited.Milliseconds())
 		}
 		return newResponse(o), nil
 	case <-ctx.Done():
@@ -238,8 +240,11 @@
 	return NewPath(stages, time.Duration(req.GetAfterMs())*time.Millisecond)
 }
 
-func (r *Collector) observe(service string, o Outcome) {
+func (r *Collector) observe(service string, j *Job, o Outcome) {
 	kind := [...]string{"done", "refused", "input_gone", "failed", "late"}[o.Kind]
+	if j.isRepeated() {
+		r.o.Metrics.CountReason("stage_repeat_outcomes", service+"_"+kind)
+	}
 	r.o.Metrics.CountReason("stage_outcomes", service+"_"+kind)
 	r.o.Metrics.ObserveStage("stage_wait_seconds", service, kind, o.Waited)
 }
--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -32,6 +32,9 @@
 	Objective time.Time
 	Deadline  time.Time
 	Priority  int
+	// Waited is how long the caller has waited, at least, in earlier attempts that were
+	// rejected. 0 means that it comes for the first time, as far as is known.
+	Waited time.Duration
 	// Begun says that another stage of the request has run.
 	Begun         bool
 	FailureDomain string // where the results are most likely fetched
@@ -162,6 +165,9 @@
 // rank returns the job's priority rank, limited to those that a Load distinguishes.
 func (j *Job) rank() int { return min(max(j.Priority, 0), ranks-1) }
 
+// isRepeated reports whether the caller comes back after a rejection.
+func (j *Job) isRepeated() bool { return j.Waited > 0 }
+
 // hasNotStarted reports whether the request has started no stage, so that no work is
 // lost while it waits.
 func (j *Job) hasNotStarted() bool { return !j.hasResults() && j.startedAt.IsZero() }
--- a/internal/batching/order_test.go
+++ b/internal/batching/order_test.go
@@ -169,7 +169,7 @@
 // job returns a job of a stage with the fields that the gateway sends.
 func (r *siteRequest) job(stage, pieces int, bytes int64, path Path) *Job {
 	return &Job{
-		RequestID: r.id, Stage: stage, Pieces: pieces, ResultBytes: bytes, Path: path, Priority: r.kind.priority, FailureDomain: r.domain,
+		RequestID: r.id, Stage: stage, Pieces: pieces, ResultBytes: bytes, Path: path, Priority: r.kind.priority, Waited: r.waited, FailureDomain: r.domain,
 		Objective: r.begunAt.Add(r.kind.objective - r.waited), Deadline: r.deadline.Add(-path.MinDuration()),
 	}
 }
@@ -387,3 +387,55 @@
 	// The largest requests find room in a call less often.
 	require.Greater(t, s.large.of(s.large.served()), b.of(b.served())/2)
 }
+
+// Guards against a caller that comes back after a rejection and waits behind those that have
+// come for the first time, when neither can meet its objective any more.
+func TestReturningCallerGoesFirst(t *testing.T) {
+	s, c, now := newCall(t, firstStage, 8, 8_000)
+	var order []string
+	add := func(id string, waited time.Duration) {
+		j := &Job{RequestID: id, Pieces: 8, Waited: waited, Objective: now.Add(-time.Second), Deadline: now.Add(3*time.Second + waited)}
+		s.Add(j, func(o Outcome) {
+			require.Equal(t, Done, o.Kind)
+			order = append(order, id)
+		}, now)
+	}
+	add("new", 0)
+	add("back", 100*time.Millisecond)
+	add("newer", 0)
+	for range 4 {
+		now = now.Add(c.Expected)
+		s.Finish(c, CallCompleted{Outcomes: make([]PieceOutcome, 8), Handles: []string{"", "", "", "", "", "", "", ""}}, now)
+		c, _ = s.Next(now)
+	}
+	require.Equal(t, []string{"back", "new", "newer"}, order)
+}
+
+// Load pattern: a burst of summaries at twice the capacity. Guards against a Retry-After at
+// which there is no room: who comes back at that time, after the end of the burst, is served.
+func TestRetryAfterNamesATimeWithRoom(t *testing.T) {
+	const burst = 5 * time.Second
+	w := newSimulation(t, invoicing, 4)
+	w.hold = 250 * time.Millisecond
+	end := w.now.Add(burst)
+	returned, served := 0, 0
+	var send func(again bool)
+	send = func(again bool) {
+		w.s.Add(w.job(2, 8_000, 800*time.Millisecond, 4*time.Second), func(o Outcome) {
+			w.at(w.hold, func() { w.free(o.Results) })
+			switch {
+			case again && o.Kind == Done:
+				served++
+			case !again && o.Kind != Done && w.now.Add(o.RetryAfter).After(end):
+				returned++
+				w.at(o.RetryAfter, func() { send(true) })
+			}
+		}, w.now)
+	}
+	for at := time.Duration(0); at < burst; at += time.Second / 80 {
+		w.at(at, func() { send(false) })
+	}
+	w.run(40 * time.Second)
+	require.Greater(t, returned, 20)
+	require.Greater(t, float64(served), 0.95*float64(returned))
+}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -120,8 +120,9 @@
 	// minRetryAfter is the minimum retry delay sent to a rejected caller. A caller that
 	// retries sooner meets the same burst and is rejected again.
 	minRetryAfter = 1200 * time.Millisecond
-	// maxRetryAfter is the maximum retry delay; a burst is over by then.
-	maxRetryAfter = 6 * time.Second
+	// maxRetryAfter is the maximum retry delay; a burst is over by then, and what waited after
+	// it has been served. Callers with less time come back earlier whatever they are told.
+	maxRetryAfter = 15 * time.Second
 )
 
 // Scheduler holds the queue of one service. It isn't safe for concurrent use.
@@ -160,6 +161,7 @@
 // Groups of jobs, in the order in which they are served.
 const (
 	groupOnTime        = iota // the objective can be met
+	groupRepeated             // the objective is missed, and the caller comes back after a rejection
 	groupPastObjective        // the objective is missed
 	groupHeldBack             // held back because later stages are busy with more urgent work
 )
@@ -167,7 +169,8 @@
 // rank orders jobs: first those whose objective can still be met, by objective and
 // priority, then the others by deadline. A job that has missed its objective and has
 // not started its first stage is held back while a later stage has a backlog. A job
-// with inputs isn't, because its inputs take up memory at other targets.
+// with inputs isn't, because its inputs take up memory at other targets. A caller that
+// comes back after a rejection goes first among those that have missed their objective.
 func (s *Scheduler) rank(j *Job, now time.Time) (group int, at time.Time) {
 	behind := time.Duration(j.Priority) * priorityDelay
 	need := s.callTime(min(j.pending, s.profile.MaxBatchSize))
@@ -182,6 +185,8 @@
 		return groupPastObjective, j.queuedAt.Add(inputWaitLimit + behind)
 	case j.Path.congested(heldBackBacklog):
 		return groupHeldBack, j.Deadline.Add(behind)
+	case j.isRepeated():
+		return groupRepeated, j.Deadline.Add(behind)
 	}
 	return groupPastObjective, j.Deadline.Add(behind)
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -264,6 +264,8 @@
 		DeadlineLeftMs:  x.nextEventBy().Sub(now).Milliseconds(),
 		AfterMs:         uint32(x.expectedFirst().Milliseconds()),
 		Begun:           waits || len(handles) > 0 || x.started,
+		WaitedMs:        uint32(x.waited.Milliseconds()),
+		Customer:        x.customer,
 	}
 	for _, next := range x.following(i) {
 		req.Following = append(req.Following, x.route.Stages()[next].Service)
