--- a/internal/batching/order_test.go
+++ b/internal/batching/order_test.go
@@ -351,6 +351,7 @@
 // last stage, where they take the place of others, while a less urgent kind with one stage is
 // served in time.
 func TestBurstOfTheMostUrgentKind(t *testing.T) {
+	t.Parallel()
 	times := map[*siteKind]float64{kindA: 2.2}
 	s := runBurst(t, [3]float64{1, 1, 1}, 6*time.Second, times)
 	a, b := s.counts[kindA], s.counts[kindB]
@@ -367,6 +368,7 @@
 // Load pattern: 2.2 times the usual requests of the kind with heavy pieces for five seconds.
 // Guards against an order that pays for the more urgent kind with answers of this one.
 func TestBurstOfTheHeavyKind(t *testing.T) {
+	t.Parallel()
 	s := runBurst(t, [3]float64{1, 1, 1}, 5*time.Second, map[*siteKind]float64{kindB: 2.2})
 	a, b := s.counts[kindA], s.counts[kindB]
 	require.Greater(t, a.of(a.inTime), 0.98)
@@ -379,6 +381,7 @@
 // with seven in ten targets. Guards against patient requests of the least urgent kind that
 // are rejected in the burst, or before their last stage, although there is room after it.
 func TestPatientRequestsAreServedAfterTheBurst(t *testing.T) {
+	t.Parallel()
 	s := runBurst(t, [3]float64{0.7, 0.7, 0.7}, 5*time.Second, map[*siteKind]float64{kindB: 2.2})
 	b, c := s.counts[kindB], s.counts[kindC]
 	require.Greater(t, c.of(c.served()), 0.85)
@@ -391,6 +394,7 @@
 // Guards against a caller that comes back after a rejection and waits behind those that have
 // come for the first time, when neither can meet its objective any more.
 func TestReturningCallerGoesFirst(t *testing.T) {
+	t.Parallel()
 	s, c, now := newCall(t, firstStage, 8, 8_000)
 	var order []string
 	add := func(id string, waited time.Duration) {
@@ -414,6 +418,7 @@
 // Load pattern: a burst of summaries at twice the capacity. Guards against a Retry-After at
 // which there is no room: who comes back at that time, after the end of the burst, is served.
 func TestRetryAfterNamesATimeWithRoom(t *testing.T) {
+	t.Parallel()
 	const burst = 5 * time.Second
 	w := newSimulation(t, invoicing, 4)
 	w.hold = 250 * time.Millisecond
--- a/internal/pacing/cold_test.go
+++ b/internal/pacing/cold_test.go
@@ -269,6 +269,7 @@
 // 2.5 times the usual demand, targets that start or turn cold in use, restarts, gateways that are
 // cut from some or all control VMs while others go on, and control VMs that restart.
 func TestColdTargetGetsNoMoreThanItsBound(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 3, 3, 12, 12, 12, 31, 31, 103, 370}).Draw(rt, "gateways")
 		perS := rapid.SampledFrom([]float64{0.1, 1, 9.8, 11, 11, 60}).Draw(rt, "cold_rate")
@@ -296,6 +297,7 @@
 // Guards against a cold target that stays idle although requests wait, and against a limit that
 // goes on after the cold time.
 func TestColdRateIsUsedAndEnds(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{3, 12, 31, 103, 370} {
 		for _, perS := range []float64{1, 9.8, 11, 60} {
 			t.Run(fmt.Sprint(n, " gateways, ", perS), func(t *testing.T) {
--- a/internal/pacing/fleet_test.go
+++ b/internal/pacing/fleet_test.go
@@ -208,6 +208,7 @@
 // few and many gateways, limits below their number, restarts, cuts and control VMs that all
 // restart.
 func TestGatewaysTogetherKeepToTheLimit(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 12, 31, 103}).Draw(rt, "gateways")
 		perS := rapid.SampledFrom([]float64{0, 0.1, 0.3, 1, 1.1, 3.7, 20, 150}).Draw(rt, "limit")
@@ -224,6 +225,7 @@
 // Guards against a limit that isn't used although requests wait, and against one that goes on
 // after the target no longer names it.
 func TestLimitIsUsedAndEnds(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{3, 12, 31, 103} {
 		for _, perS := range []float64{0, 1, 3.7, 20, 150} {
 			t.Run(fmt.Sprint(n, " gateways, ", perS), func(t *testing.T) {
