batching: Share a burst among the customers of a rank

In a burst the order didn't look at customers, so that one that sends seven in ten requests took the same part of the queue from all others.

While requests are being rejected, and for 3 s after the last rejection, jobs that haven't started are put back by start-time fair queueing among the customers of their rank with equal weights, by at most 250 ms. The log line "Order of customers changed" and the counter stage_fair_order say when that begins and ends; "Stage not run" names the customer.

The tests of bursts run in parallel.

--- a/internal/batching/collector.go
+++ b/internal/batching/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -88,6 +89,7 @@
 	scheduler *Scheduler
 	notify    chan struct{}
 	lowMemory atomic.Pointer[map[string]bool] // targets that are short of memory
+	fair      bool                            // whether customers were treated fairly at the last publish
 }
 
 // NewCollector returns a Collector.
@@ -200,6 +202,7 @@
 		Deadline:  now.Add(time.Duration(req.GetDeadlineLeftMs())*time.Millisecond - path.MinDuration()),
 		Path:      path,
 		Waited:    time.Duration(req.GetWaitedMs()) * time.Millisecond,
+		Customer:  req.GetCustomer(),
 	}
 	for _, p := range req.GetRelease() {
 		j.Release = append(j.Release, Result{Handle: p.GetHandle(), Target: p.GetTarget(), FailureDomain: p.GetFailureDomain()})
@@ -214,7 +217,7 @@
 				"waited_ms", r.o.Timers.Since(now).Milliseconds(), "backlog_ms", s.scheduler.Load().Backlog().Milliseconds(),
 				"objective_in_ms", j.Objective.Sub(r.o.Timers.Now()).Milliseconds(), "deadline_in_ms", j.Deadline.Sub(r.o.Timers.Now()).Milliseconds(),
 				"expected_ms", path.expectedDuration(0, j.rank()).Milliseconds(), "least_ms", path.MinDuration().Milliseconds(), "group", j.group, "rank", j.rank(), "retry_after_ms", o.RetryAfter.Milliseconds(),
-				"waited_before_ms", j.Waited.Milliseconds())
+				"customer", j.Customer, "waited_before_ms", j.Waited.Milliseconds())
 		}
 		return newResponse(o), nil
 	case <-ctx.Done():
@@ -392,7 +395,13 @@
 
 // publish updates the load that other services see; s.mu is held.
 func (s *serviceCollector) publish() {
-	s.scheduler.Publish(s.collector.o.Timers.Now())
+	now := s.collector.o.Timers.Now()
+	s.scheduler.Publish(now)
+	if fair := s.scheduler.IsFair(now); fair != s.fair {
+		s.fair = fair
+		klog.InfoS("Order of customers changed", "service", s.name, "fair", fair, "queued", s.scheduler.waiting)
+		s.collector.o.Metrics.CountReason("stage_fair_order", fmt.Sprintf("%s_%t", s.name, fair))
+	}
 	lowMemory := s.scheduler.LowMemoryTargets()
 	s.lowMemory.Store(&lowMemory)
 }
--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -35,6 +35,8 @@
 	// Waited is how long the caller has waited, at least, in earlier attempts that were
 	// rejected. 0 means that it comes for the first time, as far as is known.
 	Waited time.Duration
+	// Customer names the customer whose request it is; empty for callers without one.
+	Customer string
 	// Begun says that another stage of the request has run.
 	Begun         bool
 	FailureDomain string // where the results are most likely fetched
@@ -52,6 +54,8 @@
 	group         int   // set by the last sort, see rank
 	sortTime      time.Time
 	expectedWait  time.Duration // as of the last check
+	fairQueue     *fairQueue    // of the jobs of its priority, while it waits there
+	startTag      float64       // see fairQueue
 	failedCalls   int           // failed calls that contained a piece of this job
 	onFinish      func(Outcome)
 }
--- a/internal/batching/order_test.go
+++ b/internal/batching/order_test.go
@@ -169,7 +169,7 @@
 // job returns a job of a stage with the fields that the gateway sends.
 func (r *siteRequest) job(stage, pieces int, bytes int64, path Path) *Job {
 	return &Job{
-		RequestID: r.id, Stage: stage, Pieces: pieces, ResultBytes: bytes, Path: path, Priority: r.kind.priority, Waited: r.waited, FailureDomain: r.domain,
+		RequestID: r.id, Stage: stage, Pieces: pieces, ResultBytes: bytes, Path: path, Priority: r.kind.priority, Waited: r.waited, Customer: r.customer, FailureDomain: r.domain,
 		Objective: r.begunAt.Add(r.kind.objective - r.waited), Deadline: r.deadline.Add(-path.MinDuration()),
 	}
 }
@@ -317,17 +317,17 @@
 	}
 }
 
-// calmBefore is how long the usual load lasts before a burst.
-const calmBefore = 8 * time.Second
+// calm is how long the usual load lasts before and after a burst.
+const calm = 8 * time.Second
 
 // burst runs some seconds of the usual load, a burst of some kinds, and the usual load for
 // as long as requests of the burst may take. The counts are of the requests that arrive in
 // the burst; the worth is that of all requests that arrive from then on.
 func (s *site) burst(d time.Duration, times map[*siteKind]float64) {
 	for _, k := range []*siteKind{kindA, kindB, kindC} {
-		s.arrive(k, 1, 0, calmBefore, false)
-		s.arrive(k, max(times[k], 1), calmBefore, d, true)
-		s.arrive(k, 1, calmBefore+d, 8*time.Second, false)
+		s.arrive(k, 1, 0, calm, false)
+		s.arrive(k, max(times[k], 1), calm, d, true)
+		s.arrive(k, 1, calm+d, calm, false)
 	}
 	s.run(40 * time.Second)
 }
@@ -351,6 +351,7 @@
 // last stage, where they take the place of others, while a less urgent kind with one stage is
 // served in time.
 func TestBurstOfTheMostUrgentKind(t *testing.T) {
+	t.Parallel()
 	times := map[*siteKind]float64{kindA: 2.2}
 	s := runBurst(t, [3]float64{1, 1, 1}, 6*time.Second, times)
 	a, b := s.counts[kindA], s.counts[kindB]
@@ -367,6 +368,7 @@
 // Load pattern: 2.2 times the usual requests of the kind with heavy pieces for five seconds.
 // Guards against an order that pays for the more urgent kind with answers of this one.
 func TestBurstOfTheHeavyKind(t *testing.T) {
+	t.Parallel()
 	s := runBurst(t, [3]float64{1, 1, 1}, 5*time.Second, map[*siteKind]float64{kindB: 2.2})
 	a, b := s.counts[kindA], s.counts[kindB]
 	require.Greater(t, a.of(a.inTime), 0.98)
@@ -379,6 +381,7 @@
 // with seven in ten targets. Guards against patient requests of the least urgent kind that
 // are rejected in the burst, or before their last stage, although there is room after it.
 func TestPatientRequestsAreServedAfterTheBurst(t *testing.T) {
+	t.Parallel()
 	s := runBurst(t, [3]float64{0.7, 0.7, 0.7}, 5*time.Second, map[*siteKind]float64{kindB: 2.2})
 	b, c := s.counts[kindB], s.counts[kindC]
 	require.Greater(t, c.of(c.served()), 0.85)
@@ -439,3 +442,56 @@
 	require.Greater(t, returned, 20)
 	require.Greater(t, float64(served), 0.95*float64(returned))
 }
+
+// Load pattern: a burst of the heavy kind with seven in ten targets, in which one customer
+// sends seven in ten requests. Guards against a customer that crowds out the others.
+func TestCustomersShareABurst(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, [3]float64{0.7, 0.7, 0.7})
+	s.customer = func() string {
+		if s.random.Float64() < 0.7 {
+			return "large"
+		}
+		return fmt.Sprint("small", s.random.IntN(3))
+	}
+	s.burst(5*time.Second, map[*siteKind]float64{kindB: 2.2})
+	large := s.customers["large"]
+	for name, c := range s.customers {
+		t.Logf("%s %v", name, c)
+		if c != large {
+			require.Greater(t, c.of(c.served()), large.of(large.served())+0.1)
+		}
+	}
+	require.Greater(t, large.of(large.served()), 0.6, "what the others leave over is the large one's")
+	require.Greater(t, s.counts[kindA].of(s.counts[kindA].inTime), 0.98)
+}
+
+// Guards against fair shares that stay on after the last rejection, that cost a customer for
+// requests that didn't start, or that keep customers who have none waiting.
+func TestFairSharesEndAfterTheLastRejection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := fairShares{rate: 10}
+	job := func(customer string) *Job { return &Job{Customer: customer, Pieces: 2} }
+	calm := job("a")
+	f.add(calm, now)
+	require.Nil(t, calm.fairQueue)
+	f.recordRejection(now)
+	jobs := []*Job{job("a"), job("a"), job("b"), job("a")}
+	for _, j := range jobs {
+		f.add(j, now)
+	}
+	require.Zero(t, f.delay(jobs[0], now))
+	require.Equal(t, fairDelayLimit, f.delay(jobs[1], now), "two pieces of each of two customers go before")
+	require.Zero(t, f.delay(jobs[2], now))
+	jobs[3].leaveFairQueue(false)
+	again := job("a")
+	f.add(again, now)
+	require.InDelta(t, 4, again.startTag, 1e-9)
+	jobs[0].leaveFairQueue(true)
+	jobs[1].leaveFairQueue(true)
+	require.InDelta(t, 2, f.queues[0].virtualTime, 1e-9)
+	require.Zero(t, f.delay(again, now.Add(fairHold)), "the last rejection is long ago")
+	again.leaveFairQueue(false)
+	jobs[2].leaveFairQueue(true)
+	require.Empty(t, f.queues[0].customers)
+}
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -140,6 +140,7 @@
 	arrivals           float64  // pieces per second that can meet their objective
 	arrivedAt          time.Time
 	deadlinesCheckedAt time.Time // last check of deadlines
+	fair               fairShares
 	load               *Load
 	stopping           bool // jobs with pieces in no call end
 }
@@ -155,6 +156,9 @@
 // Load returns the load of the service as of the last Publish.
 func (s *Scheduler) Load() *Load { return s.load }
 
+// IsFair reports whether jobs are ordered by the shares of their customers.
+func (s *Scheduler) IsFair(now time.Time) bool { return s.fair.isOn(now) }
+
 // SetProfile replaces the service's profile.
 func (s *Scheduler) SetProfile(p catalog.BatchProfile) { s.profile = p }
 
@@ -172,7 +176,7 @@
 // with inputs isn't, because its inputs take up memory at other targets. A caller that
 // comes back after a rejection goes first among those that have missed their objective.
 func (s *Scheduler) rank(j *Job, now time.Time) (group int, at time.Time) {
-	behind := time.Duration(j.Priority) * priorityDelay
+	behind := time.Duration(j.Priority)*priorityDelay + s.fair.delay(j, now)
 	need := s.callTime(min(j.pending, s.profile.MaxBatchSize))
 	expected := need + j.Path.expectedDuration(need, j.rank())
 	if j.hasNotStarted() {
@@ -221,9 +225,11 @@
 		s.finish(j, Outcome{Kind: Refused, Reason: "no_target", RetryAfter: s.callTime(s.profile.MaxBatchSize)})
 		return
 	}
+	s.fair.add(j, now)
 	wait := s.wait(j, now)
 	need := s.callTime(min(j.Pieces, s.profile.MaxBatchSize))
 	if now.Add(wait + need).After(j.Deadline) {
+		s.fair.recordRejection(now)
 		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: retryAfter(wait)})
 		return
 	}
@@ -242,6 +248,7 @@
 // has.
 func (s *Scheduler) Cancel(j *Job) {
 	j.finished = true
+	j.leaveFairQueue(false)
 	j.uncountOnPath()
 	for _, r := range j.results {
 		if r.Handle != "" {
@@ -300,6 +307,7 @@
 
 // sort orders the jobs by rank.
 func (s *Scheduler) sort(now time.Time) {
+	s.fair.rate = s.rate(now)
 	for _, j := range s.jobs {
 		j.group, j.sortTime = s.rank(j, now)
 	}
@@ -322,6 +330,9 @@
 		}
 		q.add(j)
 	}
+	if len(unmeetable) > 0 {
+		s.fair.recordRejection(now)
+	}
 	for _, j := range unmeetable {
 		s.finish(j, Outcome{Kind: DeadlineExceeded, Reason: "queue_too_long", Waited: now.Sub(j.queuedAt), RetryAfter: retryAfter(j.expectedWait)})
 	}
@@ -362,6 +373,7 @@
 		}
 		j.queue = j.queue[n:]
 		j.startedAt = now
+		j.leaveFairQueue(true)
 		j.countOnPath()
 		s.waiting -= n
 		w.resultBytes += int64(n) * j.ResultBytes
