--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -169,6 +169,7 @@
 	arrivedAt          time.Time
 	deadlinesCheckedAt time.Time         // last check of deadlines
 	pieceTimes         map[int64]float64 // the same by size of the result, see pieceTimeOf
+	fair               fairShares
 	load               *Load
 	stopping           bool // jobs with pieces in no call end
 	// blockedSince is when jobs first found no memory, and reserved are the targets whose
@@ -194,6 +195,9 @@
 // Load returns the load of the service as of the last Publish.
 func (s *Scheduler) Load() *Load { return s.load }
 
+// IsFair reports whether jobs are ordered by the shares of their customers.
+func (s *Scheduler) IsFair(now time.Time) bool { return s.fair.isOn(now) }
+
 // SetProfile replaces the service's profile.
 func (s *Scheduler) SetProfile(p catalog.BatchProfile) { s.profile = p }
 
@@ -211,7 +215,7 @@
 // with inputs isn't, because its inputs take up memory at other targets. A caller that
 // comes back after a rejection goes first among those that have missed their objective.
 func (s *Scheduler) rank(j *Job, now time.Time) (group int, at time.Time) {
-	behind := time.Duration(j.Priority) * priorityDelay
+	behind := time.Duration(j.Priority)*priorityDelay + s.fair.delay(j, now)
 	need := s.callTime(min(j.pending, s.profile.MaxBatchSize))
 	expected := need + j.Path.expectedDuration(need, j.rank())
 	if j.hasNotStarted() {
@@ -268,9 +272,11 @@
 		s.finish(j, Outcome{Kind: Refused, Reason: "no_target", RetryAfter: s.callTime(s.profile.MaxBatchSize)})
 		return
 	}
+	s.fair.add(j, now)
 	wait := s.wait(j, now)
 	need := s.jobTime(j, min(j.Pieces, s.profile.MaxBatchSize))
 	if now.Add(wait + need).After(j.Deadline) {
+		s.fair.recordRejection(now)
 		s.finish(j, Outcome{Kind: Refused, Reason: "queue_too_long", RetryAfter: retryAfter(wait)})
 		return
 	}
@@ -289,6 +295,7 @@
 // has.
 func (s *Scheduler) Cancel(j *Job) {
 	j.finished = true
+	j.leaveFairQueue(false)
 	j.uncountOnPath()
 	for _, r := range j.results {
 		if r.Handle != "" {
@@ -352,6 +359,7 @@
 
 // sort orders the jobs by rank.
 func (s *Scheduler) sort(now time.Time) {
+	s.fair.rate = s.rate(now)
 	for _, j := range s.jobs {
 		j.group, j.sortTime = s.rank(j, now)
 	}
@@ -374,6 +382,9 @@
 		}
 		q.add(j)
 	}
+	if len(unmeetable) > 0 {
+		s.fair.recordRejection(now)
+	}
 	for _, j := range unmeetable {
 		s.finish(j, Outcome{Kind: DeadlineExceeded, Reason: "queue_too_long", Waited: now.Sub(j.queuedAt), RetryAfter: retryAfter(j.expectedWait)})
 	}
@@ -418,6 +429,7 @@
 		j.queue = j.queue[n:]
 		delete(s.blockedSince, j)
 		j.startedAt = now
+		j.leaveFairQueue(true)
 		j.countOnPath()
 		s.waiting -= n
 		w.addBytes(int64(n)*j.ResultBytes, now)
