batching: Reject callers that come back as soon as it is known

Cause: callers that come back after a rejection were rejected only when the pieces ahead of them alone took too long; arrivals that can meet their objective overtook them until their deadline passed. Change: their waits are estimated like those of others; they still go first among requests that have missed their objective.

--- a/internal/batching/capacity.go
+++ b/internal/batching/capacity.go
@@ -132,8 +132,7 @@
 
 // waitBehind estimates when a job starts that has others ahead of it. A job that has
 // missed its objective is overtaken by later arrivals that haven't, here and in the
-// stages that follow. For a caller that comes back after a rejection this isn't counted: it
-// comes back only once, and keeps its place until it is certain that its deadline passes.
+// stages that follow.
 func (s *Scheduler) waitBehind(j *Job, q queueAhead, o capacityEstimate) time.Duration {
 	if o.rate <= 0 {
 		return max(s.profile.CallOverhead, o.free)
@@ -141,12 +140,12 @@
 	wait := o.free
 	if over := q.pieces + j.Pieces - s.profile.MaxBatchSize; over > 0 {
 		rate := o.rate
-		if j.group != groupOnTime && !j.isRepeated() {
+		if j.group != groupOnTime {
 			rate = o.late
 		}
 		wait += time.Duration(float64(over) / rate * float64(time.Second))
 	}
-	if j.group != groupOnTime && j.hasNotStarted() && !j.isRepeated() {
+	if j.group != groupOnTime && j.hasNotStarted() {
 		for _, st := range j.Path.stages {
 			wait = max(wait, st.Load.lateWait(q.later[st.Load]+st.Pieces))
 		}
