review: Add a case in which restarts in turn forget a deadly part

Seen: requests with a part that crashes workers reach workers again after the gateways, the control VMs and the gateways were restarted in turn. Cause, as far as known: gateways tell control VMs only what they observed themselves, and control VMs don't exchange it.

--- /dev/null
+++ b/review/_cases-2/worker.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// worker is a stand-in for a worker, which speaks what the platform's pages say.
+type worker struct {
+	s       *stage
+	service string
+	slots   int
+	// act answers a request that is meant for this worker.
+	act func(wk *worker, w http.ResponseWriter, r *http.Request)
+	// accept prepares a new connection; may be nil.
+	accept func(net.Conn)
+
+	mu       sync.Mutex
+	id       string
+	address  string
+	born     int64
+	sequence int
+	cut      bool // it can't reach the control VMs
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	boot     int
+}
+
+// newWorker starts a worker and its reports.
+func (s *stage) newWorker(service string, slots int, act func(*worker, http.ResponseWriter, *http.Request)) (*worker, error) {
+	wk := &worker{s: s, service: service, slots: slots, act: act, id: newWorkerID(), conns: map[net.Conn]struct{}{}}
+	if err := wk.start(); err != nil {
+		return nil, err
+	}
+	s.wg.Go(wk.report)
+	return wk, nil
+}
+
+func newWorkerID() string { return fmt.Sprintf("i-%010x", rand.Uint64()>>24) }
+
+// start starts a new boot, at the address that the worker had before.
+func (wk *worker) start() error {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	address := wk.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	wk.listener, wk.address = l, l.Addr().String()
+	wk.born, wk.sequence = time.Now().UnixMilli(), 0
+	wk.boot++
+	wk.s.logf("worker %s boot %d of %s at %s, born %d", wk.id, wk.boot, wk.service, wk.address, wk.born)
+	srv := &http.Server{Handler: http.HandlerFunc(wk.serve), IdleTimeout: 10 * time.Second, ConnState: wk.track}
+	go func() { _ = srv.Serve(l) }()
+	return nil
+}
+
+func (wk *worker) track(c net.Conn, state http.ConnState) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		wk.conns[c] = struct{}{}
+		if wk.accept != nil {
+			wk.accept(c)
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(wk.conns, c)
+	}
+}
+
+// crash ends the boot: nothing listens any more, and all connections are reset.
+func (wk *worker) crash() bool {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if wk.listener == nil {
+		return false
+	}
+	_ = wk.listener.Close()
+	wk.listener = nil
+	for c := range wk.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	return true
+}
+
+// restart starts a new boot after a time, with a new id or the one that it had.
+func (wk *worker) restart(after time.Duration, sameID bool) {
+	time.Sleep(after)
+	if !sameID {
+		wk.mu.Lock()
+		wk.id = newWorkerID()
+		wk.mu.Unlock()
+	}
+	if err := wk.start(); err != nil {
+		wk.s.logf("worker %s doesn't start: %v", wk.id, err)
+	}
+}
+
+func (wk *worker) setCut(cut bool) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	wk.cut = cut
+}
+
+func (wk *worker) name() string {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return wk.id
+}
+
+// report sends the worker's liveness reports while it runs.
+func (wk *worker) report() {
+	for wk.s.ctx.Err() == nil {
+		wk.reportOnce()
+		select {
+		case <-time.After(heartbeat):
+		case <-wk.s.ctx.Done():
+		}
+	}
+}
+
+// reportOnce sends a report to one control VM after the other until it is acknowledged.
+func (wk *worker) reportOnce() {
+	for _, i := range rand.Perm(len(wk.s.cores)) {
+		wk.mu.Lock()
+		up, cut := wk.listener != nil, wk.cut
+		wk.sequence++
+		id, sequence := wk.id, wk.sequence
+		body, _ := json.Marshal(map[string]any{
+			"backend": wk.service, "address": wk.address, "zone": zone, "version": "v1", "concurrency": wk.slots, "state": "ready",
+			"coldLeftMs": 0, "sequence": sequence, "born": wk.born,
+		})
+		wk.mu.Unlock()
+		if !up || cut {
+			return
+		}
+		status, err := wk.s.call(http.MethodPut, wk.s.cores[i], "/v1/workers/"+id, body, time.Second)
+		if err == nil && status == http.StatusOK {
+			if sequence == 1 || sequence%5 == 0 {
+				wk.s.logf("report %d of worker %s acknowledged by %s", sequence, id, wk.s.cores[i].name)
+			}
+			return
+		}
+	}
+}
+
+// serve answers a request, unless it is meant for another worker.
+func (wk *worker) serve(w http.ResponseWriter, r *http.Request) {
+	id := wk.name()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if expected := r.Header.Get("Expect-Worker"); expected != "" && expected != id {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Worker-Signature", "signed-by-"+id)
+	wk.act(wk, w, r)
+}
