--- a/review/_cases-2/deployment.go
+++ b/review/_cases-2/deployment.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -69,6 +70,7 @@
 	port     int // the first one that every process uses on its own address
 	cores    []*process
 	gates    []*process
+	started  []*process
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -94,14 +96,7 @@
 // start starts a deployment for the first time and waits until a config is acknowledged and all
 // gateways are ready.
 func (s *stage) start(cores, gates int, config string) error {
-	net := fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), 1+rand.IntN(254))
-	for i := range cores {
-		s.cores = append(s.cores, &process{name: fmt.Sprint("core-", i+1), ip: net + fmt.Sprint(i+1), serves: "control", first: true})
-	}
-	for i := range gates {
-		s.gates = append(s.gates, &process{name: fmt.Sprint("edge-", i+1), ip: net + fmt.Sprint(101+i), serves: "edge", first: true})
-	}
-	if err := s.findPorts(); err != nil {
+	if err := s.place(cores, gates); err != nil {
 		return err
 	}
 	for _, p := range s.all() {
@@ -126,6 +121,18 @@
 	return nil
 }
 
+// place gives the processes of a deployment their addresses and ports.
+func (s *stage) place(cores, gates int) error {
+	net := fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), 1+rand.IntN(254))
+	for i := range cores {
+		s.cores = append(s.cores, &process{name: fmt.Sprint("core-", i+1), ip: net + fmt.Sprint(i+1), serves: "control", first: true})
+	}
+	for i := range gates {
+		s.gates = append(s.gates, &process{name: fmt.Sprint("edge-", i+1), ip: net + fmt.Sprint(101+i), serves: "edge", first: true})
+	}
+	return s.findPorts()
+}
+
 func (s *stage) all() []*process { return append(append([]*process(nil), s.cores...), s.gates...) }
 
 // findPorts finds five ports in a row that are free on the addresses of all processes.
@@ -203,6 +210,9 @@
 	}
 	ended := make(chan struct{})
 	p.cmd, p.ended = cmd, ended
+	if !slices.Contains(s.started, p) {
+		s.started = append(s.started, p)
+	}
 	s.logf("start %s, process %d", p.name, cmd.Process.Pid)
 	go func() {
 		_ = cmd.Wait()
@@ -235,11 +245,9 @@
 // end ends all processes that the case has started and removes its folder.
 func (s *stage) end() {
 	s.cancel()
-	for _, p := range s.all() {
-		if p.cmd != nil {
-			_ = p.cmd.Process.Kill()
-			<-p.ended
-		}
+	for _, p := range s.started {
+		_ = p.cmd.Process.Kill()
+		<-p.ended
 	}
 	s.wg.Wait()
 	_ = os.RemoveAll(s.folder)
--- a/review/_cases-2/worker.go
+++ b/review/_cases-2/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -26,6 +27,7 @@
 	born     int64
 	sequence int
 	cut      bool // it can't reach the control VMs
+	leaving  bool // it has said that it leaves, and reports no more
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 	boot     int
@@ -132,21 +134,57 @@
 	}
 }
 
+// liveness returns the next liveness report. The worker's mutex is held.
+func (wk *worker) liveness() []byte {
+	wk.sequence++
+	body, _ := json.Marshal(map[string]any{
+		"backend": wk.service, "address": wk.address, "zone": zone, "version": "v1", "concurrency": wk.slots, "state": "ready",
+		"coldLeftMs": 0, "sequence": wk.sequence, "born": wk.born,
+	})
+	return body
+}
+
+// reportLate sends a report now that arrives at a control VM after a time.
+func (wk *worker) reportLate(p *process, delay time.Duration) {
+	wk.mu.Lock()
+	body, id, sequence := wk.liveness(), wk.id, wk.sequence
+	wk.mu.Unlock()
+	wk.s.logf("worker %s sends report %d to %s, which arrives %v later", id, sequence, p.name, delay)
+	wk.s.wg.Go(func() {
+		time.Sleep(delay)
+		status, err := wk.s.call(http.MethodPut, p, "/v1/workers/"+id, body, time.Second)
+		wk.s.logf("report %d of worker %s arrives at %s: status %d, %v", sequence, id, p.name, status, err)
+	})
+}
+
+// leave says that the worker leaves, without having reported that it drains, and serves on.
+func (wk *worker) leave(list []*process) (time.Time, error) {
+	wk.mu.Lock()
+	wk.leaving = true
+	id := wk.id
+	wk.mu.Unlock()
+	for _, p := range list {
+		status, err := wk.s.call(http.MethodDelete, p, "/v1/workers/"+id, nil, time.Second)
+		if err == nil && status == http.StatusOK {
+			wk.s.logf("%s acknowledges that worker %s is gone", p.name, id)
+			return time.Now(), nil
+		}
+	}
+	return time.Time{}, errors.New("nobody acknowledges that the worker leaves")
+}
+
 // reportOnce sends a report to one control VM after the other until it is acknowledged.
 func (wk *worker) reportOnce() {
 	for _, i := range rand.Perm(len(wk.s.cores)) {
 		wk.mu.Lock()
-		up, cut := wk.listener != nil, wk.cut
-		wk.sequence++
-		id, sequence := wk.id, wk.sequence
-		body, _ := json.Marshal(map[string]any{
-			"backend": wk.service, "address": wk.address, "zone": zone, "version": "v1", "concurrency": wk.slots, "state": "ready",
-			"coldLeftMs": 0, "sequence": sequence, "born": wk.born,
-		})
-		wk.mu.Unlock()
-		if !up || cut {
+		silent := wk.listener == nil || wk.cut || wk.leaving
+		if silent {
+			wk.mu.Unlock()
 			return
 		}
+		body := wk.liveness()
+		id, sequence := wk.id, wk.sequence
+		wk.mu.Unlock()
 		status, err := wk.s.call(http.MethodPut, wk.s.cores[i], "/v1/workers/"+id, body, time.Second)
 		if err == nil && status == http.StatusOK {
 			if sequence == 1 || sequence%5 == 0 {
@@ -167,5 +205,10 @@
 		return
 	}
 	w.Header().Set("Worker-Signature", "signed-by-"+id)
+	wk.mu.Lock()
+	if wk.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	wk.mu.Unlock()
 	wk.act(wk, w, r)
 }
