--- a/review/_cases-2/left.go
+++ b/review/_cases-2/left.go
@@ -7,7 +7,15 @@
 	"time"
 )
 
+// lookupConfig has one route of requests that may be repeated.
+const lookupConfig = `{"version":7,"routes":[{"name":"r-lookup","host":"pule25.example","pathPrefix":"/bobo563/","type":"safe","timeoutMs":1500,"sloMs":300,"priority":2,"backend":"wuno96b","attempts":2,"phases":[],"public":false,"sticky":false,"resumable":false}],
+"backends":[{"name":"wuno96b","healthPath":"/healthz","maxConns":96,"protocol":"h1","tls":false}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"bozi300","apiKeys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}`
+
 const (
+	// lookupWork is how long a request works.
+	lookupWork = 60 * time.Millisecond
 	// leftGates is the number of gateways; one of them and the three control VMs are killed, four
 	// machines of seven.
 	leftGates = 4
@@ -20,8 +28,8 @@
 	leftBack  = 300 * time.Millisecond
 	// leftServes is how long the worker serves after the acknowledgement.
 	leftServes = 10 * time.Second
-	leftDrain  = 2 * time.Second // drainMs
 	leftRate   = 10              // requests a second at each gateway
+	drainTime  = 2 * time.Second // drainMs
 )
 
 // left is the state of the case.
@@ -45,7 +53,7 @@
 // that knew of it were killed.
 func playLeft(s *stage) (result, error) {
 	c := &left{stage: s, sent: map[string]sending{}}
-	if err := s.start(3, leftGates, pauseConfig); err != nil {
+	if err := s.start(3, leftGates, lookupConfig); err != nil {
 		return result{}, err
 	}
 	var workers []*worker
@@ -133,13 +141,13 @@
 	if leaving {
 		c.mu.Lock()
 		q, gone := c.sent[id], c.gone
-		late := !gone.IsZero() && q.at.Sub(gone) > leftDrain && c.inTouch(q.to, now)
+		late := !gone.IsZero() && q.at.Sub(gone) > drainTime && c.inTouch(q.to, now)
 		if late {
 			c.late++
 		}
 		c.mu.Unlock()
 		c.logf("request %s of %s reaches worker %s, which has left, %.3f s after the acknowledgement, counted: %t", id, q.to.name, wk.name(), now.Sub(gone).Seconds(), late)
 	}
-	time.Sleep(pauseWork)
+	time.Sleep(lookupWork)
 	_, _ = w.Write([]byte("in stock\n"))
 }
--- a/review/_cases-2/tainted.go
+++ b/review/_cases-2/tainted.go
@@ -204,7 +204,7 @@
 			n := len(c.crashes)
 			c.mu.Unlock()
 			c.logf("worker %s crashes on request %s, crash %d", name, id, n)
-			c.wg.Go(func() { wk.restart(taintedBack, false) })
+			c.wg.Go(func() { wk.restart(taintedBack) })
 		}
 		return
 	}
--- a/review/_cases-2/worker.go
+++ b/review/_cases-2/worker.go
@@ -26,8 +26,10 @@
 	address  string
 	born     int64
 	sequence int
-	cut      bool // it can't reach the control VMs
-	leaving  bool // it has said that it leaves, and reports no more
+	cut      bool      // it can't reach the control VMs
+	leaving  bool      // it says that it leaves in its answers
+	silent   bool      // it reports no more
+	draining time.Time // when it was acknowledged that it drains
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 	boot     int
@@ -98,25 +100,17 @@
 	return true
 }
 
-// restart starts a new boot after a time, with a new id or the one that it had.
-func (wk *worker) restart(after time.Duration, sameID bool) {
+// restart starts a new boot with a new id after a time.
+func (wk *worker) restart(after time.Duration) {
 	time.Sleep(after)
-	if !sameID {
-		wk.mu.Lock()
-		wk.id = newWorkerID()
-		wk.mu.Unlock()
-	}
+	wk.mu.Lock()
+	wk.id = newWorkerID()
+	wk.mu.Unlock()
 	if err := wk.start(); err != nil {
 		wk.s.logf("worker %s doesn't start: %v", wk.id, err)
 	}
 }
 
-func (wk *worker) setCut(cut bool) {
-	wk.mu.Lock()
-	defer wk.mu.Unlock()
-	wk.cut = cut
-}
-
 func (wk *worker) name() string {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
@@ -137,8 +131,12 @@
 // liveness returns the next liveness report. The worker's mutex is held.
 func (wk *worker) liveness() []byte {
 	wk.sequence++
+	state := "ready"
+	if wk.leaving {
+		state = "draining"
+	}
 	body, _ := json.Marshal(map[string]any{
-		"backend": wk.service, "address": wk.address, "zone": zone, "version": "v1", "concurrency": wk.slots, "state": "ready",
+		"backend": wk.service, "address": wk.address, "zone": zone, "version": "v1", "concurrency": wk.slots, "state": state,
 		"coldLeftMs": 0, "sequence": wk.sequence, "born": wk.born,
 	})
 	return body
@@ -160,7 +158,7 @@
 // leave says that the worker leaves, without having reported that it drains, and serves on.
 func (wk *worker) leave(list []*process) (time.Time, error) {
 	wk.mu.Lock()
-	wk.leaving = true
+	wk.leaving, wk.silent = true, true
 	id := wk.id
 	wk.mu.Unlock()
 	for _, p := range list {
@@ -173,11 +171,42 @@
 	return time.Time{}, errors.New("nobody acknowledges that the worker leaves")
 }
 
+// drain reports that the worker drains until that is acknowledged.
+func (wk *worker) drain() error {
+	wk.mu.Lock()
+	wk.leaving = true
+	wk.mu.Unlock()
+	for _, p := range wk.s.cores {
+		wk.mu.Lock()
+		body, id := wk.liveness(), wk.id
+		wk.mu.Unlock()
+		status, err := wk.s.call(http.MethodPut, p, "/v1/workers/"+id, body, time.Second)
+		if err == nil && status == http.StatusOK {
+			wk.mu.Lock()
+			wk.draining = time.Now()
+			wk.mu.Unlock()
+			wk.s.logf("%s acknowledges that worker %s drains", p.name, id)
+			return nil
+		}
+	}
+	return errors.New("nobody acknowledges that the worker drains")
+}
+
+// drainingFor returns for how long it has been acknowledged that the worker drains.
+func (wk *worker) drainingFor() time.Duration {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if wk.draining.IsZero() {
+		return 0
+	}
+	return time.Since(wk.draining)
+}
+
 // reportOnce sends a report to one control VM after the other until it is acknowledged.
 func (wk *worker) reportOnce() {
 	for _, i := range rand.Perm(len(wk.s.cores)) {
 		wk.mu.Lock()
-		silent := wk.listener == nil || wk.cut || wk.leaving
+		silent := wk.listener == nil || wk.silent
 		if silent {
 			wk.mu.Unlock()
 			return
