review: Count the memory of the gateway without files

The case on slow workers counted all resident memory against 1e6 bytes a megabyte. Now only memory that is no file's, and a megabyte is 2^20 bytes, the readings that favour the gateway.

--- a/review/_cases-2/uploads.go
+++ b/review/_cases-2/uploads.go
@@ -22,7 +22,7 @@
 "tenants":[{"name":"bozi300","apiKeys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}`
 
 const (
-	// uploadMemoryMB is the memory of an edge machine on the sheet of caroni-scan-grown.
+	// uploadMemoryMB is the memory of an edge machine on the sheet of caroni-scan-grown, taken as MiB.
 	uploadMemoryMB = 184
 	// uploadBody is the size of a body: the catalog's maxBodyBytes.
 	uploadBody = 4194304
@@ -194,16 +194,16 @@
 	}
 }
 
-// residentMB returns the resident memory of a process in units of 1e6 bytes.
+// residentMB returns the resident memory of a process in units of 1 MiB, without files.
 func residentMB(pid int) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for _, line := range strings.Split(string(data), "\n") {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "RssAnon:" {
 			kb, _ := strconv.Atoi(fields[1])
-			return kb * 1024 / 1e6
+			return kb / 1024
 		}
 	}
 	return 0
