review: Add a case in which a route to a stage service is never served

Seen: no request on an added route is served when its service also runs stages, as in the example of the users' pages. Cause, as far as known: the gateway keeps no pool for such services.

--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -8,8 +8,8 @@
 //
 //	review-cases-2 CASE FOLDER
 //
-// The working folder is the root of the repository. CASE is uploads, template, dropped, left or tainted; FOLDER gets
-// record.txt. With TROUBLE=0 in the environment the disruption is left out. REVIEW_LOGS names a
+// The working folder is the root of the repository. CASE is uploads, template, added, dropped or tainted, or left, which is among the lesser findings
+// of the report; FOLDER gets record.txt. With TROUBLE=0 in the environment the disruption is left out. REVIEW_LOGS names a
 // folder in which the processes' logs stay. The exit status is 1 if the rule was broken, 0 if it
 // held, and 2 if the case couldn't run.
 package main
@@ -45,6 +45,7 @@
 	"uploads":  playUploads,
 	"left":     playLeft,
 	"template": playTemplate,
+	"added":    playAdded,
 	"dropped":  playDropped,
 }
 
@@ -52,7 +53,7 @@
 
 func run(args []string) int {
 	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-cases-2 uploads|template|dropped|left|tainted FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-cases-2 uploads|template|added|dropped|tainted|left FOLDER")
 		return statusNotPlayed
 	}
 	rec, err := newRecord(filepath.Join(args[1], "record.txt"))
