--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -8,10 +8,11 @@
 //
 //	review-cases-2 CASE FOLDER
 //
-// The working folder is the root of the repository. CASE is uploads, template, added, dropped or tainted, or left, which is among the lesser findings
-// of the report; FOLDER gets record.txt. With TROUBLE=0 in the environment the disruption is left out. REVIEW_LOGS names a
-// folder in which the processes' logs stay. The exit status is 1 if the rule was broken, 0 if it
-// held, and 2 if the case couldn't run.
+// The working folder is the root of the repository. CASE is uploads, template, added, dropped or
+// tainted, or left, which is among the lesser findings of the report; FOLDER gets record.txt. With
+// TROUBLE=0 in the environment the disruption is left out. REVIEW_LOGS names a folder in which the
+// processes' logs stay. The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case
+// couldn't run.
 package main
 
 import (
