quarantine: Tell parts apart that came together in all crashes

Cause: both parts have the same crashes, no answer with either is known, and the judgement took the one further back in the prompt. Nothing could clear the blamed part, since no request with it was let through for a minute.

Evidence: "Prompt part blocked" names the sound document on all six processes, with 3 crashes, and no other part; each "Engine crashed" names both. The new test fails on at 1, 3, 12 and 103 gateways for a deadly first or middle part, and passes there for a deadly second part.

Change: parts with the same crashes are suspects. Only requests with all of them are refused; a few with some of them, spread over all gateways, are let through, and their outcome tells the parts apart. The position in the prompt decides nothing.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -124,10 +125,10 @@
 	v := x.g.o.Quarantine.Check(sharedParts(x.r.Prompt), x.g.o.Timers.Now())
 	x.trial = v.Trial()
 	if x.trial {
-		klog.InfoS("Request tries a blocked part", "request", x.r.ID, "part", v.Part())
+		klog.InfoS("Request tries a blocked part", "request", x.r.ID, "part", v.Part(), "suspects", v.Others())
 	}
 	if v.Blocked() {
-		x.lastErr = "prompt part " + v.Part()
+		x.lastErr = "prompt part " + strings.Join(append([]string{v.Part()}, v.Others()...), " or ")
 		x.refuse("part_crashes_engines", v.RetryAfter())
 	}
 	return v.Blocked()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,9 +238,11 @@
 // adopted before its catalog, so that the first catalog never sends anything to a domain that was
 // evacuated while this gateway was down.
 func (g *Gateway) OnWatchResponse(address string, w *wire.WatchResponse, began time.Time) {
-	if n := int(w.GetGateways()); g.o.Retries.SetMembers(n, g.o.Timers.Now()) {
+	n := int(w.GetGateways())
+	if g.o.Retries.SetMembers(n, g.o.Timers.Now()) {
 		klog.InfoS("Gateways share the retry budget", "gateways", n, "from", address)
 	}
+	g.o.Quarantine.SetGateways(g.o.Retries.Members())
 	g.adoptEvacuations(w)
 	if len(w.GetCatalog()) > 0 && w.GetCatalogVersion() > g.KnownVersion() {
 		g.receive(address, w)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -122,12 +122,12 @@
 // newQuarantine returns a register that logs and counts the parts of prompts that it blocks.
 func newQuarantine(name string, m *metrics.Metrics) *quarantine.Register {
 	q := quarantine.NewRegister(name)
-	q.OnChange(func(part string, blocked bool, crashes int) {
+	q.OnChange(func(c quarantine.Change) {
 		reason := "unblocked"
-		if blocked {
+		if c.Blocked() {
 			reason = "blocked"
 		}
-		klog.InfoS("Prompt part "+reason, "part", part, "crashes", crashes)
+		klog.InfoS("Prompt part "+reason, "part", c.Part(), "crashes", c.Crashes(), "suspects", c.Others())
 		m.CountReason("prompt_parts", reason)
 	})
 	return q
--- a/internal/quarantine/admin.go
+++ b/internal/quarantine/admin.go
@@ -15,6 +15,8 @@
 	Engines  []string   `json:"engines"`
 	NewestAt time.Time  `json:"newest_crash_at"`
 	TrialAt  *time.Time `json:"trial_at,omitempty"`
+	// Suspects are other parts with the same crashes. Requests are refused if they have all of them.
+	Suspects []string `json:"suspects,omitempty"`
 }
 
 // RegisterAdminHandlers registers the operators' pages of a Register on the mux of the admin
@@ -38,7 +40,7 @@
 
 func newPartStatus(s Status) partStatus {
 	r := s.Record()
-	p := partStatus{Part: r.Part().ID(), Position: r.Position(), Blocked: s.Blocked(), Counted: s.Counted()}
+	p := partStatus{Part: r.Part().ID(), Position: r.Position(), Blocked: s.Blocked(), Counted: s.Counted(), Suspects: s.Others()}
 	for _, c := range r.Crashes() {
 		p.Engines = append(p.Engines, c.Engine())
 		p.NewestAt = c.At()
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -5,7 +5,9 @@
 // parts the prompts had whose answers had not begun, and which parts were in prompts whose
 // answers have. A part is blocked once engines have crashed repeatedly on requests with it and
 // no answer with it has begun in the meantime. The part that has crashed the engines explains
-// these crashes, so that the parts that were in the same prompts aren't blocked for them.
+// these crashes, so that the parts that were in the same prompts aren't blocked for them. Parts
+// with the same crashes are suspects: only requests with all of them are refused, and a few with
+// some of them are let through, until one of these has shown which part is the cause.
 //
 // Processes exchange their records by watches. Merging is commutative, and each process judges
 // by what it has. A Register uses neither network nor clock.
@@ -121,6 +123,7 @@
 // Verdict is the judgement on a request.
 type Verdict struct {
 	part    string
+	others  []string
 	blocked bool
 	trial   bool
 	retry   time.Duration
@@ -135,6 +138,9 @@
 // Part returns the blocked part.
 func (v Verdict) Part() string { return v.part }
 
+// Others returns the parts that may be the cause of the same crashes.
+func (v Verdict) Others() []string { return v.others }
+
 // RetryAfter returns the time until the part is tried again.
 func (v Verdict) RetryAfter() time.Duration { return v.retry }
 
@@ -145,8 +151,30 @@
 	observed  uint64 // version of the last change that this process observed itself
 	blockedAt time.Time
 	triedAt   time.Time // when this process last let a request through
+	suspects  *suspects // of a blocked part, with the part itself
+}
+
+// Change is the beginning or the end of a block.
+type Change struct {
+	part    string
+	blocked bool
+	crashes int
+	others  []string
 }
 
+// Part returns the part.
+func (c Change) Part() string { return c.part }
+
+// Blocked reports whether requests with the part are refused from now on.
+func (c Change) Blocked() bool { return c.blocked }
+
+// Crashes returns the number of crashes that are held against the part.
+func (c Change) Crashes() int { return c.crashes }
+
+// Others returns the parts that may be the cause of the same crashes. A request is refused if it has
+// these as well.
+func (c Change) Others() []string { return c.others }
+
 // Register holds the records of a process. It is safe for concurrent use.
 type Register struct {
 	self         string
@@ -156,22 +184,30 @@
 	changed      chan struct{}
 	judgeAt      time.Time            // when the next judgement may differ without a change; zero if never
 	known, older map[string]time.Time // when an answer with a part last began here
-	onChange     func(part string, blocked bool, crashes int)
+	onChange     func(Change)
+	gateways     int // that judge requests
 }
 
 // NewRegister returns an empty Register of the named process.
 func NewRegister(self string) *Register {
-	return &Register{self: self, entries: map[string]*entry{}, changed: make(chan struct{}), known: map[string]time.Time{}, onChange: func(string, bool, int) {}}
+	return &Register{self: self, entries: map[string]*entry{}, changed: make(chan struct{}), known: map[string]time.Time{}, onChange: func(Change) {}}
 }
 
-// OnChange sets the function that is called when a part is blocked or no longer blocked. It
-// must not call the Register.
-func (q *Register) OnChange(f func(part string, blocked bool, crashes int)) {
+// OnChange sets the function that is called when a part is blocked or no longer blocked, or when
+// its suspects change. It must not call the Register.
+func (q *Register) OnChange(f func(Change)) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.onChange = f
 }
 
+// SetGateways sets the number of gateways that judge requests by the same records.
+func (q *Register) SetGateways(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.gateways = n
+}
+
 // RecordCrash records that an engine crashed while it worked on requests with parts whose
 // answers had not begun.
 func (q *Register) RecordCrash(engine string, parts []Part, at, now time.Time) {
@@ -223,8 +259,9 @@
 
 func (q *Register) unblock(e *entry) {
 	if !e.blockedAt.IsZero() {
-		e.blockedAt, e.triedAt = time.Time{}, time.Time{}
-		q.onChange(e.part.id, false, len(e.crashes))
+		e.suspects.ids = e.suspects.others(e.part.id)
+		e.blockedAt, e.triedAt, e.suspects = time.Time{}, time.Time{}, nil
+		q.onChange(Change{part: e.part.id, crashes: len(e.crashes)})
 	}
 }
 
@@ -376,10 +413,14 @@
 		}
 		if e.begunAt.After(e.newest()) || now.Sub(e.newest()) >= retention {
 			q.unblock(e)
-			continue
 		}
-		explain(explained, e)
-		q.judgeBy(e.newest().Add(retention))
+	}
+	q.separate(now)
+	for _, e := range q.entries {
+		if !e.blockedAt.IsZero() {
+			explain(explained, e)
+			q.judgeBy(e.newest().Add(retention))
+		}
 	}
 	for {
 		var best *entry
@@ -402,10 +443,29 @@
 		if best == nil {
 			return
 		}
-		best.blockedAt = now
+		q.block(best, crashes, explained, now)
 		explain(explained, best)
 		q.judgeBy(best.newest().Add(retention))
-		q.onChange(best.part.id, true, len(crashes))
+	}
+}
+
+// block blocks a part, together with those that may as well be the cause of its crashes.
+func (q *Register) block(best *entry, crashes []Crash, explained map[string]bool, now time.Time) {
+	var list []*entry
+	engines := enginesOf(crashes)
+	for _, e := range q.entries {
+		if !e.blockedAt.IsZero() {
+			continue
+		}
+		c := q.counted(e, explained, now)
+		if e == best || slices.Equal(enginesOf(c), engines) && e.isKnown(c[0].at) == best.isKnown(crashes[0].at) {
+			list = append(list, e)
+		}
+	}
+	s := newSuspects(list)
+	for _, e := range list {
+		e.blockedAt = now
+		q.onChange(Change{part: e.part.id, blocked: true, crashes: len(crashes), others: s.others(e.part.id)})
 	}
 }
 
@@ -446,7 +506,8 @@
 }
 
 // Check judges a request with parts. Of the requests with a blocked part one is let through at
-// times, by the gateway that has seen the newest crash.
+// times, by the gateway that has seen the newest crash, and of those with only some of its
+// suspects a few by all gateways.
 func (q *Register) Check(ids []string, now time.Time) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -454,19 +515,36 @@
 		q.judge(now)
 	}
 	var v Verdict
+	var some []*entry // whose suspects the request doesn't have all
 	for _, id := range ids {
 		e := q.entries[id]
 		if e == nil || e.blockedAt.IsZero() {
 			continue
 		}
+		if !e.suspects.within(ids) {
+			some = append(some, e)
+			continue
+		}
+		v = Verdict{part: id, others: e.suspects.others(id)}
 		if left := e.trialAt().Sub(now); left > 0 {
-			return Verdict{part: id, blocked: true, retry: left}
+			v.blocked, v.retry = true, left
+			return v
 		}
 		if e.crashes[len(e.crashes)-1].observer != q.self || now.Sub(e.triedAt) < trialTime && !e.triedAt.IsZero() {
-			return Verdict{part: id, blocked: true, retry: trialTime}
+			v.blocked, v.retry = true, trialTime
+			return v
 		}
 		e.triedAt = now
-		v = Verdict{part: id, trial: true}
+		v.trial = true
+	}
+	var compared *suspects
+	for _, e := range some {
+		v = Verdict{part: e.part.id, others: e.suspects.others(e.part.id), trial: true}
+		if e.suspects != compared && !e.suspects.compare(q.self, q.gateways, now) {
+			v.trial, v.blocked, v.retry = false, true, comparisonRetry
+			return v
+		}
+		compared = e.suspects
 	}
 	return v
 }
@@ -547,6 +625,7 @@
 // Status is what an operator sees of a part.
 type Status struct {
 	record  Record
+	others  []string
 	blocked bool
 	counted int
 	trialAt time.Time
@@ -558,6 +637,10 @@
 // Blocked reports whether requests with the part are refused.
 func (s Status) Blocked() bool { return s.blocked }
 
+// Others returns the parts that may be the cause of the same crashes. Requests are refused if they
+// have these as well.
+func (s Status) Others() []string { return s.others }
+
 // Counted returns the number of crashes that are held against the part.
 func (s Status) Counted() int { return s.counted }
 
@@ -578,6 +661,7 @@
 		s.record.crashes = slices.Clone(e.crashes)
 		if s.blocked {
 			s.trialAt = e.trialAt()
+			s.others = e.suspects.others(e.part.id)
 		}
 		list = append(list, s)
 	}
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,8 +66,9 @@
 	return d
 }
 
-// arrive sends a request by a random gateway to a random engine that is up.
-func (d *deployment) arrive(ids []string, deadly bool) {
+// arrive sends a request by a random gateway to a random engine that is up, and reports whether
+// it is blocked instead.
+func (d *deployment) arrive(ids []string, deadly bool) bool {
 	p := &prompt{ids: append(ids, fmt.Sprint("own-", d.rng.Uint64())), deadly: deadly, gateway: d.rng.IntN(len(d.gateways)), sentAt: d.now}
 	blocked := d.gateways[p.gateway].Check(p.shared(), d.now).Blocked()
 	if !deadly && ids[0] == "first" {
@@ -76,7 +78,7 @@
 		}
 	}
 	if blocked {
-		return
+		return true
 	}
 	p.engine = d.rng.IntN(len(d.incarnation))
 	for range len(d.incarnation) {
@@ -90,6 +92,7 @@
 	}
 	p.beginAt = d.now.Add(time.Duration(80+d.rng.IntN(400)) * time.Millisecond)
 	d.running = append(d.running, p)
+	return false
 }
 
 // contactTime is the users' bound after the fifth crash.
@@ -218,6 +221,77 @@
 	}
 }
 
+// Guards against a sound part that is blamed because it is new and came with the deadly one in each
+// crash, whichever of the two is first in the prompt, and against engines that crash once the deadly
+// part comes with others.
+func TestPartsThatCameTogetherAreToldApart(t *testing.T) {
+	const rate = 24 // sound requests a second at each three gateways
+	for _, size := range []struct{ gateways, controlVMs, engines int }{{1, 3, 12}, {3, 3, 12}, {12, 3, 40}, {103, 5, 180}} {
+		for _, c := range []struct {
+			name               string
+			jobs, later, sound func(n int) []string
+		}{
+			{"deadly first part", together("deadly", "new"), together("deadly", "new"), together("usual", "new")},
+			{"deadly second part", together("new", "deadly"), together("new", "deadly"), together("new", "usual")},
+			{"three parts", together("new-1", "deadly", "new-2"), together("new-1", "deadly", "new-2"), together("new-1", "usual", "new-2")},
+			{"deadly first part beside others", together("deadly", "new"), beside("deadly"), nil},
+			{"deadly first part beside others, sound requests", together("deadly", "new"), beside("deadly"), together("usual", "new")},
+		} {
+			for seed := range uint64(4) {
+				t.Run(fmt.Sprintf("%d gateways, %s, seed %d", size.gateways, c.name, seed), func(t *testing.T) {
+					t.Parallel()
+					d := newDeployment(seed, size.gateways, size.controlVMs, size.engines)
+					for _, q := range d.gateways {
+						q.SetGateways(size.gateways)
+					}
+					const dt = 10 * time.Millisecond
+					var sent, blocked int
+					for n := range 2500 {
+						if d.rng.Float64() < 5*dt.Seconds() {
+							d.arrive(pick(n < 1000, c.jobs, c.later)(n), true)
+						}
+						// No sound request tells the parts apart before the first crashes.
+						if n > 500 && c.sound != nil && d.rng.Float64() < rate*dt.Seconds()*float64(max(size.gateways/3, 1)) {
+							refused := d.arrive(c.sound(n), false)
+							if !d.fifthAt.IsZero() && d.now.Sub(d.fifthAt) > 2*contactTime || d.fifthAt.IsZero() && n > 1000 {
+								sent++
+								if refused {
+									blocked++
+								}
+							}
+						}
+						d.step(dt)
+					}
+					require.GreaterOrEqual(t, d.crashes, 3)
+					require.LessOrEqual(t, d.lateSends, 3, "requests with the deadly part after the bound")
+					require.LessOrEqual(t, blocked, sent/2, "sound requests refused")
+					for _, q := range d.gateways {
+						blocked := slices.DeleteFunc(q.Status(d.now), func(s Status) bool { return !s.Blocked() })
+						require.True(t, slices.ContainsFunc(blocked, func(s Status) bool { return s.Record().Part().ID() == "deadly" }))
+						require.True(t, c.sound == nil || len(blocked) == 1, "sound parts are blocked")
+					}
+				})
+			}
+		}
+	}
+}
+
+// together returns prompts of the same parts, and beside prompts in which a part is followed by others.
+func together(ids ...string) func(int) []string {
+	return func(int) []string { return append([]string(nil), ids...) }
+}
+
+func beside(id string) func(int) []string {
+	return func(n int) []string { return []string{id, fmt.Sprint("other-", n)} }
+}
+
+func pick[T any](first bool, a, b T) T {
+	if first {
+		return a
+	}
+	return b
+}
+
 // Guards against registers that judge differently because they received the same records in
 // another order or more than once, and against one that exceeds its bounds.
 func TestMergeOrderDoesNotMatter(t *testing.T) {
