gateway: Serve routes whose service also runs stages

Cause: syncPools left out services with a batch profile, as if only stages used them. The same condition stopped the updates of the pool of a service that gets a batch profile later, refused that part of a split route, and left cold targets of such services without a limit.

Change: the catalog knows which services routes send requests to. Gateways have a pool for each of them, keep pools that they have up to date, and limit requests to their cold targets.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -227,6 +227,9 @@
 			return NewInvalidError(item, "has a negative weight")
 		}
 		total += share.Weight
+		if share.Weight > 0 {
+			c.services[share.Service].takesRequests = true
+		}
 	}
 	if total <= 0 {
 		return NewInvalidError(item, "the weights add up to 0")
@@ -416,7 +419,8 @@
 
 // Service is a validated service.
 type Service struct {
-	in ServiceInput
+	in            ServiceInput
+	takesRequests bool
 }
 
 // Name returns the service's name.
@@ -431,6 +435,10 @@
 // Engine returns the engine profile, or nil if the service's targets aren't engines.
 func (s *Service) Engine() *EngineProfile { return s.in.Engine }
 
+// TakesRequests reports whether a route sends requests to the service. One that runs stages may take
+// requests as well, or only pieces of stages.
+func (s *Service) TakesRequests() bool { return s.takesRequests }
+
 // Cold returns the profile of cold targets, or nil if the service's targets take any number of
 // requests from their start.
 func (s *Service) Cold() *ColdProfile { return s.in.Cold }
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -18,7 +18,7 @@
 	for _, name := range c.Services() {
 		service, _ := c.Service(name)
 		profile := service.Cold()
-		if profile == nil || service.Batch() != nil {
+		if profile == nil || service.Batch() != nil && !service.TakesRequests() {
 			continue
 		}
 		limit := pacing.NewColdLimit(profile.RequestRate, g.o.Cold)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -365,10 +365,10 @@
 	g.syncCold(c, now)
 	for _, name := range c.Services() {
 		service, _ := c.Service(name)
-		if service.Batch() != nil {
+		p := g.pools[name]
+		if p == nil && service.Batch() != nil && !service.TakesRequests() {
 			continue
 		}
-		p := g.pools[name]
 		if p == nil {
 			p = routing.NewPool(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: g.o.Seed, Health: health(service)})
 			g.pools[name] = p
