gateway: Keep the pools of services up to date that the catalog dropped

Cause: syncPools updated the pools of the catalog's services only. The pool of a service that the catalog dropped kept all targets as ready, while requests that came before still chose from it. Limits of cold targets and the refusal for evacuated services ended with the service as well.

Evidence: in the new test a resumed stream goes to a target that reported draining, or that is gone, 200 ms after that; it failed before the change in both forms.

Change: a pool is kept up to date as long as it exists, with the last definition of its service, and dropped a minute after a catalog last had the service unless a request is in hand.

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
@@ -13,12 +15,11 @@
 const minUnknownTime = 2 * time.Second
 
 // syncCold sets the limits of the targets that are cold; g.mu is held.
-func (g *Gateway) syncCold(c *catalog.Catalog, now time.Time) {
+func (g *Gateway) syncCold(now time.Time) {
 	var list []pacing.ColdTarget
-	for _, name := range c.Services() {
-		service, _ := c.Service(name)
-		profile := service.Cold()
-		if profile == nil || service.Batch() != nil && !service.TakesRequests() {
+	for _, name := range slices.Sorted(maps.Keys(g.pools)) {
+		profile := g.pools[name].service.Cold()
+		if profile == nil {
 			continue
 		}
 		limit := pacing.NewColdLimit(profile.RequestRate, g.o.Cold)
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
@@ -23,13 +25,14 @@
 }
 
 // evacuatedServices returns the services that have targets, all of which are in evacuated
-// domains. Targets that leave don't count.
+// domains. Targets that leave don't count. Services that the catalog dropped are among them, because
+// requests that came before still need them; g.mu is held.
 func (g *Gateway) evacuatedServices(c *catalog.Catalog, now time.Time) map[string]bool {
 	if g.o.Evacuations.Len() == 0 {
 		return nil
 	}
 	services := map[string]bool{}
-	for _, name := range c.Services() {
+	for _, name := range append(c.Services(), slices.Collect(maps.Keys(g.pools))...) {
 		staying, evacuated := 0, 0
 		for _, l := range g.o.Table.Live(name, now) {
 			if l.Leaving() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 	times     *latencies
 	patience  *patience
 	mu        sync.Mutex
-	pools     map[string]*routing.Pool
+	pools     map[string]*servicePool
 	paces     map[incarnationKey]*pacing.Pace
 	ramps     *ramps
 	gates     map[string]*pacing.Gate       // by service
@@ -154,7 +154,7 @@
 		o.Evacuations = evacuation.NewSet()
 	}
 	g := &Gateway{
-		o: o, pools: map[string]*routing.Pool{}, paces: map[incarnationKey]*pacing.Pace{}, ramps: newRamps(o.Warmups, o.WarmUpAll), gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
+		o: o, pools: map[string]*servicePool{}, paces: map[incarnationKey]*pacing.Pace{}, ramps: newRamps(o.Warmups, o.WarmUpAll), gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 	}
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
@@ -354,35 +354,6 @@
 	}
 }
 
-// syncPools brings the targets of all services up to date; g.mu is held.
-func (g *Gateway) syncPools() {
-	c := g.catalog.Load()
-	if c == nil {
-		return
-	}
-	now := g.o.Timers.Now()
-	g.dropPaces()
-	g.syncCold(c, now)
-	for _, name := range c.Services() {
-		service, _ := c.Service(name)
-		p := g.pools[name]
-		if p == nil && service.Batch() != nil && !service.TakesRequests() {
-			continue
-		}
-		if p == nil {
-			p = routing.NewPool(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: g.o.Seed, Health: health(service)})
-			g.pools[name] = p
-		}
-		list := g.targets(name, g.ramps.of(service, now), now)
-		if g.o.Speeds != nil && service.Engine() != nil {
-			g.addSpeeds(list)
-		}
-		p.Sync(list, now)
-	}
-	g.weights = g.weigh(c, now)
-	g.evacuated = g.evacuatedServices(c, now)
-}
-
 // weigh returns for each route with stages how the targets that run them are spread
 // over the failure domains, by the bytes of results. Requests that go on in the
 // same proportion find their results near.
@@ -561,20 +532,6 @@
 	return max(first, fullRetry)
 }
 
-func (g *Gateway) tickPools() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.o.Timers.Now()
-	if g.o.Warmups != nil {
-		g.o.Warmups.Tick(now)
-		g.o.Metrics.Gauge("warming_targets", float64(g.o.Warmups.Active()))
-	}
-	for service, p := range g.pools {
-		p.Tick(now)
-		g.logStates(service, p.Status(now))
-	}
-}
-
 // logStates writes a line for each target whose state has changed; g.mu is held.
 func (g *Gateway) logStates(service string, targets []routing.TargetStatus) {
 	states := make(map[string]routing.TargetState, len(targets))
@@ -593,9 +550,3 @@
 	}
 	g.states[service] = states
 }
-
-func (g *Gateway) pool(service string) *routing.Pool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.pools[service]
-}
