discovery: Give control VMs that start all records and limits

Cause: gateways sent control VMs only what they had observed themselves, also to those that had started again. Copies that gateways had from control VMs never went back, so that the records ended with the last process that had not been restarted. Limits that targets name travelled in the same way.

Evidence: the new test restarts three gateways, three control VMs and the gateways again; before the change the part isn't blocked, and with the change for parts alone the limit is missing.

Change: a control VM that starts gets everything that a gateway holds, and observations after that.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -184,6 +184,77 @@
 	})
 }
 
+// Guards against parts that crash engines, and limits of targets, that are forgotten when gateways,
+// control VMs and gateways are restarted in turn, one process at a time.
+func TestRestartsInTurnForgetNothing(t *testing.T) {
+	const pause = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		vms := map[string]*atomic.Pointer[http.Handler]{"vm-1": {}, "vm-2": {}, "vm-3": {}}
+		startVM := func(name string) {
+			h := newDirectory(t).Handler()
+			vms[name].Store(&h)
+			time.Sleep(pause)
+		}
+		client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			w := httptest.NewRecorder()
+			(*vms[r.URL.Host].Load()).ServeHTTP(w, r)
+			return w.Result(), nil
+		})}
+		type gateway struct {
+			parts   *quarantine.Register
+			limits  *pacing.Register
+			watcher *discovery.Watcher
+		}
+		gateways := make([]*gateway, 3)
+		startGateway := func(n int) {
+			name := fmt.Sprint("gateway-", n)
+			if g := gateways[n]; g != nil {
+				require.NoError(t, g.watcher.Stop(context.Background()))
+			}
+			g := &gateway{parts: quarantine.NewRegister(name), limits: pacing.NewRegister(name)}
+			g.watcher = discovery.NewWatcher(discovery.WatcherOptions{
+				Timers: timer.NewService(), HTTP: client, Process: name, Seeds: []string{"vm-1", "vm-2", "vm-3"}, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}),
+				Quarantine: g.parts, Limits: g.limits, CatalogVersion: func() uint64 { return 0 },
+			})
+			gateways[n] = g
+			require.NoError(t, g.watcher.Start(t.Context()))
+			time.Sleep(pause)
+		}
+		for name := range vms {
+			startVM(name)
+		}
+		for n := range gateways {
+			startGateway(n)
+		}
+		defer func() {
+			for _, g := range gateways {
+				require.NoError(t, g.watcher.Stop(context.Background()))
+			}
+		}()
+		for n := range 5 {
+			gateways[0].parts.RecordCrash(fmt.Sprint("engine-", n), []quarantine.Part{quarantine.NewPart("p", 1)}, time.Now(), time.Now())
+			time.Sleep(500 * time.Millisecond)
+		}
+		now := time.Now()
+		gateways[0].limits.Observe(pacing.NewStatement("t", 1, pacing.RequestRate{PerSecond: 3}, now, now))
+		time.Sleep(pause)
+		rollGateways := func() {
+			for n := range gateways {
+				startGateway(n)
+			}
+		}
+		rollGateways()
+		for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
+			startVM(name)
+		}
+		rollGateways()
+		for _, g := range gateways {
+			require.True(t, g.parts.Check([]string{"p"}, time.Now()).Blocked())
+			require.Contains(t, g.limits.Limits(time.Now()), "t")
+		}
+	})
+}
+
 type roundTripper func(*http.Request) (*http.Response, error)
 
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -53,10 +53,10 @@
 
 // limitsExchange is the state of the exchange of limits with one control VM.
 type limitsExchange struct {
-	sent, sending uint64 // versions of the own observations that it has, and gets now
+	upload
 }
 
-// request adds to a watch what this process has observed since the last one.
+// request adds to a watch what this process has observed since the last one, or all statements.
 func (x *limitsExchange) request(r *wire.WatchRequest, p *pacing.Register, now time.Time) {
 	if p == nil {
 		return
@@ -64,20 +64,21 @@
 	if r.LimitsSince == nil {
 		r.LimitsSince = new(uint64)
 	}
-	statements, version := p.ObservedSince(x.sent)
-	r.Limits, x.sending = EncodeLimits(statements, now), version
+	since := p.ChangesSince
+	if x.complete {
+		since = p.ObservedSince
+	}
+	statements, version := since(x.sent)
+	x.sending(version, p.Version())
+	r.Limits = EncodeLimits(statements, now)
 }
 
-// receive merges the limits of a response, and takes over its list of gateways. A control VM
-// that has started again gets all observations once more.
+// receive merges the limits of a response, and takes over its list of gateways.
 func (x *limitsExchange) receive(address string, r *wire.WatchRequest, resp *wire.WatchResponse, p *pacing.Register, startedAt, now time.Time) {
 	if p == nil {
 		return
 	}
-	x.sent = x.sending
-	if r.GetEpoch() != "" && r.GetEpoch() != resp.GetEpoch() {
-		x.sent = 0
-	}
+	x.received(r, resp)
 	*r.LimitsSince = resp.GetLimitsVersion()
 	p.Merge(DecodeLimits(resp.GetLimits(), now), now)
 	listed := false
--- a/internal/discovery/parts.go
+++ b/internal/discovery/parts.go
@@ -48,15 +48,34 @@
 	return list
 }
 
+// upload is how far a control VM has what this process knows. A control VM that starts gets all of
+// it, because the processes that have observed it may have ended; after that it gets new observations.
+type upload struct {
+	sent, next uint64 // versions that the control VM has, and gets now
+	complete   bool   // the control VM has all up to sent
+	last       bool   // it will with this watch
+}
+
+// sending records that a watch goes up to a version, out of all versions that there are.
+func (u *upload) sending(version, all uint64) { u.next, u.last = version, version >= all }
+
+// received records the response to the watch.
+func (u *upload) received(r *wire.WatchRequest, resp *wire.WatchResponse) {
+	u.sent, u.complete = u.next, u.complete || u.last
+	if r.GetEpoch() != "" && r.GetEpoch() != resp.GetEpoch() {
+		*u = upload{}
+	}
+}
+
 // maxAgeMs bounds the age of what another process has observed.
 const maxAgeMs = 24 * 60 * 60 * 1000
 
 // partsExchange is the state of the exchange of records with one control VM.
 type partsExchange struct {
-	sent, sending uint64 // versions of the own observations that it has, and gets now
+	upload
 }
 
-// request adds to a watch what this process has observed since the last one.
+// request adds to a watch what this process has observed since the last one, or all records.
 func (x *partsExchange) request(r *wire.WatchRequest, q *quarantine.Register, now time.Time) {
 	if q == nil {
 		return
@@ -64,20 +83,21 @@
 	if r.PartsSince == nil {
 		r.PartsSince = new(uint64)
 	}
-	records, version := q.ObservedSince(x.sent)
-	r.Parts, x.sending = EncodeParts(records, now), version
+	since := q.ChangesSince
+	if x.complete {
+		since = q.ObservedSince
+	}
+	records, version := since(x.sent)
+	x.sending(version, q.Version())
+	r.Parts = EncodeParts(records, now)
 }
 
-// receive merges the records of a response. A control VM that has started again gets all
-// observations once more.
+// receive merges the records of a response.
 func (x *partsExchange) receive(r *wire.WatchRequest, resp *wire.WatchResponse, q *quarantine.Register, now time.Time) {
 	if q == nil {
 		return
 	}
-	x.sent = x.sending
-	if r.GetEpoch() != "" && r.GetEpoch() != resp.GetEpoch() {
-		x.sent = 0
-	}
+	x.received(r, resp)
 	*r.PartsSince = resp.GetPartsVersion()
 	q.Merge(DecodeParts(resp.GetParts(), now), now)
 }
