gateway: Bound the memory for the bodies of all requests

Cause: nothing bounded the bodies of all requests together, and each send copied the body, up to three times its size, until the target had read it.

Change: upstream writes head and body without a copy.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,8 @@
 	Seed uint64
 	// Retries limits the requests that are sent again.
 	Retries *budget.SharedRetries
+	// BodyMemory bounds the memory for the bodies of all requests in hand, in bytes; 0 for no limit.
+	BodyMemory int64
 }
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
@@ -131,6 +133,7 @@
 	evacuated map[string]bool               // services whose targets are all in evacuated domains
 	states    map[string]map[string]routing.TargetState
 	inFlight  atomic.Int64
+	bodies    bodyMemory
 	release   earlyRelease
 	crashes   *crashDetector
 	// waiting ends when requests that haven't reached an engine end with a planned stop, and
@@ -157,6 +160,7 @@
 		o: o, pools: map[string]*servicePool{}, paces: map[incarnationKey]*pacing.Pace{}, ramps: newRamps(o.Warmups, o.WarmUpAll), gates: map[string]*pacing.Gate{}, states: map[string]map[string]routing.TargetState{}, ctx: ctx, cancel: cancel, done: make(chan struct{}), times: newLatencies(), patience: newPatience(),
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 	}
+	g.bodies.limit = o.BodyMemory
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
 	g.serving, g.endAll = context.WithCancel(context.Background())
 	g.streamsRefused, g.allRefused = make(chan struct{}), make(chan struct{})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
@@ -46,6 +44,7 @@
 	customer string
 	priority int
 	body     []byte
+	bodyHeld int64 // memory reserved for it
 	began    time.Time
 	deadline time.Time // when the caller, or the route, gives up
 	// waited is how long the caller has waited in earlier attempts, at least.
@@ -82,6 +81,7 @@
 	defer g.inFlight.Add(-1)
 	x := &exchange{g: g, w: w, in: in, began: g.o.Timers.Now()}
 	defer x.log()
+	defer func() { x.releaseBody(x.bodyHeld) }()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -208,30 +208,6 @@
 	x.reject(status, reason, nil)
 }
 
-// readBody reads the whole body, which may have to be sent twice.
-func (x *exchange) readBody() bool {
-	limit := x.catalog.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	var b bytes.Buffer
-	if x.in.ContentLength > 0 && x.in.ContentLength <= limit {
-		b.Grow(int(x.in.ContentLength) + bytes.MinRead)
-	}
-	_, err := b.ReadFrom(http.MaxBytesReader(x.w, x.in.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.reject(http.StatusRequestEntityTooLarge, "body_too_large", err)
-		return false
-	case err != nil:
-		x.reject(http.StatusBadRequest, "body_broken", err)
-		return false
-	}
-	x.body = b.Bytes()
-	return true
-}
-
 // run serves a request that may be served.
 func (x *exchange) run(ctx context.Context) {
 	if x.refuseEvacuated() || x.refuseLimited() {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -70,8 +70,10 @@
 	WarmUpAll bool
 	// LearnSpeeds makes the gateway use the speeds of engines that all gateways learn together.
 	LearnSpeeds bool
-	Codec       gateway.Codec
-	Decode      func(document []byte) (*catalog.Catalog, error)
+	// BodyMemory bounds the memory for the bodies of requests, in bytes; 0 for no limit.
+	BodyMemory int64
+	Codec      gateway.Codec
+	Decode     func(document []byte) (*catalog.Catalog, error)
 	// ReadinessHandler returns the handler for the load balancer's checks.
 	ReadinessHandler func(listener.ReadyFunc) http.Handler
 }
@@ -99,7 +101,7 @@
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
 		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Evacuations: evacuations, Warmups: warmups, WarmUpAll: o.WarmUpAll, Speeds: speeds, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries), Cold: o.Cold,
-		UnknownSince: evacuations.TakenBackAt,
+		BodyMemory: o.BodyMemory, UnknownSince: evacuations.TakenBackAt,
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -351,29 +351,49 @@
 	return err == nil && open
 }
 
-// write sends the request in a single write.
+// write sends the request. The body isn't copied, because the target may read it slowly.
 func (c *conn) write(call Call) error {
+	head, err := requestHead(call)
+	if err != nil {
+		return err
+	}
+	message := net.Buffers{head, call.Body}
+	_, err = message.WriteTo(c.net)
+	return err
+}
+
+// requestHead returns the message up to its body.
+func requestHead(call Call) ([]byte, error) {
 	var b bytes.Buffer
+	var body unreadBody
 	r := call.Request
 	r.ContentLength = int64(len(call.Body))
-	r.Body = io.NopCloser(bytes.NewReader(call.Body))
+	r.Body = &body
 	if len(call.Body) == 0 {
 		r.Body = http.NoBody
 	}
-	if err := r.Write(&b); err != nil {
-		return err
+	// The head is complete when the body is read.
+	if err := r.Write(&b); err != nil && !body.reached {
+		return nil, err
 	}
-	message := b.Bytes()
-	if call.RequestTarget != "" {
-		var err error
-		if message, err = withTarget(message, call.RequestTarget); err != nil {
-			return err
-		}
+	if call.RequestTarget == "" {
+		return b.Bytes(), nil
 	}
-	_, err := c.net.Write(message)
-	return err
+	return withTarget(b.Bytes(), call.RequestTarget)
+}
+
+// unreadBody is a body that ends the writing of a request when it is read.
+type unreadBody struct{ reached bool }
+
+// Read implements io.Reader.
+func (b *unreadBody) Read([]byte) (int, error) {
+	b.reached = true
+	return 0, errors.New("the body is sent separately")
 }
 
+// Close implements io.Closer.
+func (b *unreadBody) Close() error { return nil }
+
 // withTarget replaces the target in the request line of a message.
 func withTarget(message []byte, target string) ([]byte, error) {
 	method, rest, ok := bytes.Cut(message, []byte(" "))
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime"
 	"testing"
 	"time"
 
@@ -212,3 +213,19 @@
 	}
 	require.NotContains(t, p.idle, gone)
 }
+
+// Guards against a second copy of a large body, which lives until a slow target has read it.
+func TestBodyIsNotCopied(t *testing.T) {
+	const size = 8 << 20
+	address := serve(t, func(_ int, c net.Conn) { respondAll(c, func(id string) string { return completeResponse(id, "x") }) })
+	p := NewPool(Options{Timers: timer.NewService()})
+	c := call(address, "1")
+	c.Body = make([]byte, size)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	resp, err := p.Do(t.Context(), c)
+	require.NoError(t, err)
+	runtime.ReadMemStats(&after)
+	resp.Close()
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(size/2))
+}
