discovery: Give control VMs that start the ends of targets

Cause: control VMs hold the ends of targets in memory only, and the processes that still had them told nobody.

Evidence: without the merge the new test has the target that ended live at both gateways.

Change: the first watch of a control VM that has started carries the records of targets that drain or have ended.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -515,6 +515,7 @@
 func (s *service) Watch(ctx context.Context, r *wire.WatchRequest) (*wire.WatchResponse, error) {
 	s.d.recordWatcher(r)
 	s.d.o.Quarantine.Merge(discovery.DecodeParts(r.GetParts(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
+	s.d.o.Table.MergeLeavers(r.GetLeaving(), s.d.o.Timers.Now())
 	s.d.o.Limits.Merge(discovery.DecodeLimits(r.GetLimits(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	s.d.o.Warmups.MergeObserved(r.GetProcess(), discovery.DecodeRamps(r.GetRamps(), s.d.o.Timers.Now()), s.d.o.Timers.Now())
 	s.d.o.Speeds.MergeSums(r.GetProcess(), discovery.DecodeSpeedSums(r.GetSpeedSums()), s.d.o.Timers.Now())
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -255,6 +255,60 @@
 	})
 }
 
+// Guards against a target that gets requests again after its end was acknowledged: control VMs and a
+// gateway are killed, and an announcement that the target made before is delivered late.
+func TestEndsOutlastRestartsOfControlVMs(t *testing.T) {
+	const pause = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		var vm atomic.Pointer[http.Handler]
+		start := func() *Directory {
+			d := newDirectory(t)
+			h := d.Handler()
+			vm.Store(&h)
+			return d
+		}
+		client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			w := httptest.NewRecorder()
+			(*vm.Load()).ServeHTTP(w, r)
+			return w.Result(), nil
+		})}
+		startGateway := func(name string) *discovery.Table {
+			table := discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute})
+			w := discovery.NewWatcher(discovery.WatcherOptions{
+				Timers: timer.NewService(), HTTP: client, Process: name, Seeds: []string{"vm-1"}, Table: table, CatalogVersion: func() uint64 { return 0 },
+			})
+			require.NoError(t, w.Start(t.Context()))
+			t.Cleanup(func() { require.NoError(t, w.Stop(context.Background())) })
+			return table
+		}
+		announced := func(id string, sequence uint64, state wire.TargetState) *wire.RegisteredTarget {
+			return &wire.RegisteredTarget{Id: id, Service: "s", Address: id + ":1", BornMs: 1, Sequence: sequence, State: state}
+		}
+		d := start()
+		survivor := startGateway("gateway-1")
+		for _, id := range []string{"ended", "drains"} {
+			d.Announce(t.Context(), announced(id, 1, wire.TargetState_TARGET_STATE_READY))
+		}
+		time.Sleep(pause)
+		d.Announce(t.Context(), announced("ended", 2, wire.TargetState_TARGET_STATE_GONE))
+		d.Announce(t.Context(), announced("drains", 3, wire.TargetState_TARGET_STATE_DRAINING))
+		time.Sleep(pause)
+		d = start()
+		restarted := startGateway("gateway-2")
+		time.Sleep(pause)
+		for _, id := range []string{"ended", "drains"} {
+			d.Announce(t.Context(), announced(id, 2, wire.TargetState_TARGET_STATE_READY))
+		}
+		time.Sleep(pause)
+		for _, table := range []*discovery.Table{survivor, restarted} {
+			live := table.Live("s", time.Now())
+			require.Len(t, live, 1)
+			require.Equal(t, "drains", live[0].Record().GetId())
+			require.True(t, live[0].Leaving())
+		}
+	})
+}
+
 type roundTripper func(*http.Request) (*http.Response, error)
 
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -238,6 +238,7 @@
 	r := &wire.WatchRequest{Process: w.o.Process, Peer: w.o.CatalogVersion == nil, WaitMs: uint32(watchWait.Milliseconds())}
 	var heard heardList
 	var parts partsExchange
+	var leavers leaversExchange
 	var limits limitsExchange
 	var ramps rampsExchange
 	for w.ctx.Err() == nil {
@@ -247,6 +248,7 @@
 		}
 		startedAt := w.o.Timers.Now()
 		parts.request(r, w.o.Quarantine, startedAt)
+		leavers.request(r, w.o.Table)
 		limits.request(r, w.o.Limits, startedAt)
 		if w.o.Evacuations != nil {
 			r.EvacuationRevision = proto.Uint64(w.o.Evacuations.Revision())
@@ -265,6 +267,7 @@
 			continue
 		}
 		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
+		leavers.receive(r, resp)
 		limits.receive(address, r, resp, w.o.Limits, startedAt, w.o.Timers.Now())
 		ramps.receive(r, resp, w.o.Warmups, w.o.Timers.Now())
 		receiveSpeeds(address, r, resp, w.o.Speeds, w.o.Timers.Now())
