--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -224,7 +224,7 @@
 // Guards against a sound part that is blamed because it is new and came with the deadly one in each
 // crash, whichever of the two is first in the prompt, and against engines that crash once the deadly
 // part comes with others.
-func TestPartsThatCameTogetherAreToldApart(t *testing.T) {
+func TestPartsWithTheSameCrashesAreDistinguished(t *testing.T) {
 	const rate = 24 // sound requests a second at each three gateways
 	for _, size := range []struct{ gateways, controlVMs, engines int }{{1, 3, 12}, {3, 3, 12}, {12, 3, 40}, {103, 5, 180}} {
 		for _, c := range []struct {
@@ -250,7 +250,7 @@
 						if d.rng.Float64() < 5*dt.Seconds() {
 							d.arrive(pick(n < 1000, c.jobs, c.later)(n), true)
 						}
-						// No sound request tells the parts apart before the first crashes.
+						// No sound request distinguishes the parts before the first crashes.
 						if n > 500 && c.sound != nil && d.rng.Float64() < rate*dt.Seconds()*float64(max(size.gateways/3, 1)) {
 							refused := d.arrive(c.sound(n), false)
 							if !d.fifthAt.IsZero() && d.now.Sub(d.fifthAt) > 2*contactTime || d.fifthAt.IsZero() && n > 1000 {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -17,7 +17,7 @@
 )
 
 // suspects are parts with the same crashes, any of which may be their cause. A request with all of
-// them is refused. The outcome of one with only some of them tells them apart, so that a few of
+// them is refused. The outcome of one with only some of them distinguishes them, so that a few of
 // these are let through.
 type suspects struct {
 	ids []string
