gateway: Don't take a body that is cut off for a whole one

What callers would see: a request with a chunked body whose caller breaks off may run with a part of its body, if the gateway doesn't notice first that the caller has left. Found by reading.

Cause: keepBody filled its buffer by io.ReadFull, whose io.ErrUnexpectedEOF means the end of the body as well as one that is cut off.

Evidence: TestBodyThatIsCutOffIsNotWhole fails before the change. TestBodyRunsWholeOrNotAtAll, with a real connection, passes before and after it, since the gateway notices the end of the connection in time.

Change: the body is read piece by piece, and only io.EOF is its end. One byte beyond the limit is reserved, so that the reader reports a body that is too large.

Result: both tests pass, TestBodiesBeyondTheMemoryAreRefused as before.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -68,37 +68,36 @@
 	return true
 }
 
-// keepBody reads the body into memory that it reserves.
+// keepBody reads the body, of limit bytes at most, into memory that it reserves.
 func (x *exchange) keepBody(body io.Reader, limit int64) error {
 	size := x.in.ContentLength
 	if size < 0 {
-		size = min(bodyChunk, limit)
+		size = min(bodyChunk, limit+1)
 	}
 	b, err := x.grow(nil, size)
 	if err != nil {
 		return err
 	}
 	for {
-		n, err := io.ReadFull(body, b[len(b):cap(b)])
-		b = b[:len(b)+n]
 		switch {
-		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && x.in.ContentLength < 0:
-			x.body = b
-			return nil
-		case err != nil:
-			return err
+		case len(b) < cap(b):
 		case x.in.ContentLength >= 0:
 			x.body = b
 			return nil
-		case int64(cap(b)) >= limit:
-			// One byte more is too large.
-			if _, err := io.ReadFull(body, make([]byte, 1)); !errors.Is(err, io.EOF) {
+		default:
+			// The byte beyond the limit is never filled: the reader fails before.
+			if b, err = x.grow(b, min(2*int64(cap(b)), limit+1)); err != nil {
 				return err
 			}
+		}
+		n, err := body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		// A body that is cut off ends with io.ErrUnexpectedEOF.
+		if errors.Is(err, io.EOF) {
 			x.body = b
 			return nil
 		}
-		if b, err = x.grow(b, min(2*int64(cap(b)), limit)); err != nil {
+		if err != nil {
 			return err
 		}
 	}
