quarantine: End the block of a record that is dropped for lack of room

What callers would see: if more than 1,024 parts are blocked, a part whose suspect was dropped is never distinguished from it. Cause: the set of suspects kept the part that was dropped. Found by reading. Change: a record that is dropped leaves its set, and the end of its block is logged. Result: the tests of the package pass; no test has so many blocked parts.

--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -347,6 +347,7 @@
 			oldest = id
 		}
 	}
+	q.unblock(q.entries[oldest])
 	delete(q.entries, oldest)
 }
 
