batching: Let a test of a stopping collector begin after its first call

Cause: the test sent its second request 100 ms after the first one, at the same instant of virtual time at which the collector begins the first call. Which came first was undefined: the second request went with the first call, where it should wait for one. Change: the second request comes 50 ms later, while the call runs. All checks stay.

--- a/internal/batching/collector_test.go
+++ b/internal/batching/collector_test.go
@@ -179,7 +179,7 @@
 				}
 				running, waiting := make(chan *wire.RunStageResponse, 1), make(chan *wire.RunStageResponse, 1)
 				go func() { running <- run() }()
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(150 * time.Millisecond) // the call begins after 100 ms
 				go func() { waiting <- run() }()
 				synctest.Wait()
 				began := time.Now()
