discovery: Fetch a catalog from one control VM at a time, as a patch

Cause: each change sent the whole document to each gateway. Whenever another control VM named a higher version it became the source, while the earlier one was still sending, so that up to three documents of 500 KB shared a link of 10 Mbit/s. None ended within the 1.2 s of its watch; all were given up and began again from the first byte.

TestLargeCatalogsReachGatewaysOnSlowLinks failed before: a gateway that starts had no catalog after 2 s with 2,900 and 12,000 routes.

Change: answers to watches name the version only. The gateway fetches the document from one control VM at a time, as a compressed patch of the one that it has, and gives a transfer up only if no bytes come for 0.7 s. TestCatalogIsRequestedFromOneControlVM keeps its checks with the new function; before a control VM has named a version there is no source, and one whose fetch failed comes last.

--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -6,10 +6,16 @@
 // has about 3 MB. Sending it in full for 1,200 changes a day would cost a node 40 KB/s of
 // network traffic, which exceeds the limit of 5 KB/s.
 //
+// Catalogs change in several places at once, and have thousands of routes. They are sent as
+// compressed patches.
+//
 // # Usage
 //
-//	r := delta.Record(base, newest, known)
+//	r := delta.DiffRecord(base, newest, known)
 //	full, err := delta.Apply(baseBytes, r.GetDelta())
+//
+//	patch, err := delta.EncodePatch(base, next)
+//	next, err := delta.ApplyPatch(base, patch, maxBytes)
 package delta
 
 import (
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -154,6 +154,7 @@
 	watchReceived chan struct{} // closed at the next watch
 	confirmations chan struct{} // closed when the stored versions become confirmed
 	inactiveSince map[string]time.Time
+	patches       patchCache
 	// lastLeader is the leader's address at the last member check.
 	lastLeader string
 	startedAt  time.Time
@@ -560,10 +561,17 @@
 	return t.GetState() != wire.TargetState_TARGET_STATE_READY
 }
 
-// hasCatalogFor reports whether there is a newer catalog to send than a watcher has.
+// hasCatalogFor reports whether there is a newer catalog than a watcher has, of which it has not been
+// notified.
 func (d *Directory) hasCatalogFor(r *wire.WatchRequest) bool {
 	version, _ := d.o.Store.Newest()
-	return !r.GetPeer() && !r.GetWithoutCatalog() && version > r.GetCatalogVersion()
+	switch {
+	case r.GetPeer() || version <= r.GetCatalogVersion():
+		return false
+	case r.GetWithoutCatalog():
+		return r.NotifiedCatalogVersion != nil && version > r.GetNotifiedCatalogVersion()
+	}
+	return true
 }
 
 // hasPartsFor reports whether parts of prompts have changed since a gateway's last watch.
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -1,8 +1,10 @@
 package directory
 
 import (
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomline/cardamomline/internal/evacuation"
@@ -27,12 +29,25 @@
 	domains  []string // evacuated, sorted
 }
 
+// maxPreviousBytes bounds the earlier documents that a Store keeps as bases of patches.
+const maxPreviousBytes = 8 << 20
+
+// versionedDocument is an earlier document of the catalog.
+type versionedDocument struct {
+	version  uint64
+	document []byte
+	checksum uint64
+}
+
 // Store is the replicated catalog, the committed document with the highest version, and the
 // evacuated failure domains. It implements replica.StateMachine.
 type Store struct {
-	mu            sync.Mutex
-	version       uint64
-	document      []byte
+	mu       sync.Mutex
+	version  uint64
+	document []byte
+	// previous are the documents before, the newest one first. They are no part of the replicated
+	// state.
+	previous      []versionedDocument
 	evacuations   *evacuation.State
 	onEvacuations func(revision uint64, domains []string)
 	changed       chan struct{}
@@ -66,6 +81,7 @@
 		return r
 	}
 	if cmd.GetVersion() > s.version {
+		s.retainDocument()
 		s.version, s.document = cmd.GetVersion(), cmd.GetDocument()
 		s.notify()
 	}
@@ -97,6 +113,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if snapshot.GetVersion() != s.version {
+		s.retainDocument()
+	}
 	s.version, s.document = snapshot.GetVersion(), snapshot.GetDocument()
 	s.evacuations = evacuation.RestoreState(snapshot.GetEvacuationRevision(), snapshot.GetEvacuationFloor(), records)
 	s.onEvacuations(s.evacuations.Revision(), s.evacuations.Domains())
@@ -104,6 +123,33 @@
 	return nil
 }
 
+// retainDocument keeps the document as the base of patches; s.mu is held.
+func (s *Store) retainDocument() {
+	if len(s.document) == 0 {
+		return
+	}
+	s.previous = slices.Insert(s.previous, 0, versionedDocument{version: s.version, document: s.document, checksum: xxhash.Sum64(s.document)})
+	size := 0
+	for i, d := range s.previous {
+		if size += len(d.document); size > maxPreviousBytes {
+			s.previous = slices.Delete(s.previous, i, len(s.previous))
+			return
+		}
+	}
+}
+
+// previousDocument returns an earlier document, or nil if it isn't kept.
+func (s *Store) previousDocument(version, checksum uint64) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.previous {
+		if d.version == version && d.checksum == checksum {
+			return d.document
+		}
+	}
+	return nil
+}
+
 // notify closes the channel of Changed; s.mu is held.
 func (s *Store) notify() {
 	close(s.changed)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -48,9 +47,12 @@
 	Seeds []string
 	// Table receives the targets.
 	Table *Table
-	// CatalogVersion returns the stored catalog version, so that the document is sent only
+	// CatalogVersion returns the stored catalog version, so that the document is fetched only
 	// if there is a newer one. It is nil on a control VM.
 	CatalogVersion func() uint64
+	// OnCatalog is called with each new document of the catalog and the time at which its fetch
+	// started. It is required with CatalogVersion.
+	OnCatalog func(d Document, startedAt time.Time)
 	// Quarantine holds the parts of prompts that crash engines. It is nil on a control VM.
 	Quarantine *quarantine.Register
 	// Limits holds the limits that targets name. It is nil on a control VM.
@@ -74,6 +76,7 @@
 	mu         sync.Mutex
 	seeds      []string
 	controlVMs map[string]*controlVM
+	catalogs   *catalogFetcher
 	wg         sync.WaitGroup
 	done       chan struct{}
 }
@@ -84,6 +87,8 @@
 	lastListed     time.Time // last time that a seed list or a member list contained it
 	responsive     bool
 	catalogVersion uint64 // version that it stores
+	fetchFailures  int    // fetches of the catalog that have failed since the last good one
+	sendsDocument  bool   // with the answers to watches: it is of an older version
 	// collectingSince is when the control VM started collecting pieces of stages; zero if
 	// it doesn't collect.
 	collectingSince time.Time
@@ -95,7 +100,9 @@
 // NewWatcher returns a Watcher.
 func NewWatcher(o WatcherOptions) *Watcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Watcher{o: o, ctx: ctx, cancel: cancel, seeds: o.Seeds, controlVMs: map[string]*controlVM{}, done: make(chan struct{})}
+	w := &Watcher{o: o, ctx: ctx, cancel: cancel, seeds: o.Seeds, controlVMs: map[string]*controlVM{}, done: make(chan struct{})}
+	w.catalogs = newCatalogFetcher(w)
+	return w
 }
 
 // Start implements kernel.Starter.
@@ -103,6 +110,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.watch(w.seeds)
+	if w.o.CatalogVersion != nil {
+		w.wg.Go(w.catalogs.run)
+	}
 	return nil
 }
 
@@ -145,40 +155,6 @@
 	return list
 }
 
-// isCatalogSource reports whether the document of the catalog is requested from a control VM. A
-// large document from all of them at once fills the link of a small gateway for a second. The
-// source is one of the responsive control VMs with the highest version, a different one at each
-// gateway. Before any of them has responded it is one of all.
-func (w *Watcher) isCatalogSource(address string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	source, best := "", sourceRank{}
-	for a, vm := range w.controlVMs {
-		r := sourceRank{responsive: vm.responsive, version: vm.catalogVersion, hash: xxhash.Sum64String(w.o.Process + " " + a)}
-		if source == "" || best.less(r) {
-			source, best = a, r
-		}
-	}
-	return source == address
-}
-
-// sourceRank orders control VMs as sources of the catalog.
-type sourceRank struct {
-	responsive bool
-	version    uint64
-	hash       uint64
-}
-
-func (a sourceRank) less(b sourceRank) bool {
-	switch {
-	case a.responsive != b.responsive:
-		return b.responsive
-	case a.version != b.version:
-		return a.version < b.version
-	}
-	return a.hash < b.hash
-}
-
 // compareCollectingSince orders control VMs by how long they have been collecting.
 // Processes learn of the start at different times, so small differences are ignored.
 func (vm *controlVM) compareCollectingSince(other *controlVM) int {
@@ -244,7 +220,7 @@
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
-			r.WithoutCatalog = !w.isCatalogSource(address)
+			r.WithoutCatalog, r.NotifiedCatalogVersion = w.fetchesFrom(vm)
 		}
 		startedAt := w.o.Timers.Now()
 		parts.request(r, w.o.Quarantine, startedAt)
@@ -332,15 +308,29 @@
 		vm.availability, vm.markUnavailable = context.WithCancel(w.ctx)
 		klog.InfoS("Control VM responsive", "address", address, "targets", len(resp.GetTargets()), "version", resp.GetVersion())
 	}
+	if w.o.CatalogVersion != nil && vm.catalogVersion > w.o.CatalogVersion() {
+		w.catalogs.notify()
+	}
 	w.watch(resp.GetControl())
 }
 
+// fetchesFrom reports whether the document of the catalog is fetched from a control VM, instead of
+// being sent with its answers, and the version that it has named.
+func (w *Watcher) fetchesFrom(vm *controlVM) (bool, *uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if vm.sendsDocument {
+		return false, nil
+	}
+	return true, proto.Uint64(vm.catalogVersion)
+}
+
 // handleFailure records a failed watch and reports whether the control VM was removed.
 func (w *Watcher) handleFailure(address string, vm *controlVM, err error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if vm.responsive {
-		vm.responsive = false
+		vm.responsive, vm.sendsDocument = false, false
 		vm.markUnavailable()
 		klog.InfoS("Control VM doesn't answer", "address", address, "cause", err.Error())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,29 +248,44 @@
 	}
 	g.o.Quarantine.SetGateways(g.o.Retries.Members())
 	g.adoptEvacuations(w)
-	if len(w.GetCatalog()) > 0 && w.GetCatalogVersion() > g.KnownVersion() {
-		g.receive(address, w)
+	if len(w.GetCatalog()) > 0 {
+		g.receive(address, w.GetCatalogVersion(), w.GetCatalog(), w.GetConfirmed())
 	}
 	if c := g.candidate.Load(); c != nil && (w.GetConfirmed() && w.GetCatalogVersion() == c.Version() || g.startupOver()) {
 		g.install(address, c)
 	}
-	if w.GetConfirmed() && w.GetCatalogVersion() == g.CatalogVersion() {
-		at := timer.SinceBoot() - g.o.Timers.Since(began)
-		g.confirmed.Store(max(g.confirmed.Load(), int64(at)))
+	g.recordConfirmation(w.GetCatalogVersion(), w.GetConfirmed(), began)
+}
+
+// OnCatalog takes a document that was fetched, by the same rules.
+func (g *Gateway) OnCatalog(d discovery.Document, began time.Time) {
+	g.receive(d.Source(), d.Version(), d.Content(), d.Confirmed())
+	g.recordConfirmation(d.Version(), d.Confirmed(), began)
+}
+
+// recordConfirmation records when a version was confirmed as the newest, if it is in force.
+func (g *Gateway) recordConfirmation(version uint64, confirmed bool, began time.Time) {
+	if !confirmed || version != g.CatalogVersion() {
+		return
 	}
+	at := timer.SinceBoot() - g.o.Timers.Since(began)
+	g.confirmed.Store(max(g.confirmed.Load(), int64(at)))
 }
 
 func (g *Gateway) startupOver() bool { return g.sinceStart() >= startupTime }
 
 func (g *Gateway) sinceStart() time.Duration { return g.o.Timers.Since(g.startedAt) }
 
-func (g *Gateway) receive(address string, w *wire.WatchResponse) {
-	c, err := g.o.DecodeCatalog(w.GetCatalog())
+func (g *Gateway) receive(address string, version uint64, document []byte, confirmed bool) {
+	if version <= g.KnownVersion() {
+		return
+	}
+	c, err := g.o.DecodeCatalog(document)
 	if err != nil {
-		klog.ErrorS(err, "Catalog not readable", "version", w.GetCatalogVersion(), "from", address)
+		klog.ErrorS(err, "Catalog not readable", "version", version, "from", address)
 		return
 	}
-	if g.catalog.Load() != nil || w.GetConfirmed() || g.startupOver() {
+	if g.catalog.Load() != nil || confirmed || g.startupOver() {
 		g.install(address, c)
 		return
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -96,6 +96,7 @@
 	follower := discovery.NewWatcher(discovery.WatcherOptions{
 		Timers: t, HTTP: client, Process: o.Name, Seeds: o.Seeds, Table: table, Quarantine: parts, Limits: limits, Evacuations: evacuations, Warmups: warmups, Speeds: speeds,
 		CatalogVersion: func() uint64 { return g.KnownVersion() },
+		OnCatalog:      func(d discovery.Document, began time.Time) { g.OnCatalog(d, began) },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
 	g = gateway.New(gateway.Options{
