quarantine: Keep records of whole requests that crash targets

Sound callers of the service found no worker meanwhile.

Cause: only shared parts of prompts were evidence of a crash, so that a request without a prompt left none.

Change: the content of a request has a digest with a record like a part, for all services. A request is at one target after the other, so that its crashes count also within 200 ms of each other, unless it was answered in the minute before. Parts are judged first and as before, and a request explains no crashes of parts, so that the blame for a part doesn't turn round; only a part all of whose crashes came with one such request isn't blocked. Records of requests have bounds of their own.

One test built an exchange without its HTTP request, which is part of the digest now; its checks are the same. Two tests follow renamed fields.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"io"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +28,8 @@
 	// survivalTime is the time after its first event for which a stream has to go on until its
 	// engine has survived the beginning of its answer.
 	survivalTime = 300 * time.Millisecond
+	// digestSize is the size in bytes of the digest of a request.
+	digestSize = 16
 )
 
 // crashDetector finds out which requests an engine had in hand when it crashed. A lost
@@ -40,10 +45,10 @@
 	return &crashDetector{g: g, pending: map[string]map[quarantine.Part]bool{}}
 }
 
-// recordBroken records that an engine ended the connection of a request whose answer had not
+// recordBroken records that a target ended the connection of a request whose answer had not
 // begun, or only just.
-func (d *crashDetector) recordBroken(c routing.Choice, prompt []PromptPart, cause error) {
-	if len(prompt) < 2 || !isConnectionLost(cause) || d.g.o.Table.HasLeft(c.Target, bornMs(c)) {
+func (d *crashDetector) recordBroken(c routing.Choice, evidence []quarantine.Part, cause error) {
+	if !isConnectionLost(cause) || d.g.o.Table.HasLeft(c.Target, bornMs(c)) {
 		return
 	}
 	engine := c.Target + "/" + c.Incarnation
@@ -59,9 +64,8 @@
 		at := d.g.o.Timers.Now()
 		d.g.wg.Go(func() { d.check(engine, c, at) })
 	}
-	// The last part belongs to the request alone.
-	for i, p := range prompt[:len(prompt)-1] {
-		parts[quarantine.NewPart(p.ID, i)] = true
+	for _, p := range evidence {
+		parts[p] = true
 	}
 }
 
@@ -104,43 +108,79 @@
 	d.g.o.Quarantine.RecordCrash(engine, list, at, d.g.o.Timers.Now())
 }
 
-// sharedParts returns the ids of the parts of a prompt that other requests may share.
-func sharedParts(prompt []PromptPart) []string {
-	if len(prompt) < 2 {
-		return nil
+// evidence returns what a crash is held against: the parts of the prompt that other requests may
+// share, and the request itself, which may come again.
+func (x *exchange) evidence() []quarantine.Part {
+	if x.parts != nil {
+		return x.parts
 	}
-	ids := make([]string, len(prompt)-1)
-	for i := range ids {
-		ids[i] = prompt[i].ID
+	// The last part belongs to the request alone.
+	for i := range len(x.r.Prompt) - 1 {
+		x.parts = append(x.parts, quarantine.NewPart(x.r.Prompt[i].ID, i))
 	}
-	return ids
+	x.parts = append(x.parts, quarantine.NewRequest(x.digest()))
+	return x.parts
 }
 
-// refuseBlocked refuses a request with a part that crashes engines. It reports whether it has
-// done so.
+// digest identifies the content of the request: two with the same one run alike.
+func (x *exchange) digest() string {
+	h := sha256.New()
+	for _, s := range []string{x.customer, x.in.Method, strings.ToLower(x.in.Host), x.in.RequestURI, promptIDs(x.r.Prompt)} {
+		_, _ = io.WriteString(h, strconv.Itoa(len(s))+":"+s)
+	}
+	_, _ = h.Write(x.body)
+	return hex.EncodeToString(h.Sum(nil)[:digestSize])
+}
+
+// ids returns the ids of parts.
+func ids(parts []quarantine.Part) []string {
+	list := make([]string, len(parts))
+	for i, p := range parts {
+		list[i] = p.ID()
+	}
+	return list
+}
+
+// refuseBlocked refuses a request that crashes targets, or one with a part that crashes engines. It
+// reports whether it has done so.
 func (x *exchange) refuseBlocked() bool {
 	if x.trial {
 		return false
 	}
-	v := x.g.o.Quarantine.Check(sharedParts(x.r.Prompt), x.g.o.Timers.Now())
+	v := x.g.o.Quarantine.Check(ids(x.evidence()), x.g.o.Timers.Now())
 	x.trial = v.Trial()
 	if x.trial {
 		klog.InfoS("Request tries a blocked part", "request", x.r.ID, "part", v.Part(), "suspects", v.Others())
 	}
 	if v.Blocked() {
-		x.lastErr = "prompt part " + strings.Join(append([]string{v.Part()}, v.Others()...), " or ")
-		x.refuse("part_crashes_engines", v.RetryAfter())
+		reason, what := "part_crashes_engines", "prompt part "
+		if quarantine.IsRequest(v.Part()) {
+			reason, what = "request_crashes_targets", ""
+		}
+		x.lastErr = what + strings.Join(append([]string{v.Part()}, v.Others()...), " or ")
+		x.refuse(reason, v.RetryAfter())
 	}
 	return v.Blocked()
 }
 
-// recordBegun records that an engine has survived the beginning of the answer.
+// suspectedReason returns the reason why a request isn't sent to another target after a crash, or "".
+func (x *exchange) suspectedReason() string {
+	all, now := ids(x.evidence()), x.g.o.Timers.Now()
+	last := len(all) - 1
+	switch {
+	case x.g.o.Quarantine.Suspected(all[:last], now):
+		return "part_may_crash_engines"
+	case x.g.o.Quarantine.Suspected(all[last:], now):
+		return "request_may_crash_targets"
+	}
+	return ""
+}
+
+// recordBegun records that a target has survived the beginning of the answer.
 func (x *exchange) recordBegun() {
 	if x.survived {
 		return
 	}
 	x.survived = true
-	if ids := sharedParts(x.r.Prompt); len(ids) > 0 {
-		x.g.o.Quarantine.RecordBegun(ids, x.g.o.Timers.Now())
-	}
+	x.g.o.Quarantine.RecordBegun(ids(x.evidence()), x.g.o.Timers.Now())
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -27,7 +27,7 @@
 		m := metrics.New("test")
 		g := New(Options{Timers: timer.NewService(), Quarantine: q, Metrics: m, Codec: plainCodec{}})
 		request := func() *exchange {
-			return &exchange{g: g, w: httptest.NewRecorder(), r: &Request{Prompt: []PromptPart{{ID: "p"}, {ID: "own"}}}}
+			return &exchange{g: g, w: httptest.NewRecorder(), in: httptest.NewRequest(http.MethodPost, "/", nil), r: &Request{Prompt: []PromptPart{{ID: "p"}, {ID: "own"}}}}
 		}
 		require.True(t, request().refuseBlocked())
 		time.Sleep(2 * time.Minute)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -85,7 +85,7 @@
 		pool.Finish(choice, routing.Failure{}, now)
 		x.logBrokenAttempt(choice)
 		if !x.survived {
-			x.g.crashes.recordBroken(choice, x.r.Prompt, err)
+			x.g.crashes.recordBroken(choice, x.evidence(), err)
 		}
 	}
 	return x.brokenStream(ctx)
@@ -125,7 +125,7 @@
 		x.lastErr = err.Error()
 		pool.Finish(choice, routing.Failure{}, now)
 		x.logBrokenAttempt(choice)
-		x.g.crashes.recordBroken(choice, x.r.Prompt, err)
+		x.g.crashes.recordBroken(choice, x.evidence(), err)
 		return mayHaveRun
 	}
 	x.sendHeader(resp)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -144,8 +144,8 @@
 	case ran && x.ran >= x.route.MaxAttempts():
 		x.fail(http.StatusBadGateway, "attempts_spent")
 		return false
-	case ran && x.g.o.Quarantine.Suspected(sharedParts(x.r.Prompt), x.g.o.Timers.Now()):
-		x.fail(http.StatusBadGateway, "part_may_crash_engines")
+	case ran && x.suspectedReason() != "":
+		x.fail(http.StatusBadGateway, x.suspectedReason())
 		return false
 	case len(x.tried) >= maxChoices:
 		x.refuse("no_other_target", x.g.targetRetry(x.service))
@@ -280,7 +280,7 @@
 		pool.Finish(choice, routing.Failure{}, now)
 		x.g.o.Upstream.CloseIdle(choice.Address)
 		x.logBrokenAttempt(choice)
-		x.g.crashes.recordBroken(choice, x.r.Prompt, err)
+		x.g.crashes.recordBroken(choice, x.evidence(), err)
 	}
 	if !sent {
 		pool.ReturnPlace(choice, now)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/eventstream"
+	"github.com/cardamomline/cardamomline/internal/quarantine"
 )
 
 const (
@@ -67,7 +68,8 @@
 	survived     bool
 	// position is how far the stream that was passed on has come.
 	position eventstream.Position
-	trial    bool // the request is let through although it has a blocked part
+	trial    bool              // the request is let through although it has a blocked part
+	parts    []quarantine.Part // what a crash is held against
 	reason   string
 	stagesT  time.Duration
 	firstT   time.Duration // until the answer began; 0 when it didn't
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -130,6 +130,11 @@
 		if c.Blocked() {
 			reason = "blocked"
 		}
+		if quarantine.IsRequest(c.Part()) {
+			klog.InfoS("Request "+reason, "part", c.Part(), "crashes", c.Crashes(), "suspects", c.Others())
+			m.CountReason("quarantined_requests", reason)
+			return
+		}
 		klog.InfoS("Prompt part "+reason, "part", c.Part(), "crashes", c.Crashes(), "suspects", c.Others())
 		m.CountReason("prompt_parts", reason)
 	})
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -1,5 +1,5 @@
-// Package quarantine finds the parts of prompts that crash engines, and keeps requests with
-// such a part away from them.
+// Package quarantine finds the parts of prompts that crash engines, and whole requests that crash
+// the targets of any service, and keeps such requests away from them.
 //
 // An engine that crashes ends all requests that it has in hand. Each gateway records which
 // parts the prompts had whose answers had not begun, and which parts were in prompts whose
@@ -9,6 +9,10 @@
 // with the same crashes are suspects: only requests with all of them are refused, and a few with
 // some of them are let through, until one of these has shown which part is the cause.
 //
+// A request that comes again with the same content is the same one. It has a record like a part.
+// Its crashes don't explain those of the parts that it has, because other requests may have crashed
+// on them as well; but a part that has crashed engines in this one request only isn't blocked.
+//
 // Processes exchange their records by watches. Merging is commutative, and each process judges
 // by what it has. A Register uses neither network nor clock.
 //
@@ -28,6 +32,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -50,12 +55,14 @@
 	// firstTrial is the time after the newest crash after which one request with a blocked
 	// part is let through. It doubles with each crash since the part was blocked.
 	firstTrial = time.Minute
+	// firstRequestTrial is the same for a whole request.
+	firstRequestTrial = 4 * time.Minute
 	// trialTime is the time in which the answer of such a request begins or its engine crashes.
 	trialTime = 20 * time.Second
 	// retention is how long a crash is held against a part.
 	retention = 30 * time.Minute
-	// maxCrashes bounds the crashes kept for a part, maxRecords the parts with crashes, and
-	// maxKnown the parts known to be sound, twice.
+	// maxCrashes bounds the crashes kept for a part. maxRecords bounds the parts with crashes and the
+	// requests with crashes, and maxKnown those known to be sound, twice.
 	maxCrashes = 16
 	maxRecords = 1024
 	maxKnown   = 4096
@@ -63,12 +70,23 @@
 	maxExchanged = 256
 )
 
-// Part is a part of a prompt and its position in it.
+// requestPrefix begins the ids of whole requests. Ids of parts contain no colon.
+const requestPrefix = "request:"
+
+// Part is a part of a prompt and its position in it, or a whole request.
 type Part struct {
 	id       string
 	position int
 }
 
+// NewRequest returns the Part that stands for a whole request, by a digest of its content.
+func NewRequest(digest string) Part { return Part{id: requestPrefix + digest} }
+
+// IsRequest reports whether an id is that of a whole request.
+func IsRequest(id string) bool { return strings.HasPrefix(id, requestPrefix) }
+
+func (p Part) isRequest() bool { return IsRequest(p.id) }
+
 // NewPart returns a Part.
 func NewPart(id string, position int) Part { return Part{id: id, position: position} }
 
@@ -177,20 +195,39 @@
 
 // Register holds the records of a process. It is safe for concurrent use.
 type Register struct {
-	self         string
-	mu           sync.Mutex
-	entries      map[string]*entry
-	version      uint64
-	changed      chan struct{}
-	judgeAt      time.Time            // when the next judgement may differ without a change; zero if never
-	known, older map[string]time.Time // when an answer with a part last began here
-	onChange     func(Change)
-	gateways     int // that judge requests
+	self            string
+	mu              sync.Mutex
+	entries         map[string]*entry
+	version         uint64
+	changed         chan struct{}
+	judgeAt         time.Time // when the next judgement may differ without a change; zero if never
+	parts, requests begun     // known to be sound
+	onChange        func(Change)
+	gateways        int // that judge requests
+}
+
+// begun holds when answers with parts last began here.
+type begun struct {
+	newest, older map[string]time.Time
+}
+
+func (b *begun) record(id string, at time.Time) {
+	if b.newest == nil || len(b.newest) >= maxKnown {
+		b.newest, b.older = map[string]time.Time{}, b.newest
+	}
+	b.newest[id] = at
+}
+
+func (b *begun) at(id string) time.Time {
+	if at, ok := b.newest[id]; ok {
+		return at
+	}
+	return b.older[id]
 }
 
 // NewRegister returns an empty Register of the named process.
 func NewRegister(self string) *Register {
-	return &Register{self: self, entries: map[string]*entry{}, changed: make(chan struct{}), known: map[string]time.Time{}, onChange: func(Change) {}}
+	return &Register{self: self, entries: map[string]*entry{}, changed: make(chan struct{}), onChange: func(Change) {}}
 }
 
 // OnChange sets the function that is called when a part is blocked or no longer blocked, or when
@@ -227,10 +264,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range ids {
-		if len(q.known) >= maxKnown {
-			q.known, q.older = map[string]time.Time{}, q.known
-		}
-		q.known[id] = now
+		q.begunOf(id).record(id, now)
 		if e := q.entries[id]; e != nil && len(q.counted(e, nil, now)) > 0 {
 			q.clear(e, now)
 		}
@@ -265,14 +299,16 @@
 	}
 }
 
-// knownAt returns when an answer with a part last began here.
-func (q *Register) knownAt(id string) time.Time {
-	if at, ok := q.known[id]; ok {
-		return at
+func (q *Register) begunOf(id string) *begun {
+	if IsRequest(id) {
+		return &q.requests
 	}
-	return q.older[id]
+	return &q.parts
 }
 
+// knownAt returns when an answer with a part last began here.
+func (q *Register) knownAt(id string) time.Time { return q.begunOf(id).at(id) }
+
 // Merge merges the records of another process.
 func (q *Register) Merge(records []Record, now time.Time) {
 	q.mu.Lock()
@@ -298,7 +334,7 @@
 func (q *Register) merge(r Record, now time.Time) bool {
 	e := q.entries[r.part.id]
 	if e == nil {
-		q.makeRoom(now)
+		q.makeRoom(r.part.isRequest(), now)
 		e = &entry{Record: Record{part: r.part}}
 		q.entries[r.part.id] = e
 	}
@@ -331,24 +367,36 @@
 	q.changed = make(chan struct{})
 }
 
-// makeRoom drops the records of crashes that are no longer held against a part and, if that
-// isn't enough, the part whose last crash is the oldest one.
-func (q *Register) makeRoom(now time.Time) {
-	if len(q.entries) < maxRecords {
+// makeRoom drops the records of parts, or of requests, whose crashes are no longer held against them
+// and, if that isn't enough, the one whose last crash is the oldest one.
+func (q *Register) makeRoom(requests bool, now time.Time) {
+	size := 0
+	for _, e := range q.entries {
+		if e.part.isRequest() == requests {
+			size++
+		}
+	}
+	if size < maxRecords {
 		return
 	}
-	maps.DeleteFunc(q.entries, func(_ string, e *entry) bool { return e.blockedAt.IsZero() && len(q.counted(e, nil, now)) == 0 })
-	if len(q.entries) < maxRecords {
+	maps.DeleteFunc(q.entries, func(_ string, e *entry) bool {
+		drop := e.part.isRequest() == requests && e.blockedAt.IsZero() && len(q.counted(e, nil, now)) == 0
+		if drop {
+			size--
+		}
+		return drop
+	})
+	if size < maxRecords {
 		return
 	}
-	oldest := ""
-	for id, e := range q.entries {
-		if o := q.entries[oldest]; o == nil || cmp.Or(e.blockedAt.Compare(o.blockedAt), e.newest().Compare(o.newest())) < 0 {
-			oldest = id
+	var oldest *entry
+	for _, e := range q.entries {
+		if e.part.isRequest() == requests && (oldest == nil || cmp.Or(e.blockedAt.Compare(oldest.blockedAt), e.newest().Compare(oldest.newest())) < 0) {
+			oldest = e
 		}
 	}
-	q.unblock(q.entries[oldest])
-	delete(q.entries, oldest)
+	q.unblock(oldest)
+	delete(q.entries, oldest.part.id)
 }
 
 // newest returns the time of the newest crash.
@@ -378,8 +426,12 @@
 
 // attributed returns the crashes of a group within commonCauseTime that are held against a part:
 // all if the part is likely their cause, because there are many, no answer with it has begun lately,
-// and no other engine crashed at that time; else the first one. q.mu is held.
+// and no other engine crashed at that time; else the first one. A request is at one engine after the
+// other, so that all count against one without a known answer. q.mu is held.
 func (q *Register) attributed(e *entry, group []Crash) []Crash {
+	if e.part.isRequest() && len(group) > 0 && !e.isKnown(group[0].at) {
+		return group
+	}
 	if len(group) < crashesOfKnown || e.isKnown(group[0].at) || q.othersCrashed(group) {
 		return group[:min(len(group), 1)]
 	}
@@ -417,37 +469,62 @@
 		}
 	}
 	q.separate(now)
-	for _, e := range q.entries {
-		if !e.blockedAt.IsZero() {
-			explain(explained, e)
-			q.judgeBy(e.newest().Add(retention))
-		}
-	}
-	for {
-		var best *entry
-		var crashes []Crash
+	for _, requests := range []bool{false, true} {
 		for _, e := range q.entries {
-			if !e.blockedAt.IsZero() {
-				continue
+			if !e.blockedAt.IsZero() && e.part.isRequest() == requests {
+				explain(explained, e)
+				q.judgeBy(e.newest().Add(retention))
 			}
-			c := q.counted(e, explained, now)
-			if !e.suffices(c, now) {
-				if len(c) >= crashesToBlock && now.Sub(c[0].at) < judgeDelay {
-					q.judgeBy(c[0].at.Add(judgeDelay))
-				}
-				continue
+		}
+		for {
+			best, crashes := q.mostLikely(requests, explained, now)
+			if best == nil {
+				break
 			}
-			if best == nil || moreLikely(e, c, best, crashes) {
-				best, crashes = e, c
+			q.block(best, crashes, explained, now)
+			explain(explained, best)
+			q.judgeBy(best.newest().Add(retention))
+		}
+	}
+}
+
+// mostLikely returns the most likely cause of crashes among the parts, or the requests, that aren't
+// blocked, with its crashes; nil if none has enough. q.mu is held.
+func (q *Register) mostLikely(requests bool, explained map[string]bool, now time.Time) (best *entry, crashes []Crash) {
+	for _, e := range q.entries {
+		if !e.blockedAt.IsZero() || e.part.isRequest() != requests || len(e.crashes) < crashesToBlock {
+			continue
+		}
+		c := q.counted(e, explained, now)
+		if !e.suffices(c, now) {
+			if len(c) >= crashesToBlock && now.Sub(c[0].at) < judgeDelay {
+				q.judgeBy(c[0].at.Add(judgeDelay))
 			}
+			continue
 		}
-		if best == nil {
-			return
+		if (best == nil || moreLikely(e, c, best, crashes)) && (requests || !q.crashedInOneRequest(e, now)) {
+			best, crashes = e, c
 		}
-		q.block(best, crashes, explained, now)
-		explain(explained, best)
-		q.judgeBy(best.newest().Add(retention))
 	}
+	return best, crashes
+}
+
+// crashedInOneRequest reports whether one request, which may be the cause, has all crashes of a
+// part; q.mu is held.
+func (q *Register) crashedInOneRequest(part *entry, now time.Time) bool {
+	for _, e := range q.entries {
+		if !e.part.isRequest() || len(e.crashes) < crashesToBlock || slices.ContainsFunc(part.crashes, func(c Crash) bool { return c.at.After(part.begunAt) && !e.hasEngine(c.engine) }) {
+			continue
+		}
+		if !e.blockedAt.IsZero() || e.suffices(q.counted(e, nil, now), now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) hasEngine(engine string) bool {
+	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.engine == engine })
 }
 
 // block blocks a part, together with those that may as well be the cause of its crashes.
@@ -455,7 +532,7 @@
 	var list []*entry
 	engines := enginesOf(crashes)
 	for _, e := range q.entries {
-		if !e.blockedAt.IsZero() {
+		if !e.blockedAt.IsZero() || e.part.isRequest() != best.part.isRequest() {
 			continue
 		}
 		c := q.counted(e, explained, now)
@@ -553,6 +630,9 @@
 // trialAt returns when a request with a blocked part is let through.
 func (e *entry) trialAt() time.Time {
 	wait := firstTrial
+	if e.part.isRequest() {
+		wait = firstRequestTrial
+	}
 	for _, c := range e.crashes {
 		if c.at.After(e.blockedAt.Add(firstTrial / 2)) {
 			wait *= 2
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -48,7 +49,8 @@
 	downUntil   []time.Time
 	running     []*prompt
 	crashes     int
-	fifthAt     time.Time
+	boundAfter  int       // crashes after which the users' bound begins; 0 for 5
+	boundAt     time.Time // the last one of these
 	lateSends   int
 	sound       [2]int // sound requests with the first part of the deadly ones: sent, blocked
 	restartVM   bool
@@ -87,7 +89,10 @@
 		}
 		p.engine = (p.engine + 1) % len(d.incarnation)
 	}
-	if deadly && !d.fifthAt.IsZero() && d.now.Sub(d.fifthAt) > contactTime {
+	if !d.now.After(d.downUntil[p.engine]) {
+		return false // no engine is up
+	}
+	if deadly && !d.boundAt.IsZero() && d.now.Sub(d.boundAt) > contactTime {
 		d.lateSends++
 	}
 	p.beginAt = d.now.Add(time.Duration(80+d.rng.IntN(400)) * time.Millisecond)
@@ -95,7 +100,7 @@
 	return false
 }
 
-// contactTime is the users' bound after the fifth crash.
+// contactTime is the users' bound after the fifth crash, or the third one of a request.
 const contactTime = 3 * time.Second
 
 // crash ends an engine: each gateway records the requests without an answer.
@@ -144,8 +149,8 @@
 			continue
 		}
 		d.crash(engine)
-		if d.crashes++; d.crashes == 5 {
-			d.fifthAt = d.now
+		if d.crashes++; d.crashes == cmp.Or(d.boundAfter, 5) {
+			d.boundAt = d.now
 		}
 	}
 	for g, q := range d.gateways {
@@ -253,7 +258,7 @@
 						// No sound request distinguishes the parts before the first crashes.
 						if n > 500 && c.sound != nil && d.rng.Float64() < rate*dt.Seconds()*float64(max(size.gateways/3, 1)) {
 							refused := d.arrive(c.sound(n), false)
-							if !d.fifthAt.IsZero() && d.now.Sub(d.fifthAt) > 2*contactTime || d.fifthAt.IsZero() && n > 1000 {
+							if !d.boundAt.IsZero() && d.now.Sub(d.boundAt) > 2*contactTime || d.boundAt.IsZero() && n > 1000 {
 								sent++
 								if refused {
 									blocked++
@@ -321,7 +326,7 @@
 		q.RecordBegun([]string{fmt.Sprint("sound-", n)}, now)
 	}
 	require.LessOrEqual(t, len(q.entries), maxRecords)
-	require.LessOrEqual(t, len(q.known)+len(q.older), 2*maxKnown)
+	require.LessOrEqual(t, len(q.parts.newest)+len(q.parts.older), 2*maxKnown)
 	require.True(t, q.Check([]string{"deadly"}, epochStart.Add(3*maxRecords*time.Second)).Blocked())
 	records, version := q.ChangesSince(0)
 	require.Len(t, records, maxExchanged)
@@ -338,6 +343,78 @@
 	return list
 }
 
+// Guards against a request that crashes each target that runs it and comes again at any gateway: it
+// reaches more targets after the time in which gateways learn of the third crash. Guards also against
+// other requests that are refused: unique ones, one that comes as often, and prompts whose parts the
+// deadly request has. Few and many gateways and targets; other targets crash, alone and all at once.
+func TestDeadlyRequestIsBlockedAndSoundOnesAreNot(t *testing.T) {
+	const allowed = 3 // users' bound
+	for _, c := range []struct{ gateways, targets, seeds int }{{1, 3, 10}, {3, 3, 10}, {12, 10, 5}, {103, 60, 1}} {
+		for _, prompt := range [][]string{nil, {"first", "document"}} {
+			t.Run(fmt.Sprint(c.gateways, " gateways, parts ", prompt), func(t *testing.T) {
+				for seed := range c.seeds {
+					d := newDeployment(uint64(seed), c.gateways, 3, c.targets)
+					d.boundAfter = 3
+					request := func(id string) []string { return append(slices.Clone(prompt), requestPrefix+id) }
+					var sent, blocked [3]int
+					count := func(kind int, refused bool) {
+						sent[kind]++
+						if refused {
+							blocked[kind]++
+						}
+					}
+					for n := range 5000 {
+						if d.now.Sub(epochStart) > 5*time.Second && d.rng.Float64() < 0.04 {
+							d.arrive(request("deadly"), true)
+						}
+						if d.rng.Float64() < 0.3 {
+							count(0, d.arrive(request(fmt.Sprint("unique-", d.rng.Uint64())), false))
+						}
+						if d.rng.Float64() < 0.04 {
+							count(1, d.arrive(request("often"), false))
+						}
+						if prompt != nil && d.rng.Float64() < 0.04 {
+							count(2, d.arrive([]string{"first", "document", requestPrefix + fmt.Sprint(d.rng.Uint64())}, false))
+						}
+						if n%1500 == 700 {
+							d.crash(d.rng.IntN(c.targets))
+						}
+						if n == 2500 {
+							for target := range c.targets {
+								d.crash(target)
+							}
+						}
+						d.step(10 * time.Millisecond)
+					}
+					require.GreaterOrEqual(t, d.crashes, 3)
+					require.LessOrEqual(t, d.lateSends, allowed, "seed %d", seed)
+					for kind := range sent {
+						require.LessOrEqual(t, blocked[kind], sent[kind]/20, "kind %d, seed %d", kind, seed)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a register that one crash of many requests fills, so that it forgets the parts that
+// crash engines.
+func TestRequestsLeaveRoomForParts(t *testing.T) {
+	q, now := NewRegister("a"), epochStart
+	for n := range 3 {
+		now = now.Add(time.Second)
+		q.RecordCrash(fmt.Sprint("engine-", n), []Part{NewPart("deadly", 1)}, now, now)
+	}
+	for n := range 2 * maxRecords {
+		at := now.Add(time.Duration(n) * time.Millisecond)
+		q.RecordCrash(fmt.Sprint("target-", n), []Part{NewRequest(fmt.Sprint(n))}, at, at)
+		q.RecordBegun([]string{requestPrefix + fmt.Sprint("sound-", n)}, at)
+	}
+	require.LessOrEqual(t, len(q.entries), maxRecords+1)
+	require.LessOrEqual(t, len(q.requests.newest)+len(q.requests.older), 2*maxKnown)
+	require.True(t, q.Check([]string{"deadly"}, now.Add(10*time.Second)).Blocked())
+}
+
 // Guards against a block that never ends, one that ends for all gateways and requests at once,
 // and trials that come too often: the gateway that saw the newest crash lets one request through,
 // later each time, and an answer or an operator ends the block everywhere.
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -75,7 +75,7 @@
 	for set, members := range sets {
 		explained := map[string]bool{}
 		for _, e := range q.entries {
-			if !e.blockedAt.IsZero() && e.suspects != set {
+			if !e.blockedAt.IsZero() && e.suspects != set && (members[0].part.isRequest() || !e.part.isRequest()) {
 				explain(explained, e)
 			}
 		}
