discovery: Keep what a target says before it is announced

Cause: what a target says in an answer is kept under the incarnation that the gateway knew, and was dropped with it.

Change: each statement keeps its time, and what was said since the start of the next incarnation is kept for it.

--- a/internal/discovery/notice.go
+++ b/internal/discovery/notice.go
@@ -48,15 +48,45 @@
 	bornMs int64
 }
 
-// standing is what an incarnation has said in its answers so far.
+// clockTolerance is the difference of the clocks of a target and of this process up to which a
+// notice that seems to be older than an incarnation may be its own.
+const clockTolerance = time.Second
+
+// standing is what an incarnation has said in its answers so far, and when.
 type standing struct {
 	leaving     bool
+	leavingAt   time.Time
 	pausedUntil time.Time
+	pausedAt    time.Time
 	receivedAt  time.Time
 }
 
+// since returns what was said since a time.
+func (s standing) since(at time.Time) standing {
+	if s.leavingAt.Before(at) {
+		s.leaving, s.leavingAt = false, time.Time{}
+	}
+	if s.pausedAt.Before(at) {
+		s.pausedUntil, s.pausedAt = time.Time{}, time.Time{}
+	}
+	return s
+}
+
+// merge returns what either says.
+func (s standing) merge(o standing) standing {
+	if o.leaving && !s.leaving {
+		s.leaving, s.leavingAt = true, o.leavingAt
+	}
+	if o.pausedUntil.After(s.pausedUntil) {
+		s.pausedUntil, s.pausedAt = o.pausedUntil, o.pausedAt
+	}
+	s.receivedAt = later(s.receivedAt, o.receivedAt)
+	return s
+}
+
 // RecordNotice records what an incarnation of a target said in an answer. It holds whatever
-// the target announces afterwards, until the target starts again. RecordNotice reports whether
+// the target announces afterwards, until the target starts again. What a target that has started
+// again says before it is announced holds as well. RecordNotice reports whether
 // it changes how the target may be used.
 func (t *Table) RecordNotice(id string, bornMs int64, n Notice, now time.Time) bool {
 	if n.IsEmpty() {
@@ -69,10 +99,14 @@
 	if !known {
 		t.dropNotices(now)
 	}
-	after := standing{leaving: before.leaving || n.leaving, pausedUntil: before.pausedUntil, receivedAt: now}
-	if until := now.Add(n.pause); n.pause > 0 && until.After(after.pausedUntil) {
-		after.pausedUntil = until
+	said := standing{receivedAt: now}
+	if n.leaving {
+		said.leaving, said.leavingAt = true, now
 	}
+	if n.pause > 0 {
+		said.pausedUntil, said.pausedAt = now.Add(n.pause), now
+	}
+	after := before.merge(said)
 	t.notices[key] = after
 	if after.leaving == before.leaving && after.pausedUntil.Equal(before.pausedUntil) {
 		return false
@@ -82,6 +116,19 @@
 	return true
 }
 
+// keepNotices keeps what the next incarnation of a target has said before its first announcement
+// arrived here; t.mu is held. Its answers were recorded for the one that was known.
+func (t *Table) keepNotices(id string, bornMs, nextBornMs int64) {
+	s, ok := t.notices[incarnation{id: id, bornMs: bornMs}]
+	if !ok {
+		return
+	}
+	next := incarnation{id: id, bornMs: nextBornMs}
+	if s = t.notices[next].merge(s.since(time.UnixMilli(nextBornMs).Add(-clockTolerance))); s.leaving || !s.pausedUntil.IsZero() {
+		t.notices[next] = s
+	}
+}
+
 // PauseLeft returns the time for which a target still takes no requests from this process; 0
 // if it takes them.
 func (t *Table) PauseLeft(id string, now time.Time) time.Duration {
