batching: Rank queued jobs without locks

Cause: one control VM collects the pieces of stages. What it did for an arrival grew with its queue: all queued jobs were ranked, with several locks for each later stage of each job, and compared by their ids. Once a burst exceeded its processor the queue fed itself.

A profile from outside has half of the time in the scheduler.

Change: a view of a load without a lock is made once after each change; ids are compared only if the rest is equal; with more than 64 queued jobs the capacity is estimated every 20 ms; the order at a target is merged from sorted lists. Decisions stay the same except for the age of the capacity.

--- a/internal/batching/capacity.go
+++ b/internal/batching/capacity.go
@@ -91,8 +91,12 @@
 }
 
 func (s *Scheduler) estimateCapacity(now time.Time) capacityEstimate {
-	rate := s.rate(now)
-	return capacityEstimate{rate: rate, late: max(rate-s.arrivalRate(now), minLateShare*rate), free: s.nextFree(now)}
+	if age := now.Sub(s.estimatedAt); len(s.jobs) <= maxExactQueue || age < 0 || age >= estimateAge {
+		rate := s.rate(now)
+		s.estimate = capacityEstimate{rate: rate, late: max(rate-s.arrivalRate(now), minLateShare*rate), free: s.nextFree(now)}
+		s.estimatedAt = now
+	}
+	return s.estimate
 }
 
 // queueAhead is the work ahead of a job in queue order.
@@ -227,4 +231,5 @@
 			l.waiting[j.rank()] += len(j.queue)
 		}
 	}
+	l.view.Store(nil)
 }
--- a/internal/batching/fairness.go
+++ b/internal/batching/fairness.go
@@ -18,7 +18,7 @@
 type fairShares struct {
 	until  time.Time // on before
 	rate   float64   // pieces per second of the service
-	queues map[int]*fairQueue
+	queues [ranks]*fairQueue
 }
 
 // isOn reports whether customers are treated fairly.
@@ -27,7 +27,7 @@
 // recordRejection turns fair shares on, or keeps them on.
 func (f *fairShares) recordRejection(now time.Time) {
 	if !f.isOn(now) {
-		f.queues = map[int]*fairQueue{}
+		f.queues = [ranks]*fairQueue{}
 	}
 	f.until = now.Add(fairHold)
 }
@@ -49,7 +49,7 @@
 // started as many pieces as are ahead of the job in its own customer's queue.
 func (f *fairShares) delay(j *Job, now time.Time) time.Duration {
 	q := j.fairQueue
-	if q == nil || len(q.customers) < 2 || f.rate <= 0 || !f.isOn(now) || q != f.queues[j.rank()] {
+	if q == nil || !f.isOn(now) || len(q.customers) < 2 || f.rate <= 0 || q != f.queues[j.rank()] {
 		return 0
 	}
 	ahead := max(j.startTag-q.virtualTime, 0) * float64(len(q.customers))
--- a/internal/batching/job.go
+++ b/internal/batching/job.go
@@ -166,7 +166,10 @@
 func before(a, b *Job) bool { return compareJobs(a, b) < 0 }
 
 func compareJobs(a, b *Job) int {
-	return cmp.Or(cmp.Compare(a.startedRank(), b.startedRank()), cmp.Compare(a.group, b.group), a.sortTime.Compare(b.sortTime), cmp.Compare(a.RequestID, b.RequestID), cmp.Compare(a.Stage, b.Stage))
+	if c := cmp.Or(cmp.Compare(a.startedRank(), b.startedRank()), cmp.Compare(a.group, b.group), a.sortTime.Compare(b.sortTime)); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.RequestID, b.RequestID), cmp.Compare(a.Stage, b.Stage))
 }
 
 // rank returns the job's priority rank, limited to those that a Load distinguishes.
--- a/internal/batching/load.go
+++ b/internal/batching/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,57 +33,75 @@
 	// upcoming counts the pieces of requests that have started an earlier stage, by rank
 	// and by the number of stages in between.
 	upcoming [ranks][maxHops]int
+	// view is what the fields above come to; nil after a change. It is read for each job of a
+	// queue, many times between two changes.
+	view atomic.Pointer[loadView]
+}
+
+// loadView is a Load at one moment.
+type loadView struct {
+	throughput     float64
+	lateThroughput float64
+	fullCall       time.Duration
+	backlog        time.Duration
+	// ahead counts the pieces that are ahead of a job by its rank and by the number of stages from
+	// which it comes: the queue and the pieces that arrive from no more stages away.
+	ahead [ranks][maxHops]int
 }
 
 // NewLoad returns the Load of a service about which nothing is known.
 func NewLoad() *Load { return &Load{} }
 
-// waitAfter estimates how long a job of a rank waits that arrives after a time. Ahead
-// of it are the queue and the pieces that arrive from no more stages away.
-func (l *Load) waitAfter(d time.Duration, rank, hop int) time.Duration {
+// current returns the Load as it is now.
+func (l *Load) current() *loadView {
+	if v := l.view.Load(); v != nil {
+		return v
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.throughput <= 0 {
-		return minWait
-	}
-	ahead := 0
-	for r := range min(rank+1+rankTolerance, ranks) {
-		ahead += l.waiting[r]
-		for h := range hop + 1 {
-			ahead += l.upcoming[r][h]
+	v := &loadView{throughput: l.throughput, lateThroughput: l.lateThroughput, fullCall: l.fullCall, backlog: l.backlog}
+	var sum [maxHops]int // over the ranks that are ahead
+	next := 0
+	for rank := range ranks {
+		for ; next < min(rank+1+rankTolerance, ranks); next++ {
+			pieces := l.waiting[next]
+			for hop := range maxHops {
+				pieces += l.upcoming[next][hop]
+				sum[hop] += pieces
+			}
 		}
+		v.ahead[rank] = sum
+	}
+	l.view.Store(v)
+	return v
+}
+
+// waitAfter estimates how long a job of a rank waits that arrives after a time.
+func (v *loadView) waitAfter(d time.Duration, rank, hop int) time.Duration {
+	if v.throughput <= 0 {
+		return minWait
 	}
-	return max(time.Duration(float64(ahead)/l.throughput*float64(time.Second))-d, minWait)
+	return max(time.Duration(float64(v.ahead[rank][hop])/v.throughput*float64(time.Second))-d, minWait)
 }
 
 // lateWait estimates how long pieces wait behind others that have missed their
 // objective as well.
 func (l *Load) lateWait(ahead int) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.lateThroughput <= 0 {
+	v := l.current()
+	if v.lateThroughput <= 0 {
 		return 0
 	}
-	return l.backlog + time.Duration(float64(ahead)/l.lateThroughput*float64(time.Second))
-}
-
-func (l *Load) callTime() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.fullCall
+	return v.backlog + time.Duration(float64(ahead)/v.lateThroughput*float64(time.Second))
 }
 
 // Backlog returns the time that the service needs for its queue.
-func (l *Load) Backlog() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.backlog
-}
+func (l *Load) Backlog() time.Duration { return l.current().backlog }
 
 func (l *Load) addUpcoming(pieces, rank, hop int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.upcoming[rank][hop] += pieces
+	l.view.Store(nil)
 }
 
 // PathStage is a later stage on the path of a request.
@@ -107,7 +126,7 @@
 func (p Path) MinDuration() time.Duration {
 	d := p.after
 	for _, s := range p.stages {
-		d += s.Load.callTime()
+		d += s.Load.current().fullCall
 	}
 	return d
 }
@@ -116,7 +135,8 @@
 func (p Path) expectedDuration(begin time.Duration, rank int) time.Duration {
 	at := begin
 	for hop, s := range p.stages {
-		at += s.Load.waitAfter(at, rank, hop) + s.Load.callTime()
+		v := s.Load.current()
+		at += v.waitAfter(at, rank, hop) + v.fullCall
 	}
 	return at - begin + p.after
 }
--- a/internal/batching/scheduler.go
+++ b/internal/batching/scheduler.go
@@ -86,6 +86,10 @@
 	// lowMemoryShare is the used share of a target's result memory above which the target
 	// counts as short of memory. A full call takes nearly half of the memory.
 	lowMemoryShare = 0.6
+	// maxExactQueue is the number of queued jobs up to which the capacity is estimated anew for each
+	// arrival. With more the estimate, which looks at all jobs and targets, is up to estimateAge old.
+	maxExactQueue = 64
+	estimateAge   = 20 * time.Millisecond
 	// checkInterval is how often the queue is checked for jobs that cannot meet their
 	// deadline.
 	checkInterval = 50 * time.Millisecond
@@ -181,6 +185,8 @@
 	// reportsAreCoarse says that reports state memory in steps too large for these targets.
 	reportsAreCoarse bool
 	seenAt           time.Time // last time passed by a caller
+	estimate         capacityEstimate
+	estimatedAt      time.Time // when estimate was made
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -199,7 +205,10 @@
 func (s *Scheduler) IsFair(now time.Time) bool { return s.fair.isOn(now) }
 
 // SetProfile replaces the service's profile.
-func (s *Scheduler) SetProfile(p catalog.BatchProfile) { s.profile = p }
+func (s *Scheduler) SetProfile(p catalog.BatchProfile) {
+	s.profile = p
+	s.estimatedAt = time.Time{}
+}
 
 // Groups of jobs, in the order in which they are served.
 const (
@@ -359,7 +368,7 @@
 
 // sort orders the jobs by rank.
 func (s *Scheduler) sort(now time.Time) {
-	s.fair.rate = s.rate(now)
+	s.fair.rate = s.estimateCapacity(now).rate
 	for _, j := range s.jobs {
 		j.group, j.sortTime = s.rank(j, now)
 	}
@@ -407,6 +416,9 @@
 	resultBytes := int64(0)
 	for _, j := range s.jobsFor(w) {
 		space := s.profile.MaxBatchSize - len(c.Pieces)
+		if space <= 0 {
+			break
+		}
 		if s.profile.ResultBytes > 0 && j.ResultBytes > 0 {
 			room := s.freeMemory(w, now)
 			if len(c.Pieces) > 0 {
@@ -450,19 +462,26 @@
 	return s.waiting >= crowdedCalls*s.profile.MaxBatchSize*len(s.order)
 }
 
-// jobsFor returns the jobs in the order in which a target runs them.
+// jobsFor returns the jobs in the order in which a target runs them. The queue is sorted.
 func (s *Scheduler) jobsFor(w *worker) []*Job {
-	at := func(j *Job) time.Time {
+	var local, remote []*Job
+	for _, j := range s.jobs {
 		if j.isRemoteAt(w.FailureDomain) {
-			return j.sortTime.Add(remoteDomainDelay)
+			remote = append(remote, j)
+		} else {
+			local = append(local, j)
+		}
+	}
+	jobs := make([]*Job, 0, len(s.jobs))
+	for len(local) > 0 && len(remote) > 0 {
+		l, r := local[0], remote[0]
+		if cmp.Or(cmp.Compare(l.startedRank(), r.startedRank()), cmp.Compare(l.group, r.group), l.sortTime.Compare(r.sortTime.Add(remoteDomainDelay))) < 0 {
+			jobs, local = append(jobs, l), local[1:]
+		} else {
+			jobs, remote = append(jobs, r), remote[1:]
 		}
-		return j.sortTime
 	}
-	jobs := slices.Clone(s.jobs)
-	slices.SortStableFunc(jobs, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(a.startedRank(), b.startedRank()), cmp.Compare(a.group, b.group), at(a).Compare(at(b)))
-	})
-	return jobs
+	return append(append(jobs, local...), remote...)
 }
 
 // Finish records the outcome of a call.
--- a/internal/batching/worker.go
+++ b/internal/batching/worker.go
@@ -140,6 +140,7 @@
 
 // SetTargets replaces the targets. Calls at removed targets continue.
 func (s *Scheduler) SetTargets(targets []Target) {
+	s.estimatedAt = time.Time{}
 	for _, w := range s.workers {
 		w.present = false
 	}
