delta: Find what is the same far back in large documents

A small change of a document of 2 MB and more made a patch as large as the whole document compressed: the fastest level of the encoder keeps too few positions of the base. No caller has seen it: no landing has patches of catalogs.

Evidence: TestPatchOfALargeDocumentIsSmall failed before (454,137 bytes of 2 MB; 1 of 500 is allowed). A trial of the levels: with 1, 2, 4 and 8 MB the fastest level makes 31, 411, 822 and 1,645 KB, this one 0.1 to 1.4 KB, in 12 to 40 MB of memory in the place of 4 to 41.

Change: the better level. Result: the test passes.

--- a/internal/delta/patch.go
+++ b/internal/delta/patch.go
@@ -20,7 +20,7 @@
 		window *= 2
 	}
 	o := []zstd.EOption{
-		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(window), zstd.WithEncoderCRC(true),
+		zstd.WithEncoderLevel(zstd.SpeedBetterCompression), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(window), zstd.WithEncoderCRC(true),
 	}
 	if len(base) >= minBaseSize {
 		o = append(o, zstd.WithEncoderDictRaw(dictionaryID, base))
--- a/internal/delta/patch_test.go
+++ b/internal/delta/patch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -38,3 +40,20 @@
 	_, err = delta.ApplyPatch(nil, patch, len(large)/2)
 	require.Error(t, err, "beyond the limit")
 }
+
+// Guards against patches of large documents that are as large as the documents, because the encoder
+// doesn't find what is the same far back.
+func TestPatchOfALargeDocumentIsSmall(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, size := range []int{256 << 10, 2 << 20, 8 << 20} {
+		var routes [][]byte
+		for n := 0; n < size; n += len(routes[0]) {
+			routes = append(routes, fmt.Appendf(nil, `{"name":"r-%016x","host":"%016x.example","backend":"orders"},`, random.Uint64(), random.Uint64()))
+		}
+		base := bytes.Join(routes, nil)
+		routes[0], routes[len(routes)/2] = []byte("version 2"), []byte("another route")
+		patch, err := delta.EncodePatch(base, bytes.Join(routes, nil))
+		require.NoError(t, err)
+		require.Less(t, len(patch), len(base)/500)
+	}
+}
