commands: Let the test of hangups run where SIGHUP is ignored

TestHangupStopsACommand waited until its timeout when it was started with nohup: a process keeps SIGHUP ignored that it inherits so, as TestIgnoredHangupStaysIgnored asks, and the test assumed that it isn't. It catches SIGHUP first now; its check is the same.

Evidence: with nohup it timed out before, and passes now; without nohup it passes.

--- a/internal/commands/role_test.go
+++ b/internal/commands/role_test.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"os"
 	"os/signal"
 	"syscall"
 	"testing"
@@ -11,6 +12,10 @@
 // Guards against requests that are cut off because SIGHUP ends a process at once, without a
 // planned stop: a terminal is closed.
 func TestHangupStopsACommand(t *testing.T) {
+	// A test that was started with nohup has inherited that SIGHUP is ignored.
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP)
+	defer signal.Stop(caught)
 	ctx, stop := untilSignal(t.Context())
 	defer stop()
 	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
