--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -220,7 +220,7 @@
 	return resp, nil
 }
 
-// progressBody tells when bytes arrive.
+// progressBody reports arriving bytes to its stallingClient.
 type progressBody struct {
 	io.ReadCloser
 	ctx      context.Context
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -397,7 +397,7 @@
 	}
 }
 
-// Guards against a register that one crash of many requests fills, so that it forgets the parts that
+// Guards against a register that one crash of many requests fills, so that it drops the parts that
 // crash engines.
 func TestRequestsLeaveRoomForParts(t *testing.T) {
 	q, now := NewRegister("a"), epochStart
