discovery: Keep only pauses that targets ask for before they are announced

Cause: what was said since the start of the next incarnation, by the target's clock, was kept for it. If that clock is behind, the statement of the process before counts, and that it leaves never ends.

Change: only pauses are kept, which end by themselves.

--- a/internal/discovery/notice.go
+++ b/internal/discovery/notice.go
@@ -49,44 +49,27 @@
 }
 
 // clockTolerance is the difference of the clocks of a target and of this process up to which a
-// notice that seems to be older than an incarnation may be its own.
+// pause that seems to be older than an incarnation may be its own.
 const clockTolerance = time.Second
 
-// standing is what an incarnation has said in its answers so far, and when.
+// standing is what an incarnation has said in its answers so far.
 type standing struct {
 	leaving     bool
-	leavingAt   time.Time
 	pausedUntil time.Time
-	pausedAt    time.Time
+	pausedAt    time.Time // when it asked for that pause
 	receivedAt  time.Time
 }
 
-// since returns what was said since a time.
-func (s standing) since(at time.Time) standing {
-	if s.leavingAt.Before(at) {
-		s.leaving, s.leavingAt = false, time.Time{}
+// pause records that the incarnation asked for a pause at a time. It doesn't shorten a longer one.
+func (s *standing) pause(at, until time.Time) {
+	if until.After(s.pausedUntil) {
+		s.pausedUntil, s.pausedAt = until, at
 	}
-	if s.pausedAt.Before(at) {
-		s.pausedUntil, s.pausedAt = time.Time{}, time.Time{}
-	}
-	return s
-}
-
-// merge returns what either says.
-func (s standing) merge(o standing) standing {
-	if o.leaving && !s.leaving {
-		s.leaving, s.leavingAt = true, o.leavingAt
-	}
-	if o.pausedUntil.After(s.pausedUntil) {
-		s.pausedUntil, s.pausedAt = o.pausedUntil, o.pausedAt
-	}
-	s.receivedAt = later(s.receivedAt, o.receivedAt)
-	return s
 }
 
 // RecordNotice records what an incarnation of a target said in an answer. It holds whatever
-// the target announces afterwards, until the target starts again. What a target that has started
-// again says before it is announced holds as well. RecordNotice reports whether
+// the target announces afterwards, until the target starts again. A pause for which a target that has
+// started again asks before it is announced holds as well. RecordNotice reports whether
 // it changes how the target may be used.
 func (t *Table) RecordNotice(id string, bornMs int64, n Notice, now time.Time) bool {
 	if n.IsEmpty() {
@@ -99,14 +82,11 @@
 	if !known {
 		t.dropNotices(now)
 	}
-	said := standing{receivedAt: now}
-	if n.leaving {
-		said.leaving, said.leavingAt = true, now
-	}
+	after := before
+	after.leaving, after.receivedAt = before.leaving || n.leaving, now
 	if n.pause > 0 {
-		said.pausedUntil, said.pausedAt = now.Add(n.pause), now
+		after.pause(now, now.Add(n.pause))
 	}
-	after := before.merge(said)
 	t.notices[key] = after
 	if after.leaving == before.leaving && after.pausedUntil.Equal(before.pausedUntil) {
 		return false
@@ -116,17 +96,20 @@
 	return true
 }
 
-// keepNotices keeps what the next incarnation of a target has said before its first announcement
-// arrived here; t.mu is held. Its answers were recorded for the one that was known.
-func (t *Table) keepNotices(id string, bornMs, nextBornMs int64) {
+// keepPause keeps the pause for which the next incarnation of a target has asked before its first
+// announcement arrived here; t.mu is held. Its answers were recorded for the one that was known.
+// That it leaves isn't kept: if its clock is behind, the one before may have said so, and the target
+// would never be used again.
+func (t *Table) keepPause(id string, bornMs, nextBornMs int64) {
 	s, ok := t.notices[incarnation{id: id, bornMs: bornMs}]
-	if !ok {
+	if !ok || s.pausedUntil.IsZero() || s.pausedAt.Before(time.UnixMilli(nextBornMs).Add(-clockTolerance)) {
 		return
 	}
-	next := incarnation{id: id, bornMs: nextBornMs}
-	if s = t.notices[next].merge(s.since(time.UnixMilli(nextBornMs).Add(-clockTolerance))); s.leaving || !s.pausedUntil.IsZero() {
-		t.notices[next] = s
-	}
+	key := incarnation{id: id, bornMs: nextBornMs}
+	next := t.notices[key]
+	next.pause(s.pausedAt, s.pausedUntil)
+	next.receivedAt = later(next.receivedAt, s.pausedAt)
+	t.notices[key] = next
 }
 
 // PauseLeft returns the time for which a target still takes no requests from this process; 0
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -229,7 +229,7 @@
 	changed := !sameState(r, e.record) || e.isColdChange(coldEnd(r, now), now)
 	if r.GetBornMs() != e.record.GetBornMs() {
 		e.firstSeen, e.lastHeard = now, time.Time{}
-		t.keepNotices(r.GetId(), e.record.GetBornMs(), r.GetBornMs())
+		t.keepPause(r.GetId(), e.record.GetBornMs(), r.GetBornMs())
 	}
 	e.setRecord(r, now)
 	if changed {
