gateway: Log the software versions of streams

The log couldn't tell whether a stream changed its software version within an answer or when its caller took it up.

"Attempt broken", "Request sent again", "Request" and "Target announced" have the version now, "Request" also what it resumes, and explain tells it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -235,7 +235,7 @@
 		return
 	}
 	klog.InfoS("Target announced", "target", r.GetId(), "service", r.GetService(), "address", r.GetAddress(),
-		"state", r.GetState().String(), "born_ms", r.GetBornMs(), "sequence", r.GetSequence())
+		"software", r.GetSoftware(), "state", r.GetState().String(), "born_ms", r.GetBornMs(), "sequence", r.GetSequence())
 	if r.GetState() != wire.TargetState_TARGET_STATE_READY {
 		d.notifyWatchers(ctx)
 	}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -26,8 +26,10 @@
 	// Pieces has the number of pieces of each stage, and PieceKey names their input.
 	Pieces   []int
 	PieceKey string
-	// ResumeAfter is the last event that the caller has, if it resumes a stream.
+	// ResumeAfter is the last event that the caller has, if it resumes a stream, and Resumes the
+	// id of the request that brought the stream's first event.
 	ResumeAfter string
+	Resumes     string
 }
 
 // PromptPart is a part of a prompt, which other requests may share.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -77,7 +77,7 @@
 			return
 		}
 		x.tried = append(x.tried, choice.Target)
-		x.target = choice.Target
+		x.target, x.software = choice.Target, choice.Software
 		v := x.attempt(ctx, pool, choice, inputs)
 		if v == answered {
 			return
@@ -156,7 +156,7 @@
 	d := x.g.o.Retries.Repeat(x.service, urgent, now)
 	x.g.o.Metrics.CountReason("repeats", repeatOutcome(d, urgent))
 	if d.Allowed {
-		klog.InfoS("Request sent again", "request", x.r.ID, "service", x.service, "after", x.target, "ran", ran, "urgent", urgent,
+		klog.InfoS("Request sent again", "request", x.r.ID, "service", x.service, "after", x.target, "software", x.software, "begun", x.started, "ran", ran, "urgent", urgent,
 			"budget_left", x.g.o.Retries.Held(x.service, now), "gateways", x.g.o.Retries.Members(), "cause", x.lastErr)
 		return true
 	}
@@ -297,7 +297,7 @@
 	if since.IsZero() {
 		since = x.began
 	}
-	klog.InfoS("Attempt broken", "request", x.r.ID, "route", x.route.Name(), "target", choice.Target, "incarnation", choice.Incarnation,
+	klog.InfoS("Attempt broken", "request", x.r.ID, "route", x.route.Name(), "target", choice.Target, "incarnation", choice.Incarnation, "software", choice.Software,
 		"prompt", promptIDs(x.r.Prompt), "answer_begun", !x.eventAt.IsZero(), "since_event_ms", x.g.o.Timers.Since(since).Milliseconds(), "cause", x.lastErr)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -440,7 +440,7 @@
 	for _, l := range live {
 		r := l.Record()
 		list = append(list, routing.Target{
-			Name: r.GetId(), Address: r.GetAddress(), Incarnation: incarnation(r), FailureDomain: r.GetFailureDomain(),
+			Name: r.GetId(), Address: r.GetAddress(), Incarnation: incarnation(r), FailureDomain: r.GetFailureDomain(), Software: r.GetSoftware(),
 			Slots: int(r.GetSlots()), Draining: l.Leaving(), HeartbeatTimedOut: l.Silent() && !allSilent, Paused: l.PausedUntil().After(now),
 			Evacuated: g.o.Evacuations.Contains(r.GetFailureDomain()), Pacer: g.pace(r),
 		})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -74,6 +74,7 @@
 	stagesT  time.Duration
 	firstT   time.Duration // until the answer began; 0 when it didn't
 	target   string
+	software string // of the target
 	lastErr  string
 }
 
@@ -299,13 +300,13 @@
 // log writes the request's line and counts it.
 func (x *exchange) log() {
 	took := x.g.o.Timers.Since(x.began)
-	route, kind, id := "", "", ""
+	route, kind, id, resumes, resumeAfter := "", "", "", "", ""
 	if x.route != nil {
 		route, kind = x.route.Name(), x.route.Kind().String()
 	}
 	var patience, left time.Duration
 	if x.r != nil {
-		id, patience = x.r.ID, x.r.ClientTimeout
+		id, patience, resumes, resumeAfter = x.r.ID, x.r.ClientTimeout, x.r.Resumes, x.r.ResumeAfter
 	}
 	if !x.deadline.IsZero() {
 		left = x.deadline.Sub(x.began.Add(took))
@@ -314,5 +315,5 @@
 	x.g.o.Metrics.CountReason("requests", fmt.Sprintf("%d_%s", x.status, x.reason))
 	klog.InfoS("Request", "request", id, "route", route, "service", x.service, "customer", x.customer, "rank", x.priority, "status", x.status, "reason", x.reason,
 		"patience_ms", patience.Milliseconds(), "waited_before_ms", x.waited.Milliseconds(), "took_ms", took.Milliseconds(), "stages_ms", x.stagesT.Milliseconds(), "first_ms", x.firstT.Milliseconds(), "left_ms", left.Milliseconds(),
-		"target", x.target, "tried", len(x.tried), "ran", x.ran, "catalog", x.g.CatalogVersion(), "cause", x.lastErr)
+		"target", x.target, "software", x.software, "resumes", resumes, "resume_after", resumeAfter, "tried", len(x.tried), "ran", x.ran, "catalog", x.g.CatalogVersion(), "cause", x.lastErr)
 }
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -124,6 +124,9 @@
 	default:
 		fmt.Fprintf(&b, " with status %s: %s. No target got it", status, explainReason(f("reason")))
 	}
+	if resumes := f("resumes"); resumes != "" {
+		fmt.Fprintf(&b, "; it takes up the stream that request %s began, after event %s, and was sent to software version %q", resumes, f("resume_after"), f("software"))
+	}
 	if waited := f("waited_before_ms"); waited != "" && waited != "0" {
 		fmt.Fprintf(&b, "; the caller had waited at least %s ms in earlier attempts", waited)
 	}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -48,6 +48,7 @@
 	Address       string
 	Incarnation   string
 	FailureDomain string
+	Software      string
 	Reason        Reason
 	// Load is the estimated number of calls at the target, and Slots what it
 	// can work on at the same time.
@@ -88,6 +89,7 @@
 	c.Address = t.Address
 	c.Incarnation = t.Incarnation
 	c.FailureDomain = t.FailureDomain
+	c.Software = t.Software
 	c.Load = t.load(p.meanOthers, now)
 	c.Slots = t.slots
 	c.epoch = t.epoch
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -12,6 +12,7 @@
 	Address           string // of its agent
 	Incarnation       string // of its agent; a new one resets what was observed
 	FailureDomain     string
+	Software          string // version of the software that it runs; empty if it doesn't say
 	Models            []string
 	Slots             int // calls it works on at the same time; 0 is unknown
 	Draining          bool
