routing, gateway: Keep a broken stream at its software version

Callers got streams whose first part came from one software version and the rest from another one, in one answer (ORDER).

Cause: nothing that chooses a target looks at its software version. A stream that breaks off goes on at whatever target is the best.

Change: the first events of a stream bind it to the version of their target, and the choice of a target takes only targets of that version. An ejected one is better than none then, because other versions can't take its place. A stream without such a target breaks off, with the reason version_gone.

TestOneVersionIsKept checks all ways of choosing.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -159,6 +159,9 @@
 		return
 	}
 	x.started = true
+	if x.route.Kind() == catalog.Stream {
+		x.oneVersion, x.version = true, x.software
+	}
 	x.firstT = x.g.o.Timers.Since(x.began)
 	x.status = resp.StatusCode
 	h := x.w.Header()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -73,7 +73,7 @@
 		choice, err := pool.Pick(x.routingRequest(), x.g.o.Timers.Now())
 		if err != nil {
 			x.lastErr = err.Error()
-			x.refuse("no_target", x.g.targetRetry(x.service))
+			x.refuse(noTargetReason(err), x.g.targetRetry(x.service))
 			return
 		}
 		x.tried = append(x.tried, choice.Target)
@@ -99,9 +99,18 @@
 	}
 }
 
+// noTargetReason returns the reason of a refusal for lack of a target.
+func noTargetReason(err error) string {
+	var shortage *routing.NoTargetError
+	if errors.As(err, &shortage) && shortage.Shortage() == routing.ShortageNoVersion {
+		return "version_gone"
+	}
+	return "no_target"
+}
+
 func (x *exchange) routingRequest() routing.Request {
 	return routing.Request{
-		Prefix: x.prefix(), Rendezvous: true, DomainWeights: x.g.domainWeights(x.route.Name()), Exclude: x.tried, MayProbe: x.route.Retryable() && x.ran == 0,
+		Prefix: x.prefix(), Rendezvous: true, DomainWeights: x.g.domainWeights(x.route.Name()), OneVersion: x.oneVersion, Software: x.version, Exclude: x.tried, MayProbe: x.route.Retryable() && x.ran == 0,
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,7 +61,11 @@
 	tried    []string         // targets that were chosen
 	status   int              // of the answer; 0 when the connection was closed without one
 	started  bool             // the answer's header has been sent
-	eventAt  time.Time        // when the last event of a stream was passed on
+	// oneVersion says that all events of a stream have to come from the software version version,
+	// which has written the first ones.
+	oneVersion bool
+	version    string
+	eventAt    time.Time // when the last event of a stream was passed on
 	// firstEventAt is when the first one was passed on, and survived says that the engine has
 	// not crashed shortly afterwards.
 	firstEventAt time.Time
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -149,6 +149,7 @@
 	"unsure_no_route":         "the process couldn't be sure that its catalog is the newest",
 	"unsure_unknown_key":      "the process couldn't be sure that its catalog is the newest",
 	"no_target":               "no target could take it",
+	"version_gone":            "no target runs the software version any more that began the stream",
 	"no_other_target":         "no further target could take it",
 	"retry_budget":            "the budget for repeated requests was spent",
 	"stopping":                "the process was about to stop",
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -35,6 +35,10 @@
 	// DomainWeights says how much of the prefixes the targets of each failure domain
 	// take, with Rendezvous; all the same when nil.
 	DomainWeights map[string]float64
+	// OneVersion restricts the choice to targets that run the version Software, because the call
+	// continues what another target of that version has begun.
+	OneVersion bool
+	Software   string
 	// Exclude names the targets already tried.
 	Exclude []string
 	// MayProbe tells that the call is idempotent and has time for a second
@@ -123,12 +127,15 @@
 	return Choice{}
 }
 
-// excluded reports whether a target doesn't get a call: it was tried before, or takes none just
-// now.
+// excluded reports whether a target doesn't get a call: it was tried before, runs another version
+// than the call needs, or takes none just now.
 func excluded(r Request, t *target, now time.Time) bool {
-	return slices.Contains(r.Exclude, t.Name) || t.isPaced(now)
+	return r.otherVersion(t) || slices.Contains(r.Exclude, t.Name) || t.isPaced(now)
 }
 
+// otherVersion reports whether a target runs another version than the call needs.
+func (r Request) otherVersion(t *target) bool { return r.OneVersion && t.Software != r.Software }
+
 // candidate is a target with its score; lower is better.
 type candidate struct {
 	t     *target
@@ -142,7 +149,7 @@
 	}
 	g, ok := p.groups[r.Model]
 	if !ok {
-		return Choice{}
+		return p.pickEjected(r, now)
 	}
 	p.refreshShares(now)
 	if r.Rendezvous && r.Prefix != "" {
@@ -152,7 +159,7 @@
 	}
 	best, second := p.sample(g.all, r, now)
 	if best.t == nil {
-		return Choice{}
+		return p.pickEjected(r, now)
 	}
 	local, _ := p.sample(g.local, r, now)
 	c := Choice{ref: best.t, Reason: ReasonLeastLoaded}
@@ -179,6 +186,24 @@
 	return c
 }
 
+// pickEjected chooses the best ejected target for a call that needs one version, because the
+// targets of other versions can't take its place.
+func (p *Pool) pickEjected(r Request, now time.Time) Choice {
+	var best candidate
+	if !r.OneVersion {
+		return Choice{}
+	}
+	for _, t := range p.order {
+		if !t.available() || !t.serves(r.Model) || excluded(r, t, now) {
+			continue
+		}
+		if c := (candidate{t, p.score(t, now)}); best.t == nil || c.score < best.score {
+			best = c
+		}
+	}
+	return Choice{ref: best.t, Reason: ReasonOnlyCandidate}
+}
+
 // costsNothing reports whether a preferred target is expected to answer as early
 // as the best one: it scores no worse, or it has free slots and isn't slower.
 func (p *Pool) costsNothing(preferred, best candidate, now time.Time) bool {
@@ -281,12 +306,16 @@
 
 // shortage explains why nothing fits.
 func (p *Pool) shortage(r Request, now time.Time) error {
-	e := &NoTargetError{service: p.service, model: r.Model, known: len(p.order)}
+	e := &NoTargetError{service: p.service, model: r.Model, oneVersion: r.OneVersion, software: r.Software, known: len(p.order)}
 	for _, t := range p.order {
 		if !t.serves(r.Model) {
 			e.noModel++
 			continue
 		}
+		if r.otherVersion(t) {
+			e.otherVersion++
+			continue
+		}
 		switch t.state() {
 		case StateDraining:
 			e.leaving++
