origin, originlink, directory, gateway: Take a stream up at its version

Cause: nobody keeps which version began a stream, and nothing reads Resumes. The class of fault is an identity that decides on correctness and lives in the process that passes the bytes on.

Change: a gateway binds a stream that is taken up to the version that began it. It knows the versions of its own streams. Those of all streams at another version than the first one of their service are stored by a majority of the control VMs, in memory, before the first event is passed on; the call runs while the prompt is read. Which versions may have begun streams is committed, and outlasts a loss of power of all machines; a version without targets and streams is removed. Control VMs that start get the records from the others. A stream that a majority without gaps has no record of began at the first version, so that a deployment with one version stores nothing. If that can't be told, one active version decides; otherwise the stream is refused, with version_unknown and a time to come back. One whose version has no target is refused at once, with version_gone. "Stream taken up" has the version and where it is known from.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -414,6 +414,17 @@
 	return r.in.Split[0].Service
 }
 
+// Services returns the services that the route sends requests to.
+func (r *Route) Services() []string {
+	list := make([]string, 0, len(r.in.Split))
+	for _, s := range r.in.Split {
+		if s.Weight > 0 {
+			list = append(list, s.Service)
+		}
+	}
+	return list
+}
+
 // SelectRandomService selects a random service for one request by weight.
 func (r *Route) SelectRandomService() string { return r.SelectService(rand.Float64()) }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,11 +28,13 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/origin"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
@@ -114,6 +116,8 @@
 	Warmups *warmup.Register
 	// Speeds holds the speeds of targets.
 	Speeds *speed.Register
+	// Origins holds the software versions that began streams.
+	Origins *origin.Register
 }
 
 // confirmation holds the newest versions confirmed by a quorum.
@@ -154,6 +158,8 @@
 	watchReceived chan struct{} // closed at the next watch
 	confirmations chan struct{} // closed when the stored versions become confirmed
 	inactiveSince map[string]time.Time
+	versionSeen   map[softwareVersion]time.Time // by the leader
+	additions     singleflight.Group            // of software versions
 	patches       patchCache
 	// lastLeader is the leader's address at the last member check.
 	lastLeader string
@@ -184,6 +190,8 @@
 			d.o.Speeds.Keep(d.isCurrent)
 		})
 	})
+	d.wg.Go(d.syncOrigins)
+	d.wg.Go(func() { d.o.Timers.Every(d.ctx, versionInterval, d.removeVersions) })
 	d.wg.Go(func() {
 		d.o.Timers.Every(d.ctx, speedInterval, func(context.Context) { d.o.Speeds.Tick(d.o.Timers.Now()) })
 	})
@@ -399,7 +407,7 @@
 			return nil, err
 		}
 		c := d.o.Store.contents()
-		return &wire.ReadCatalogResponse{Version: c.catalog, Document: c.document, EvacuationRevision: c.evacuations}, nil
+		return &wire.ReadCatalogResponse{Version: c.catalog, Document: c.document, EvacuationRevision: c.evacuations, SoftwareRevision: c.software}, nil
 	}
 	r, err := client.ReadCatalog(ctx, &wire.ReadCatalogRequest{KnownVersion: stored})
 	if err != nil {
@@ -436,7 +444,7 @@
 	}
 	stored := d.o.Store.versions()
 	before := d.isConfirmed(stored)
-	d.confirmed.Store(&confirmation{versions: versions{catalog: r.GetVersion(), evacuations: r.GetEvacuationRevision()}, requestedAt: startedAt})
+	d.confirmed.Store(&confirmation{versions: versions{catalog: r.GetVersion(), evacuations: r.GetEvacuationRevision(), software: r.GetSoftwareRevision()}, requestedAt: startedAt})
 	if !d.isConfirmed(stored) {
 		return
 	}
@@ -750,7 +758,7 @@
 		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()), err)
 	}
 	stored := s.d.o.Store.contents()
-	resp := &wire.ReadCatalogResponse{Version: stored.catalog, EvacuationRevision: stored.evacuations}
+	resp := &wire.ReadCatalogResponse{Version: stored.catalog, EvacuationRevision: stored.evacuations, SoftwareRevision: stored.software}
 	if stored.catalog > r.GetKnownVersion() {
 		resp.Document = stored.document
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -18,6 +18,7 @@
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/journal"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/origin"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
@@ -41,7 +42,7 @@
 	})
 	require.NoError(t, err)
 	m := metrics.New("test")
-	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1, Quarantine: quarantine.NewRegister("vm-1"), Limits: pacing.NewRegister("vm-1"), Warmups: warmup.NewRegister(), Speeds: speed.NewRegister()})
+	d := New(Options{Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m, Voters: 1, Quarantine: quarantine.NewRegister("vm-1"), Limits: pacing.NewRegister("vm-1"), Warmups: warmup.NewRegister(), Speeds: speed.NewRegister(), Origins: origin.NewRegister(100)})
 	require.NoError(t, node.Start(t.Context()))
 	t.Cleanup(func() {
 		require.NoError(t, node.Stop(context.Background()))
--- a/internal/directory/evacuate_test.go
+++ b/internal/directory/evacuate_test.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/journal"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/origin"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/replica"
@@ -124,7 +125,7 @@
 		require.NoError(t, err)
 		d := New(Options{
 			Timers: ts, Node: node, Store: store, Table: discovery.NewTable(discovery.Options{HeartbeatTimeout: time.Minute}), Metrics: m,
-			HTTP: &http.Client{Transport: network}, Voters: size, Quarantine: quarantine.NewRegister(address), Limits: pacing.NewRegister(address), Warmups: warmup.NewRegister(), Speeds: speed.NewRegister(),
+			HTTP: &http.Client{Transport: network}, Voters: size, Quarantine: quarantine.NewRegister(address), Limits: pacing.NewRegister(address), Warmups: warmup.NewRegister(), Speeds: speed.NewRegister(), Origins: origin.NewRegister(100),
 		})
 		d.SetFailureDomains([]string{"milford", "swansea"})
 		c.mu.Lock()
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -8,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomline/cardamomline/internal/evacuation"
+	"github.com/cardamomline/cardamomline/internal/origin"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -15,11 +17,12 @@
 type versions struct {
 	catalog     uint64
 	evacuations uint64
+	software    uint64
 }
 
 // atLeast reports whether nothing is older than in other.
 func (v versions) atLeast(other versions) bool {
-	return v.catalog >= other.catalog && v.evacuations >= other.evacuations
+	return v.catalog >= other.catalog && v.evacuations >= other.evacuations && v.software >= other.software
 }
 
 // contents is all that a Store holds at one moment. The document must not be modified.
@@ -39,8 +42,8 @@
 	checksum uint64
 }
 
-// Store is the replicated catalog, the committed document with the highest version, and the
-// evacuated failure domains. It implements replica.StateMachine.
+// Store is the replicated catalog, the committed document with the highest version, the evacuated
+// failure domains and the software versions that began streams. It implements replica.StateMachine.
 type Store struct {
 	mu       sync.Mutex
 	version  uint64
@@ -50,20 +53,21 @@
 	previous      []versionedDocument
 	evacuations   *evacuation.State
 	onEvacuations func(revision uint64, domains []string)
+	software      *origin.Versions
 	changed       chan struct{}
 }
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{evacuations: evacuation.NewState(), onEvacuations: func(uint64, []string) {}, changed: make(chan struct{})}
+	return &Store{evacuations: evacuation.NewState(), software: origin.NewVersions(), onEvacuations: func(uint64, []string) {}, changed: make(chan struct{})}
 }
 
 // OnEvacuations sets the function that is called with each new revision of the evacuations. It
 // must not call the Store, and is set before the first Apply or Restore.
 func (s *Store) OnEvacuations(f func(revision uint64, domains []string)) { s.onEvacuations = f }
 
-// Apply implements replica.StateMachine. It returns the version stored after the command, or the
-// evacuation.Result of an order. A version that isn't higher changes nothing, so that neither an
+// Apply implements replica.StateMachine. It returns the version stored after the command, the
+// evacuation.Result of an order, or the softwareResult of a change of software versions. A version that isn't higher changes nothing, so that neither an
 // older change nor different content under the same version ever becomes active.
 func (s *Store) Apply(_ uint64, data []byte) any {
 	cmd := &wire.StoreCatalogCommand{}
@@ -80,6 +84,9 @@
 		}
 		return r
 	}
+	if c := cmd.GetSoftware(); c != nil {
+		return s.applyVersion(c)
+	}
 	if cmd.GetVersion() > s.version {
 		s.retainDocument()
 		s.version, s.document = cmd.GetVersion(), cmd.GetDocument()
@@ -88,12 +95,33 @@
 	return s.version
 }
 
+// softwareResult says whether a software version is as a change wants it.
+type softwareResult bool
+
+// applyVersion changes the software versions; s.mu is held.
+func (s *Store) applyVersion(c *wire.VersionChange) softwareResult {
+	revision := s.software.Revision()
+	change := s.software.Add
+	if c.GetRemoved() {
+		change = s.software.Remove
+	}
+	ok := change(c.GetService(), c.GetSoftware())
+	if s.software.Revision() != revision {
+		s.notify()
+	}
+	return softwareResult(ok)
+}
+
 // BeginSnapshot implements replica.StateMachine.
 func (s *Store) BeginSnapshot() (encode func() ([]byte, error)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	snapshot := &wire.CatalogSnapshot{
 		Version: s.version, Document: s.document, EvacuationRevision: s.evacuations.Revision(), EvacuationFloor: s.evacuations.Floor(),
+		SoftwareRevision: s.software.Revision(),
+	}
+	for service, v := range s.software.All() {
+		snapshot.Software = append(snapshot.Software, encodeVersions(service, v))
 	}
 	for _, r := range s.evacuations.Records() {
 		snapshot.Evacuations = append(snapshot.Evacuations, &wire.EvacuationRecord{Domain: r.Domain, Evacuated: r.Evacuated, Revision: r.Revision})
@@ -111,8 +139,13 @@
 	for _, r := range snapshot.GetEvacuations() {
 		records = append(records, evacuation.Record{Domain: r.GetDomain(), Evacuated: r.GetEvacuated(), Revision: r.GetRevision()})
 	}
+	software := map[string]origin.ServiceVersions{}
+	for _, v := range snapshot.GetSoftware() {
+		software[v.GetService()] = origin.ServiceVersions{First: v.GetFirst(), Active: v.GetActive()}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.software = origin.RestoreVersions(snapshot.GetSoftwareRevision(), software)
 	if snapshot.GetVersion() != s.version {
 		s.retainDocument()
 	}
@@ -186,10 +219,25 @@
 }
 
 func (s *Store) versionsLocked() versions {
-	return versions{catalog: s.version, evacuations: s.evacuations.Revision()}
+	return versions{catalog: s.version, evacuations: s.evacuations.Revision(), software: s.software.Revision()}
+}
+
+// softwareVersions returns the software versions of a service.
+func (s *Store) softwareVersions(service string) origin.ServiceVersions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.software.Of(service)
+}
+
+// allSoftwareVersions returns the software versions of all services.
+func (s *Store) allSoftwareVersions() map[string]origin.ServiceVersions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.software.All())
 }
 
-// Changed returns a channel that is closed when the next version or evacuation is applied.
+// Changed returns a channel that is closed when the next version, evacuation or software version is
+// applied.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -493,6 +493,18 @@
 	return false
 }
 
+// HasSoftware reports whether a target of a service that isn't gone runs a software version.
+func (t *Table) HasSoftware(service, software string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if e.record.GetService() == service && e.record.GetSoftware() == software && !isGone(e.record) {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire removes targets whose last announcement, or whose end, was reported longer ago
 // than goneRetention.
 func (t *Table) Expire(now time.Time) {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -155,6 +155,24 @@
 	return list
 }
 
+// ControlVMs returns the addresses of the responsive control VMs, sorted, or of all if none is.
+func (w *Watcher) ControlVMs() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all, responsive []string
+	for address, vm := range w.controlVMs {
+		all = append(all, address)
+		if vm.responsive {
+			responsive = append(responsive, address)
+		}
+	}
+	if len(responsive) == 0 {
+		responsive = all
+	}
+	slices.Sort(responsive)
+	return responsive
+}
+
 // compareCollectingSince orders control VMs by how long they have been collecting.
 // Processes learn of the start at different times, so small differences are ignored.
 func (vm *controlVM) compareCollectingSince(other *controlVM) int {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -62,7 +62,7 @@
 		return x.deliverWhole(pool, choice, resp, first, success)
 	}
 	w := x.watchEvents(ctx, cancel)
-	err := x.copyEvents(resp, w, func() {
+	err := x.copyEvents(ctx, resp, w, func() {
 		now := x.g.o.Timers.Now()
 		choice = pool.Begun(choice, routing.Success{Latency: now.Sub(began), Expected: x.expectedFirst()}, now)
 	})
@@ -161,6 +161,7 @@
 	x.started = true
 	if x.route.Kind() == catalog.Stream {
 		x.oneVersion, x.version = true, x.software
+		x.recordBegunStream()
 	}
 	x.firstT = x.g.o.Timers.Since(x.began)
 	x.status = resp.StatusCode
@@ -177,7 +178,7 @@
 // copyEvents passes on whole events as they arrive, and records the last one. A target may
 // stop in the middle of an event: the rest is passed on only if the framing of the answer
 // shows that it is complete. begun is called when the first event has arrived.
-func (x *exchange) copyEvents(resp *upstream.Response, w *eventWatch, begun func()) error {
+func (x *exchange) copyEvents(ctx context.Context, resp *upstream.Response, w *eventWatch, begun func()) error {
 	first := true
 	rc := http.NewResponseController(x.w)
 	var pending []byte
@@ -190,6 +191,7 @@
 				first = false
 				begun()
 			}
+			x.awaitStored(ctx)
 			x.sendHeader(resp)
 			if _, werr := x.w.Write(pending[:events.End()]); werr != nil {
 				return werr
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -55,7 +55,7 @@
 	x.g.o.Retries.Request(x.service, x.g.o.Timers.Now())
 	pool := x.g.pool(x.service)
 	if pool == nil {
-		x.refuse("no_target", x.g.targetRetry(x.service))
+		x.refuse("no_target", x.targetRetry())
 		return
 	}
 	for {
@@ -73,7 +73,7 @@
 		choice, err := pool.Pick(x.routingRequest(), x.g.o.Timers.Now())
 		if err != nil {
 			x.lastErr = err.Error()
-			x.refuse(noTargetReason(err), x.g.targetRetry(x.service))
+			x.refuse(noTargetReason(err), x.targetRetry())
 			return
 		}
 		x.tried = append(x.tried, choice.Target)
@@ -99,6 +99,15 @@
 	}
 }
 
+// targetRetry returns the time after which a caller may come back for whose request there is no
+// target.
+func (x *exchange) targetRetry() time.Duration {
+	if x.oneVersion {
+		return x.g.versionRetry(x.service, x.version)
+	}
+	return x.g.targetRetry(x.service)
+}
+
 // noTargetReason returns the reason of a refusal for lack of a target.
 func noTargetReason(err error) string {
 	var shortage *routing.NoTargetError
@@ -157,7 +166,7 @@
 		x.fail(http.StatusBadGateway, x.suspectedReason())
 		return false
 	case len(x.tried) >= maxChoices:
-		x.refuse("no_other_target", x.g.targetRetry(x.service))
+		x.refuse("no_other_target", x.targetRetry())
 		return false
 	}
 	now := x.g.o.Timers.Now()
@@ -170,7 +179,7 @@
 		return true
 	}
 	x.lastErr = string(d.Reason) + " after " + x.lastErr
-	x.refuse("retry_budget", x.g.targetRetry(x.service))
+	x.refuse("retry_budget", x.targetRetry())
 	return false
 }
 
@@ -191,6 +200,7 @@
 	began := x.g.o.Timers.Now()
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	x.storeOrigin(choice.Software)
 	begun := make(chan struct{})
 	go x.awaitFetch(actx, in, begun)
 	resp, err := x.send(actx, cancel, x.call(choice, in.handles()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/cardamomline/cardamomline/internal/discovery"
 	"github.com/cardamomline/cardamomline/internal/evacuation"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/origin"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/routing"
@@ -106,6 +107,8 @@
 	Seed uint64
 	// Retries limits the requests that are sent again.
 	Retries *budget.SharedRetries
+	// Origins stores which software versions began streams; nil if they are known here only.
+	Origins OriginStore
 	// BodyMemory bounds the memory for the bodies of all requests in hand, in bytes; 0 for no limit.
 	BodyMemory int64
 }
@@ -136,6 +139,7 @@
 	bodies    bodyMemory
 	release   earlyRelease
 	crashes   *crashDetector
+	begun     *origin.Register // streams that this gateway has passed on
 	// waiting ends when requests that haven't reached an engine end with a planned stop, and
 	// serving when all requests do.
 	waiting, serving           context.Context
@@ -161,6 +165,7 @@
 		installed: make(chan struct{}), startedAt: o.Timers.Now(),
 	}
 	g.bodies.limit = o.BodyMemory
+	g.begun = origin.NewRegister(maxOwnStreams)
 	g.waiting, g.endWaiting = context.WithCancel(context.Background())
 	g.serving, g.endAll = context.WithCancel(context.Background())
 	g.streamsRefused, g.allRefused = make(chan struct{}), make(chan struct{})
@@ -529,6 +534,11 @@
 // target of a service takes its request: when the first one takes requests again, if all of
 // them have asked for a pause or are at their limit. Targets in evacuated domains don't count.
 func (g *Gateway) targetRetry(service string) time.Duration {
+	return g.retryAfter(service, func(*wire.RegisteredTarget) bool { return true })
+}
+
+// retryAfter is targetRetry for the targets that fit a request.
+func (g *Gateway) retryAfter(service string, fits func(*wire.RegisteredTarget) bool) time.Duration {
 	now := g.o.Timers.Now()
 	first := time.Duration(0)
 	g.mu.Lock()
@@ -537,7 +547,7 @@
 		return evacuatedRetry
 	}
 	for _, l := range g.o.Table.Live(service, now) {
-		if l.Leaving() || l.Silent() || g.o.Evacuations.Contains(l.Record().GetFailureDomain()) {
+		if !fits(l.Record()) || l.Leaving() || l.Silent() || g.o.Evacuations.Contains(l.Record().GetFailureDomain()) {
 			continue
 		}
 		left := max(l.PausedUntil().Sub(now), g.pace(l.Record()).Wait(now))
--- /dev/null
+++ b/internal/gateway/origins.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomline/cardamomline/internal/catalog"
+	"github.com/cardamomline/cardamomline/internal/origin"
+	"github.com/cardamomline/cardamomline/internal/wire"
+)
+
+const (
+	// maxOwnStreams bounds the streams whose software versions a gateway remembers.
+	maxOwnStreams = 20_000
+	// originMargin is added to the time for which a stream's version is kept, which is the time
+	// that its caller waits.
+	originMargin = 30 * time.Second
+	// minOriginWindow is the least time before which a stream that is taken up can't have begun.
+	minOriginWindow = 30 * time.Second
+	// originStoreWait is how long the first events of a stream wait until its version is stored.
+	// Without a quorum, streams still begin.
+	originStoreWait = 250 * time.Millisecond
+	// originFindWait and originFindShare limit how long a caller waits until the version is found
+	// that began its stream, the latter as a share of the caller's timeout.
+	originFindWait  = 800 * time.Millisecond
+	originFindShare = 1.0 / 8
+)
+
+// OriginStore stores which software versions began streams, outside of this process.
+type OriginStore interface {
+	// First returns the version of a service whose streams need no records, and false if it
+	// isn't known yet.
+	First(service string) (software string, ok bool)
+	// Store stores a record. The channel is closed once the record outlasts this process.
+	Store(origin.Record) <-chan struct{}
+	// Find returns what is known of a stream of a service that began within a window. It waits
+	// until that is enough, or ctx ends.
+	Find(ctx context.Context, s origin.Stream, service string, window time.Duration) origin.Finding
+}
+
+// isTakeUp reports whether the caller takes up a stream that broke off.
+func (x *exchange) isTakeUp() bool {
+	return x.route.Kind() == catalog.Stream && x.route.Resumable() && x.r.ResumeAfter != ""
+}
+
+// stream identifies the stream: the request that brought its first event, or this one.
+func (x *exchange) stream() origin.Stream {
+	if x.isTakeUp() {
+		return origin.StreamOf(x.customer, x.r.Resumes)
+	}
+	return origin.StreamOf(x.customer, x.r.ID)
+}
+
+// originLife is the time for which the caller may take up the stream.
+func (x *exchange) originLife() time.Duration {
+	return max(x.r.ClientTimeout, x.route.Timeout()) + originMargin
+}
+
+// bindVersion finds the software version that began a stream which the caller takes up, to which
+// the request is bound. It refuses the request if that isn't known, or has no target.
+func (x *exchange) bindVersion(ctx context.Context) bool {
+	if !x.isTakeUp() {
+		return true
+	}
+	began := x.g.o.Timers.Now()
+	finding, source := x.findOrigin(ctx)
+	ok := true
+	switch f := finding.(type) {
+	case origin.Recorded:
+		ok = f.Service == x.service || slices.Contains(x.route.Services(), f.Service)
+		x.service, x.version = f.Service, f.Software
+	case origin.First:
+		x.version = f.Software
+	case origin.Only:
+		x.version = f.Software
+	default:
+		ok, source = false, "unknown"
+	}
+	outcome := source
+	switch {
+	case source == "unknown":
+		if u, isUnknown := finding.(origin.Unknown); isUnknown {
+			x.lastErr = u.Cause
+		}
+	case !ok || !x.g.hasVersion(x.service, x.version):
+		ok, outcome = false, "version_gone"
+	}
+	x.g.o.Metrics.CountReason("streams_taken_up", outcome)
+	klog.InfoS("Stream taken up", "request", x.r.ID, "resumes", x.r.Resumes, "resume_after", x.r.ResumeAfter, "service", x.service, "software", x.version,
+		"source", source, "outcome", outcome, "took_ms", x.g.o.Timers.Since(began).Milliseconds(), "cause", x.lastErr)
+	switch {
+	case ok:
+		x.oneVersion = true
+	case source == "unknown":
+		x.refuse("version_unknown", unsureRetry)
+	default:
+		x.refuse("version_gone", x.g.versionRetry(x.service, x.version))
+	}
+	return ok
+}
+
+// findOrigin returns what is known of the version that began the caller's stream, and where from.
+func (x *exchange) findOrigin(ctx context.Context) (f origin.Finding, source string) {
+	now := x.g.o.Timers.Now()
+	if r, ok := x.g.begun.Find(x.stream(), now); ok && x.r.Resumes != "" {
+		return origin.Recorded{Service: r.Service(), Software: r.Software()}, "own"
+	}
+	f = origin.Unrecorded{}
+	if x.g.o.Origins != nil {
+		limit := originFindWait
+		if x.r.ClientTimeout > 0 {
+			limit = min(limit, time.Duration(float64(x.r.ClientTimeout)*originFindShare))
+		}
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		f = x.g.o.Origins.Find(ctx, x.stream(), x.service, max(minOriginWindow, 2*x.route.Timeout()))
+	}
+	switch f.(type) {
+	case origin.Recorded:
+		return f, "recorded"
+	case origin.First:
+		if x.r.Resumes == "" {
+			return origin.Unknown{Cause: "the caller doesn't name the request that began the stream"}, ""
+		}
+		return f, "first"
+	case origin.Only:
+		return f, "only"
+	case origin.Unrecorded:
+		// Gateways of an earlier release have begun the stream.
+		if software := x.g.softwareVersions(x.service); len(software) == 1 {
+			return origin.Only{Software: software[0]}, "targets"
+		}
+		return origin.Unknown{Cause: "no stream of the service was recorded"}, ""
+	}
+	return f, ""
+}
+
+// storeOrigin stores the version of the target that a new stream is about to be sent to, if it
+// needs a record.
+func (x *exchange) storeOrigin(software string) {
+	x.stored = nil
+	if x.g.o.Origins == nil || x.oneVersion || x.route.Kind() != catalog.Stream || !x.route.Resumable() {
+		return
+	}
+	first, known := x.g.o.Origins.First(x.service)
+	if known && first == software && !x.hasRecord {
+		return
+	}
+	x.hasRecord = true
+	x.stored = x.g.o.Origins.Store(origin.NewRecord(x.stream(), x.service, software, uint32(len(x.tried)), x.originLife()))
+}
+
+// awaitStored waits until the version that is about to begin the stream is stored, since the caller
+// may turn to another gateway from the first event on.
+func (x *exchange) awaitStored(ctx context.Context) {
+	if x.stored == nil || x.started {
+		return
+	}
+	began := x.g.o.Timers.Now()
+	select {
+	case <-x.stored:
+		return
+	case <-x.g.o.Timers.After(originStoreWait):
+	case <-ctx.Done():
+	}
+	x.g.o.Metrics.CountReason("stream_origins", "not_stored")
+	klog.InfoS("Stream begins before its software version is stored", "request", x.r.ID, "service", x.service, "software", x.software,
+		"waited_ms", x.g.o.Timers.Since(began).Milliseconds())
+}
+
+// recordBegunStream remembers the version whose events the caller has.
+func (x *exchange) recordBegunStream() {
+	if !x.route.Resumable() || x.isTakeUp() && x.r.Resumes == "" {
+		return
+	}
+	r := origin.NewRecord(x.stream(), x.service, x.version, math.MaxUint32, x.originLife())
+	x.g.begun.Record(r, x.g.o.Timers.Now())
+	if x.g.o.Origins == nil || !x.isTakeUp() {
+		return
+	}
+	if first, known := x.g.o.Origins.First(x.service); !known || first != x.version {
+		x.g.o.Origins.Store(r) // keeps the record for as long as the caller waits
+	}
+}
+
+// hasVersion reports whether a target of a service runs a software version and isn't leaving.
+func (g *Gateway) hasVersion(service, software string) bool {
+	for _, l := range g.o.Table.Live(service, g.o.Timers.Now()) {
+		if !l.Leaving() && l.Record().GetSoftware() == software {
+			return true
+		}
+	}
+	return false
+}
+
+// softwareVersions returns the versions that the targets of a service run, those that leave too.
+func (g *Gateway) softwareVersions(service string) []string {
+	var list []string
+	for _, l := range g.o.Table.Live(service, g.o.Timers.Now()) {
+		if software := l.Record().GetSoftware(); !slices.Contains(list, software) {
+			list = append(list, software)
+		}
+	}
+	return list
+}
+
+// versionRetry returns the time after which a caller may come back whose stream needs a software
+// version; 0 if that has no target that takes requests or may do so soon.
+func (g *Gateway) versionRetry(service, software string) time.Duration {
+	switch {
+	case g.hasVersion(service, software):
+		return g.retryAfter(service, func(r *wire.RegisteredTarget) bool { return r.GetSoftware() == software })
+	case !g.startupOver():
+		return unsureRetry // not all targets are known yet
+	}
+	return 0
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -65,7 +65,9 @@
 	// which has written the first ones.
 	oneVersion bool
 	version    string
-	eventAt    time.Time // when the last event of a stream was passed on
+	hasRecord  bool            // the version of an attempt was sent to the origin store
+	stored     <-chan struct{} // closed once the version of the present attempt is stored; nil if it needs no record
+	eventAt    time.Time       // when the last event of a stream was passed on
 	// firstEventAt is when the first one was passed on, and survived says that the engine has
 	// not crashed shortly afterwards.
 	firstEventAt time.Time
@@ -217,7 +219,7 @@
 
 // run serves a request that may be served.
 func (x *exchange) run(ctx context.Context) {
-	if x.refuseEvacuated() || x.refuseLimited() {
+	if !x.bindVersion(ctx) || x.refuseEvacuated() || x.refuseLimited() {
 		return
 	}
 	inputs, ok := x.runStages(ctx)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -166,6 +166,11 @@
 	return c
 }
 
+// IsNew reports whether Open found nothing. It must be called before Contents.
+func (j *Journal) IsNew() bool {
+	return j.contents.State == State{} && j.contents.Snapshot == nil && len(j.contents.Entries) == 0
+}
+
 // TruncatedBytes returns the size of the torn write that Open removed.
 func (j *Journal) TruncatedBytes() int64 { return j.truncated }
 
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -103,12 +103,36 @@
 			return fmt.Sprintf("target %s failed (%s); it may have run the request, which may be repeated, so another target got it.", f("after"), f("cause"))
 		}
 		return fmt.Sprintf("target %s did not run it (%s); another target got it.", f("after"), f("cause"))
+	case "Stream taken up":
+		return e.takeUp()
 	case "Collector failed":
 		return fmt.Sprintf("control VM %s stopped collecting for service %s (%s); another one went on.", f("collector"), f("service"), f("cause"))
 	}
 	return e.message
 }
 
+// takeUp tells which software version a stream that the caller takes up is bound to.
+func (e Entry) takeUp() string {
+	f := e.Field
+	begun := fmt.Sprintf("the stream that request %s began, taken up after event %s, ", f("resumes"), f("resume_after"))
+	switch f("outcome") {
+	case "unknown":
+		return begun + fmt.Sprintf("began at a software version that could not be told: %s.", f("cause"))
+	case "version_gone":
+		return begun + fmt.Sprintf("began at software version %q of service %s (%s), which no target runs that takes requests.", f("software"), f("service"), takeUpSources[f("source")])
+	}
+	return begun + fmt.Sprintf("goes on at software version %q of service %s (%s).", f("software"), f("service"), takeUpSources[f("source")])
+}
+
+// takeUpSources are where the software version of a stream is known from.
+var takeUpSources = map[string]string{
+	"own":      "this gateway has passed on the beginning",
+	"recorded": "recorded by the control VMs",
+	"first":    "no record, so that it is the first version of the service",
+	"only":     "no other version may have begun streams",
+	"targets":  "all targets run it",
+}
+
 // outcome tells how a request ended.
 func (e Entry) outcome() string {
 	f := e.Field
@@ -149,6 +173,7 @@
 	"unsure_no_route":         "the process couldn't be sure that its catalog is the newest",
 	"unsure_unknown_key":      "the process couldn't be sure that its catalog is the newest",
 	"no_target":               "no target could take it",
+	"version_unknown":         "which software version began the stream could not be told",
 	"version_gone":            "no target runs the software version any more that began the stream",
 	"no_other_target":         "no further target could take it",
 	"retry_budget":            "the budget for repeated requests was spent",
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -19,6 +19,7 @@
 	"github.com/cardamomline/cardamomline/internal/kernel"
 	"github.com/cardamomline/cardamomline/internal/listener"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/origin"
 	"github.com/cardamomline/cardamomline/internal/replica"
 	"github.com/cardamomline/cardamomline/internal/stagelink"
 	"github.com/cardamomline/cardamomline/internal/timer"
@@ -37,6 +38,9 @@
 	// openRetryInterval is the time between attempts to open the journal, which fails
 	// while the disk is full or stalls.
 	openRetryInterval = 300 * time.Millisecond
+	// maxOrigins bounds the streams whose software versions a control VM stores, at some 100 bytes
+	// each.
+	maxOrigins = 300_000
 )
 
 // DirectoryOptions configures a control VM that serves gateways. An adapter provides its
@@ -71,6 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
+	isNew := o.Bootstrap && j.IsNew()
 	link := control.NewTransport(nil)
 	store := directory.NewStore()
 	formWithout := time.Duration(0)
@@ -103,9 +108,13 @@
 	})
 	parts, limits, warmups := newQuarantine(o.Name, m), newLimits(o.Name, t, m), warmup.NewRegister()
 	speeds := newSpeeds(m)
+	origins := origin.NewRegister(maxOrigins)
+	if isNew {
+		origins.SetComplete(time.Time{}) // no stream has begun yet
+	}
 	d = directory.New(directory.Options{
 		Timers: t, Node: node, Store: store, Table: table, Metrics: m, HTTP: client, Voters: 2*o.FaultTolerance + 1, CollectorUptime: runner.Uptime,
-		Quarantine: parts, Limits: limits, Warmups: warmups, Speeds: speeds,
+		Quarantine: parts, Limits: limits, Warmups: warmups, Speeds: speeds, Origins: origins,
 	})
 	d.SetFailureDomains(o.FailureDomains)
 	mux := http.NewServeMux()
@@ -120,6 +129,7 @@
 	evacuations.RegisterAdminHandlers(admin, t.Now)
 	warmups.RegisterAdminHandlers(admin, t.Now)
 	speeds.RegisterAdminHandlers(admin)
+	d.RegisterAdminHandlers(admin)
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(JournalComponent, &journalComponent{journal: j, done: make(chan struct{})})
 	k.Register(TransportComponent, link)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cardamomline/cardamomline/internal/kernel"
 	"github.com/cardamomline/cardamomline/internal/listener"
 	"github.com/cardamomline/cardamomline/internal/metrics"
+	"github.com/cardamomline/cardamomline/internal/originlink"
 	"github.com/cardamomline/cardamomline/internal/pacing"
 	"github.com/cardamomline/cardamomline/internal/quarantine"
 	"github.com/cardamomline/cardamomline/internal/speed"
@@ -37,6 +38,7 @@
 	ReadinessComponent    = "readiness"
 	DrainComponent        = "drain"
 	StagesComponent       = "stages"
+	OriginsComponent      = "origins"
 )
 
 const (
@@ -99,10 +101,11 @@
 		OnCatalog:      func(d discovery.Document, began time.Time) { g.OnCatalog(d, began) },
 		OnResponse:     func(address string, w *wire.WatchResponse, began time.Time) { g.OnWatchResponse(address, w, began) },
 	})
+	origins := originlink.NewClient(originlink.Options{Timers: t, HTTP: client, ControlVMs: follower.ControlVMs})
 	g = gateway.New(gateway.Options{
 		Timers: t, Codec: o.Codec, Table: table, Watcher: follower, Metrics: m, Stages: stages, DecodeCatalog: o.Decode, FailureDomain: o.FailureDomain,
 		Upstream: newUpstream(t, m), Quarantine: parts, Limits: limits, Evacuations: evacuations, Warmups: warmups, WarmUpAll: o.WarmUpAll, Speeds: speeds, Seed: seed(o.Name), Retries: budget.NewSharedRetries(o.Retries), Cold: o.Cold,
-		BodyMemory: o.BodyMemory, UnknownSince: evacuations.TakenBackAt,
+		BodyMemory: o.BodyMemory, Origins: origins, UnknownSince: evacuations.TakenBackAt,
 	})
 	admin := listener.NewAdminMux(m, g.Ready)
 	parts.RegisterAdminHandlers(admin, t.Now)
@@ -115,6 +118,7 @@
 	k.Register(AdminComponent, listener.New(listener.Options{Address: o.Admin, Handler: admin}))
 	k.Register(WatcherComponent, follower)
 	k.Register(StagesComponent, stages)
+	k.Register(OriginsComponent, origins)
 	k.Register(GatewayComponent, g)
 	k.Register(ReadinessComponent, listener.New(listener.Options{Address: o.Readiness, Handler: o.ReadinessHandler(g.Ready)}))
 	k.Register(CallerServerComponent, listener.New(listener.Options{Address: o.Callers, Handler: g, MaxConns: maxCallerConns, MaxHeaderBytes: gateway.MaxHeaderBytes}))
