origin, originlink, gateway: Keep versions of streams over outages

After a restart of all control VMs, streams that callers took up were refused for half a minute, and one that began while a gateway was cut off could go on at another version when it was taken up elsewhere (ORDER, LOST).

Cause: records of streams at the first version don't exist, and those of the others were lost with the memory of the control VMs. A gateway without a majority passed on streams whose version wasn't stored.

Change: while several versions run, streams at the first one are recorded too, without waiting. A gateway sends its records again to a control VM that has started again. Without a majority, new streams go to the first version if at least half of the slots run it, and an attempt at another one ends before its first event. Otherwise streams begin all the same, with a line in the log.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -79,7 +79,7 @@
 	case w.expired.Load():
 		x.lastErr = "no whole event within " + x.eventTimeout().String()
 		pool.Finish(choice, routing.Failure{}, now)
-	case x.in.Context().Err() != nil || ctx.Err() != nil:
+	case errors.Is(err, errNotStored) || x.in.Context().Err() != nil || ctx.Err() != nil:
 		pool.Finish(choice, routing.Canceled{}, now)
 	default:
 		pool.Finish(choice, routing.Failure{}, now)
@@ -191,7 +191,9 @@
 				first = false
 				begun()
 			}
-			x.awaitStored(ctx)
+			if serr := x.awaitStored(ctx); serr != nil {
+				return serr
+			}
 			x.sendHeader(resp)
 			if _, werr := x.w.Write(pending[:events.End()]); werr != nil {
 				return werr
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -70,7 +70,7 @@
 		if x.refuseBlocked() {
 			return
 		}
-		choice, err := pool.Pick(x.routingRequest(), x.g.o.Timers.Now())
+		choice, err := x.pick(pool)
 		if err != nil {
 			x.lastErr = err.Error()
 			x.refuse(noTargetReason(err), x.targetRetry())
@@ -99,6 +99,22 @@
 	}
 }
 
+// pick chooses a target. While the versions of streams can't be stored, new streams go to the
+// version that needs no record, if it has a target.
+func (x *exchange) pick(pool *routing.Pool) (routing.Choice, error) {
+	now := x.g.o.Timers.Now()
+	if x.isNewStream() {
+		if software, ok := x.g.unstoredVersion(x.service); ok {
+			r := x.routingRequest()
+			r.OneVersion, r.Software = true, software
+			if choice, err := pool.Pick(r, now); err == nil {
+				return choice, nil
+			}
+		}
+	}
+	return pool.Pick(x.routingRequest(), now)
+}
+
 // targetRetry returns the time after which a caller may come back for whose request there is no
 // target.
 func (x *exchange) targetRetry() time.Duration {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,6 +140,10 @@
 	release   earlyRelease
 	crashes   *crashDetector
 	begun     *origin.Register // streams that this gateway has passed on
+	// mixed are the services whose targets run several software versions.
+	mixed map[string]bool
+	// storeFailed is when the version of a stream was last not stored in time, on the boot clock.
+	storeFailed atomic.Int64
 	// waiting ends when requests that haven't reached an engine end with a planned stop, and
 	// serving when all requests do.
 	waiting, serving           context.Context
@@ -170,6 +174,7 @@
 	g.serving, g.endAll = context.WithCancel(context.Background())
 	g.streamsRefused, g.allRefused = make(chan struct{}), make(chan struct{})
 	g.confirmed.Store(-int64(time.Hour))
+	g.storeFailed.Store(-int64(time.Hour))
 	g.crashes = newCrashDetector(g)
 	g.stages = newStageClient(ctx, o.Timers, o.Watcher, o.Stages)
 	return g
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -6,10 +6,12 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/origin"
+	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
 
@@ -28,8 +30,14 @@
 	// that began its stream, the latter as a share of the caller's timeout.
 	originFindWait  = 800 * time.Millisecond
 	originFindShare = 1.0 / 8
+	// storeFailedTime is how long streams are kept from being sent where their version would have
+	// to be stored, after that has failed.
+	storeFailedTime = 3 * time.Second
 )
 
+// errNotStored reports that the software version of a stream wasn't stored in time.
+var errNotStored = errors.New("the software version of the stream was not stored in time")
+
 // OriginStore stores which software versions began streams, outside of this process.
 type OriginStore interface {
 	// First returns the version of a service whose streams need no records, and false if it
@@ -140,36 +148,85 @@
 }
 
 // storeOrigin stores the version of the target that a new stream is about to be sent to, if it
-// needs a record.
+// needs a record. While several versions run, streams at the first one are stored too, because
+// control VMs that have started again can't tell which streams have no record; they don't wait for
+// it.
 func (x *exchange) storeOrigin(software string) {
 	x.stored = nil
-	if x.g.o.Origins == nil || x.oneVersion || x.route.Kind() != catalog.Stream || !x.route.Resumable() {
+	if x.g.o.Origins == nil || !x.isNewStream() {
 		return
 	}
 	first, known := x.g.o.Origins.First(x.service)
-	if known && first == software && !x.hasRecord {
+	needless := known && first == software && !x.hasRecord
+	if needless && !x.g.isMixed(x.service) {
 		return
 	}
-	x.hasRecord = true
-	x.stored = x.g.o.Origins.Store(origin.NewRecord(x.stream(), x.service, software, uint32(len(x.tried)), x.originLife()))
+	stored := x.g.o.Origins.Store(origin.NewRecord(x.stream(), x.service, software, uint32(len(x.tried)), x.originLife()))
+	if !needless {
+		x.hasRecord, x.stored = true, stored
+	}
+}
+
+// isNewStream reports whether the next target begins a stream that may be taken up.
+func (x *exchange) isNewStream() bool {
+	return !x.oneVersion && x.route.Kind() == catalog.Stream && x.route.Resumable()
 }
 
 // awaitStored waits until the version that is about to begin the stream is stored, since the caller
-// may turn to another gateway from the first event on.
-func (x *exchange) awaitStored(ctx context.Context) {
+// may turn to another gateway from the first event on. If it isn't stored in time, a target of the
+// first version, which needs no record, is better. The error is errNotStored.
+func (x *exchange) awaitStored(ctx context.Context) error {
 	if x.stored == nil || x.started {
-		return
+		return nil
 	}
 	began := x.g.o.Timers.Now()
 	select {
 	case <-x.stored:
-		return
+		return nil
 	case <-x.g.o.Timers.After(originStoreWait):
 	case <-ctx.Done():
+		return ctx.Err()
 	}
+	x.g.storeFailed.Store(int64(timer.SinceBoot()))
+	_, elsewhere := x.g.unstoredVersion(x.service)
+	elsewhere = elsewhere && x.ran < x.route.MaxAttempts()
 	x.g.o.Metrics.CountReason("stream_origins", "not_stored")
-	klog.InfoS("Stream begins before its software version is stored", "request", x.r.ID, "service", x.service, "software", x.software,
-		"waited_ms", x.g.o.Timers.Since(began).Milliseconds())
+	klog.InfoS("Software version of a stream not stored in time", "request", x.r.ID, "service", x.service, "software", x.software,
+		"waited_ms", x.g.o.Timers.Since(began).Milliseconds(), "sent_elsewhere", elsewhere)
+	if elsewhere {
+		return errNotStored
+	}
+	return nil
+}
+
+// unstoredVersion returns the version of a service that new streams are sent to while their version
+// can't be stored: the first one, which needs no record, unless most targets run other ones.
+func (g *Gateway) unstoredVersion(service string) (software string, ok bool) {
+	if g.o.Origins == nil || timer.SinceBoot()-time.Duration(g.storeFailed.Load()) > storeFailedTime && g.isFresh() || !g.isMixed(service) {
+		return "", false
+	}
+	first, known := g.o.Origins.First(service)
+	if !known {
+		return "", false
+	}
+	slots, all := 0, 0
+	for _, l := range g.o.Table.Live(service, g.o.Timers.Now()) {
+		if l.Leaving() || l.Silent() {
+			continue
+		}
+		all += int(l.Record().GetSlots())
+		if l.Record().GetSoftware() == first {
+			slots += int(l.Record().GetSlots())
+		}
+	}
+	return first, 2*slots >= all && slots > 0
+}
+
+// isMixed reports whether the targets of a service run several software versions.
+func (g *Gateway) isMixed(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mixed[service]
 }
 
 // recordBegunStream remembers the version whose events the caller has.
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -30,6 +30,7 @@
 	g.dropPaces()
 	g.listPools(c, now)
 	g.syncCold(now)
+	mixed := map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(g.pools)) {
 		p := g.pools[name]
 		list := g.targets(name, g.ramps.of(p.service, now), now)
@@ -37,7 +38,9 @@
 			g.addSpeeds(list)
 		}
 		p.Sync(list, now)
+		mixed[name] = slices.ContainsFunc(list, func(t routing.Target) bool { return t.Software != list[0].Software })
 	}
+	g.mixed = mixed
 	g.weights = g.weigh(c, now)
 	g.evacuated = g.evacuatedServices(c, now)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -65,7 +65,7 @@
 	// which has written the first ones.
 	oneVersion bool
 	version    string
-	hasRecord  bool            // the version of an attempt was sent to the origin store
+	hasRecord  bool            // the version of an attempt was stored that isn't the first one
 	stored     <-chan struct{} // closed once the version of the present attempt is stored; nil if it needs no record
 	eventAt    time.Time       // when the last event of a stream was passed on
 	// firstEventAt is when the first one was passed on, and survived says that the engine has
--- a/internal/originlink/client.go
+++ b/internal/originlink/client.go
@@ -2,7 +2,8 @@
 // streams.
 //
 // A record goes to all control VMs that answer. For each of them one call at a time is under way,
-// and takes all records that have come meanwhile.
+// and takes all records that have come meanwhile. A control VM that has started again gets the
+// records of all streams that may still be taken up.
 //
 // # Usage
 //
@@ -39,6 +40,8 @@
 	// maxBatch and maxQueued bound the records of one call and those that wait for one.
 	maxBatch  = 500
 	maxQueued = 10_000
+	// maxKept bounds the records that are kept for control VMs that start again.
+	maxKept = 20_000
 	// findTimeout limits the wait for the answers of all control VMs, and findRetry is the time
 	// until they are asked again.
 	findTimeout = 300 * time.Millisecond
@@ -61,16 +64,15 @@
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	queues map[string]*queue
+	kept   *origin.Register
+	epochs map[string]string // processes of the control VMs that have the records
 	first  map[string]string // version of each service that needs no records
 	wg     sync.WaitGroup
 	done   chan struct{}
 }
 
 // queue holds the records that a control VM hasn't stored yet.
-type queue struct {
-	records []*pending
-	running bool
-}
+type queue struct{ records []*pending }
 
 // pending is a record that isn't stored by a majority yet.
 type pending struct {
@@ -85,7 +87,7 @@
 // NewClient returns a Client.
 func NewClient(o Options) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Client{o: o, ctx: ctx, cancel: cancel, queues: map[string]*queue{}, first: map[string]string{}, done: make(chan struct{})}
+	return &Client{o: o, ctx: ctx, cancel: cancel, queues: map[string]*queue{}, kept: origin.NewRegister(maxKept), epochs: map[string]string{}, first: map[string]string{}, done: make(chan struct{})}
 }
 
 // Start implements kernel.Starter.
@@ -117,29 +119,49 @@
 func (c *Client) Store(r origin.Record) <-chan struct{} {
 	p := &pending{record: r, since: c.o.Timers.Now(), stored: make(chan struct{})}
 	addresses := c.o.ControlVMs()
+	c.kept.Record(r, p.since)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ctx.Err() != nil {
-		return p.stored
-	}
 	for _, address := range addresses {
-		q := c.queues[address]
-		if q == nil {
-			q = &queue{}
-			c.queues[address] = q
-		}
-		if len(q.records) >= maxQueued {
-			q.records = q.records[1:]
-		}
-		q.records = append(q.records, p)
-		if !q.running {
-			q.running = true
-			c.wg.Go(func() { c.run(address, q) })
-		}
+		c.enqueue(address, p)
 	}
 	return p.stored
 }
 
+// enqueue adds a record to the queue of a control VM; c.mu is held.
+func (c *Client) enqueue(address string, p *pending) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	q := c.queues[address]
+	if q == nil {
+		q = &queue{}
+		c.queues[address] = q
+		c.wg.Go(func() { c.run(address, q) })
+	}
+	if len(q.records) >= maxQueued {
+		q.records = q.records[1:]
+	}
+	q.records = append(q.records, p)
+}
+
+// resend sends the kept records to a control VM whose process has no records of this one's.
+func (c *Client) resend(address, epoch string) {
+	now := c.o.Timers.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.epochs[address]
+	c.epochs[address] = epoch
+	if before == "" || before == epoch {
+		return
+	}
+	records := c.kept.Records(now)
+	for _, r := range records {
+		c.enqueue(address, &pending{record: r, since: now, stored: make(chan struct{})})
+	}
+	klog.InfoS("Origins of streams sent again", "address", address, "records", len(records))
+}
+
 // run sends the records of a queue until it is empty.
 func (c *Client) run(address string, q *queue) {
 	client := wire.NewDirectoryProtobufClient("http://"+address, c.o.HTTP)
@@ -194,6 +216,7 @@
 	for _, v := range resp.GetVersions() {
 		c.learnFirst(v)
 	}
+	c.resend(address, resp.GetEpoch())
 	var left []*pending
 	for i, p := range batch {
 		if i < len(resp.GetStored()) && resp.GetStored()[i] {
