upstream, gateway: Don't send to a target that takes no more requests

A target that asked for a pause, or said that it leaves, could get requests that had been given to it shortly before (BUDGET, DRAIN).

Cause: a target is checked when it is chosen, and the request is sent when there is a connection, which may take up to 0.4 s, or longer on a slow VM.

Change: the target is checked again once there is a connection. A request that is withdrawn then has not run, counts as no failure of the target, and goes to another one.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -287,6 +287,7 @@
 	c := upstream.Call{Address: choice.Address, Request: r, RequestTarget: x.in.RequestURI, Body: x.body, Match: x.matchResponse}
 	// A late copy of the target's earlier response has the same id.
 	c.NewConnection = x.regained
+	c.Withdrawn = func() bool { return x.g.takesNoRequests(choice) }
 	if !x.route.Retryable() {
 		c.MaxIdle = nonIdempotentIdle
 	}
@@ -309,7 +310,7 @@
 	x.lastErr = err.Error()
 	var failed *upstream.Error
 	sent := !errors.As(err, &failed) || failed.MayHaveArrived()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, upstream.ErrWithdrawn) {
 		pool.Finish(choice, routing.Canceled{}, now)
 	} else {
 		pool.Finish(choice, routing.Failure{}, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -535,6 +535,12 @@
 	g.syncPools()
 }
 
+// takesNoRequests reports whether a target that was chosen has said since then that it leaves or
+// wants a pause, or is in a failure domain that was evacuated.
+func (g *Gateway) takesNoRequests(c routing.Choice) bool {
+	return g.o.Table.HasLeft(c.Target, bornMs(c)) || g.o.Table.PauseLeft(c.Target, g.o.Timers.Now()) > 0 || g.o.Evacuations.Contains(c.FailureDomain)
+}
+
 // targetRetry returns the time after which a caller may come back that was refused because no
 // target of a service takes its request: when the first one takes requests again, if all of
 // them have asked for a pause or are at their limit. Targets in evacuated domains don't count.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -104,6 +104,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
+// ErrWithdrawn is the cause of an Error if Call.Withdrawn has kept the request from being sent.
+var ErrWithdrawn = errors.New("the target takes no requests any more")
+
 // Options configures a Pool.
 type Options struct {
 	Timers *timer.Service
@@ -126,6 +129,9 @@
 	MaxIdle time.Duration
 	// NewConnection prevents the reuse of a connection.
 	NewConnection bool
+	// Withdrawn reports whether the request must not be sent any more; it is asked once there is
+	// a connection. It may be nil.
+	Withdrawn func() bool
 }
 
 // Match is the relation between a response and a request.
@@ -197,6 +203,14 @@
 	if err != nil {
 		return nil, &Error{address: c.Address, step: "dial", cause: err}
 	}
+	if c.Withdrawn != nil && c.Withdrawn() {
+		keep := defaultIdleTimeout
+		if cn.used {
+			keep = cn.expires.Sub(p.o.Timers.Now())
+		}
+		p.put(c.Address, cn, keep)
+		return nil, &Error{address: c.Address, step: "dial", cause: ErrWithdrawn}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.net.SetDeadline(time.Unix(1, 0)) })
 	if err := cn.write(c); err != nil {
 		stop()
