upstream: Take no answer whose status the protocol doesn't have

Cause: net/http reads any three characters that make a number, also with a sign. Its server writes codes from 100 to 999 and panics on others.

Evidence: the log of the failing test has status=0, 99, 600 and 999 with reason="answered".

Change: a status line needs three digits from 100 to 599, as RFC 9110 has it. Anything else is no answer: the request may have run, goes to another target where its route allows it, and ends with 502 otherwise. Stage calls use the same connections. The agents' calls take 200 only (by reading).

Result: TestStatusOfAnAnswerIsValid and TestInvalidStatusIsNoAnswer failed before, for all of these codes, and pass.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -84,6 +84,12 @@
 	return fmt.Sprintf("response head exceeds %d bytes", MaxHeadBytes)
 }
 
+// InvalidStatusError reports a response whose status code isn't one of the protocol.
+type InvalidStatusError struct{ status string }
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string { return fmt.Sprintf("invalid status %q", e.status) }
+
 // Error reports a call without a response.
 type Error struct {
 	address string
@@ -455,9 +461,25 @@
 func (c *conn) readHead(call Call) (*http.Response, error) {
 	c.head.active = true
 	defer func() { c.head.active = false }()
-	return http.ReadResponse(c.r, call.Request)
+	resp, err := http.ReadResponse(c.r, call.Request)
+	if err != nil {
+		return nil, err
+	}
+	if !isValidStatus(resp.Status) {
+		return nil, &InvalidStatusError{status: resp.Status}
+	}
+	return resp, nil
 }
 
+// isValidStatus reports whether a status line has one of the codes of RFC 9110, from 100 to 599.
+// net/http also takes other numbers of three characters, and signs.
+func isValidStatus(status string) bool {
+	code, _, _ := strings.Cut(status, " ")
+	return len(code) == 3 && code[0] >= '1' && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
 // Response is a response whose body is read from the connection.
 type Response struct {
 	*http.Response
