origin, originlink, directory: Stop recording streams after a release

After a release to a newer software version, each new stream would have been recorded at all control VMs for good: 45 calls a second at a gateway of the target size with 7 control VMs, some 0.1 ms each for both ends.

Cause: the version whose streams need no records was fixed for the life of a deployment.

Change: once another version has been the only one for a minute, which begins after two minutes without a target of any other one and without their streams, it becomes the one without records. Until then nobody is told which one that is, and a gateway uses what it knows for 30 s at most, on the clock that counts suspensions, so that none skips records for the version before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -158,7 +158,8 @@
 	watchReceived chan struct{} // closed at the next watch
 	confirmations chan struct{} // closed when the stored versions become confirmed
 	inactiveSince map[string]time.Time
-	versionSeen   map[softwareVersion]time.Time // by the leader
+	versionSeen   map[softwareVersion]time.Time // by the leader: when a version last had a target
+	onlySince     map[softwareVersion]time.Time // by the leader: when a version became the only one
 	additions     singleflight.Group            // of software versions
 	patches       patchCache
 	// lastLeader is the leader's address at the last member check.
--- a/internal/directory/origins.go
+++ b/internal/directory/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +22,9 @@
 	// versionRetention is the time without a target, and without a stream that may be taken up, after
 	// which a software version is removed. Streams at the first version of a service have no records.
 	versionRetention = 2 * time.Minute
+	// firstDelay is the time for which a version has to be the only one until its streams need no
+	// records. Gateways use what they know of the one before for half of it at most.
+	firstDelay = time.Minute
 	// originSyncInterval is the interval at which a control VM that has started asks the others for
 	// the origins of streams, until enough of them have answered.
 	originSyncInterval = 300 * time.Millisecond
@@ -113,7 +117,7 @@
 	if !isResult {
 		return false, errors.Errorf("unexpected store result %v", result)
 	}
-	klog.InfoS("Software version committed", "service", c.GetService(), "software", c.GetSoftware(), "removed", c.GetRemoved(), "changed", bool(ok))
+	klog.InfoS("Software version committed", "service", c.GetService(), "software", c.GetSoftware(), "removed", c.GetRemoved(), "first", c.GetFirst(), "changed", bool(ok))
 	return bool(ok), nil
 }
 
@@ -121,14 +125,15 @@
 // no stream that may still be taken up. Only the leader does.
 func (d *Directory) removeVersions(ctx context.Context) {
 	if d.o.Node.Status().Role != replica.Leader {
-		d.versionSeen = nil
+		d.versionSeen, d.onlySince = nil, nil
 		return
 	}
 	now := d.o.Timers.Now()
 	if d.versionSeen == nil {
-		d.versionSeen = map[softwareVersion]time.Time{}
+		d.versionSeen, d.onlySince = map[softwareVersion]time.Time{}, map[softwareVersion]time.Time{}
 	}
 	for service, versions := range d.o.Store.allSoftwareVersions() {
+		d.advanceFirst(ctx, service, versions, now)
 		for _, software := range versions.Active {
 			v := softwareVersion{service: service, software: software}
 			if _, known := d.versionSeen[v]; !known || d.o.Table.HasSoftware(service, software) {
@@ -137,18 +142,42 @@
 			if len(versions.Active) < 2 || now.Sub(d.versionSeen[v]) < versionRetention || now.Before(d.o.Origins.UsedUntil(service, software)) {
 				continue
 			}
-			ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
-			_, err := d.proposeVersion(ctx, &wire.VersionChange{Service: service, Software: software, Removed: true})
-			cancel()
-			if err != nil {
-				klog.InfoS("Software version not removed", "service", service, "software", software, "cause", err.Error())
-				continue
-			}
+			d.commitChange(ctx, &wire.VersionChange{Service: service, Software: software, Removed: true})
 			delete(d.versionSeen, v)
 		}
 	}
 }
 
+// advanceFirst makes the only version of a service the first one after firstDelay, so that its
+// streams need no records any more.
+func (d *Directory) advanceFirst(ctx context.Context, service string, versions origin.ServiceVersions, now time.Time) {
+	v := softwareVersion{service: service}
+	if versions.FirstChanges() {
+		v.software = versions.Active[0]
+	}
+	maps.DeleteFunc(d.onlySince, func(other softwareVersion, _ time.Time) bool { return other.service == service && other != v })
+	if v.software == "" {
+		return
+	}
+	since, known := d.onlySince[v]
+	if !known {
+		d.onlySince[v] = now
+		return
+	}
+	if now.Sub(since) >= firstDelay {
+		d.commitChange(ctx, &wire.VersionChange{Service: service, Software: v.software, First: true})
+	}
+}
+
+// commitChange commits a change as the leader. Without a quorum it is tried again later.
+func (d *Directory) commitChange(ctx context.Context, c *wire.VersionChange) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	if _, err := d.proposeVersion(ctx, c); err != nil {
+		klog.InfoS("Software version not changed", "service", c.GetService(), "software", c.GetSoftware(), "removed", c.GetRemoved(), "first", c.GetFirst(), "cause", err.Error())
+	}
+}
+
 // syncOrigins gets the origins of streams that were recorded before this VM has started. Each was
 // stored by a majority of the voters before its stream's first event was passed on, so that a
 // majority that doesn't count this VM has all of them.
@@ -228,7 +257,7 @@
 }
 
 func encodeVersions(service string, v origin.ServiceVersions) *wire.SoftwareVersions {
-	return &wire.SoftwareVersions{Service: service, First: v.First, Active: v.Active}
+	return &wire.SoftwareVersions{Service: service, First: v.First, Active: v.Active, FirstChanges: v.FirstChanges()}
 }
 
 // RecordOrigins implements wire.Directory.
@@ -269,7 +298,7 @@
 	}
 	resp.Confirmed = s.d.isConfirmed(s.d.o.Store.versions())
 	voter, voters, _ := s.d.membership()
-	resp.Voter, resp.Voters = voter, uint32(voters)
+	resp.Voter, resp.Voters, resp.Revision = voter, uint32(voters), s.d.o.Store.versions().software
 	return resp, nil
 }
 
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -102,8 +102,11 @@
 func (s *Store) applyVersion(c *wire.VersionChange) softwareResult {
 	revision := s.software.Revision()
 	change := s.software.Add
-	if c.GetRemoved() {
+	switch {
+	case c.GetRemoved():
 		change = s.software.Remove
+	case c.GetFirst():
+		change = s.software.SetFirst
 	}
 	ok := change(c.GetService(), c.GetSoftware())
 	if s.software.Revision() != revision {
--- a/internal/origin/finding.go
+++ b/internal/origin/finding.go
@@ -1,9 +1,6 @@
 package origin
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // Finding is what is known of the software version that began a stream.
 type Finding interface{ finding() }
@@ -42,6 +39,8 @@
 	// them lately.
 	Versions  ServiceVersions
 	Confirmed bool
+	// Revision is that of the versions.
+	Revision uint64
 	// Voter says that the control VM is one of the Voters whose majority stores each record.
 	Voter  bool
 	Voters int
@@ -73,9 +72,8 @@
 		}
 		return Unknown{Cause: "a majority has not answered yet"}
 	}
-	first := slices.IndexFunc(answers, func(a Answer) bool { return a.Versions.First != "" || len(a.Versions.Active) > 0 })
-	if voters > 0 && 2*complete > voters && first >= 0 {
-		return First{Software: answers[first].Versions.First}
+	if newest := newestVersions(answers); 2*complete > voters && len(newest.Active) > 0 {
+		return First{Software: newest.First}
 	}
 	for _, a := range answers {
 		switch {
@@ -88,3 +86,14 @@
 	}
 	return Unknown{Cause: fmt.Sprintf("%d of %d voters answered, %d of them with all records", votes, voters, complete)}
 }
+
+// newestVersions returns the versions of the highest revision.
+func newestVersions(answers []Answer) ServiceVersions {
+	var newest Answer
+	for _, a := range answers {
+		if a.Revision >= newest.Revision {
+			newest = a
+		}
+	}
+	return newest.Versions
+}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -137,7 +137,7 @@
 }
 
 // Guards against versions that are forgotten while streams of theirs may be taken up, and against a
-// first version that changes, because streams at it have no records.
+// first version that changes while there are others, because streams at it have no records.
 func TestFirstVersionStays(t *testing.T) {
 	v := NewVersions()
 	require.True(t, v.Add("s", "v1"))
@@ -149,6 +149,10 @@
 	require.Equal(t, ServiceVersions{First: "v1", Active: []string{"v1", "v2"}}, v.Of("s"))
 	restored := RestoreVersions(v.Revision(), v.All())
 	require.Equal(t, v, restored)
+	require.False(t, v.SetFirst("s", "v2"), "not the only one")
+	require.True(t, v.Remove("s", "v1"))
+	require.True(t, v.SetFirst("s", "v2"))
+	require.Equal(t, ServiceVersions{First: "v2", Active: []string{"v2"}}, v.Of("s"))
 	for i := range maxVersions {
 		v.Add("s", fmt.Sprint(i))
 	}
--- a/internal/origin/register.go
+++ b/internal/origin/register.go
@@ -7,8 +7,9 @@
 // state machine that holds which versions of each service may have begun streams. Neither of them
 // uses the network or a clock.
 //
-// The first version of a service never changes, so that streams at it need no record: one that a
-// complete Register doesn't have began at the first version.
+// Streams at the first version of a service need no record: one that a complete Register doesn't
+// have began at the first version. That changes only when another version has been the only one
+// for so long that every process has learned of it.
 //
 // # Usage
 //
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -20,13 +20,17 @@
 
 // ServiceVersions are the software versions of a service.
 type ServiceVersions struct {
-	// First is the version that was added first. It never changes, and may have no targets any
-	// more.
+	// First is the version whose streams need no records: the one that was added first, until
+	// another one has been the only active one for a while.
 	First string
 	// Active are the versions that may have begun streams which are still taken up, sorted.
 	Active []string
 }
 
+// FirstChanges reports whether another version than the first one is the only active one, and becomes
+// the first one if that lasts.
+func (s ServiceVersions) FirstChanges() bool { return len(s.Active) == 1 && s.Active[0] != s.First }
+
 // Has reports whether a version is active.
 func (s ServiceVersions) Has(software string) bool { return slices.Contains(s.Active, software) }
 
@@ -77,3 +81,18 @@
 	v.revision++
 	return true
 }
+
+// SetFirst makes the only active version the first one. Processes that know the one before must
+// have asked again since it was removed.
+func (v *Versions) SetFirst(service, software string) bool {
+	s := v.services[service]
+	if len(s.Active) != 1 || s.Active[0] != software {
+		return false
+	}
+	if s.First != software {
+		s.First = software
+		v.services[service] = s
+		v.revision++
+	}
+	return true
+}
--- a/internal/originlink/client.go
+++ b/internal/originlink/client.go
@@ -46,6 +46,9 @@
 	// until they are asked again.
 	findTimeout = 300 * time.Millisecond
 	findRetry   = 50 * time.Millisecond
+	// firstMaxAge is how long an answer to which version is the first one is used. Control VMs wait
+	// twice as long before they change it.
+	firstMaxAge = 30 * time.Second
 )
 
 // Options configures a Client; all are required.
@@ -65,12 +68,19 @@
 	mu     sync.Mutex
 	queues map[string]*queue
 	kept   *origin.Register
-	epochs map[string]string // processes of the control VMs that have the records
-	first  map[string]string // version of each service that needs no records
+	epochs map[string]string       // processes of the control VMs that have the records
+	first  map[string]firstVersion // by service
 	wg     sync.WaitGroup
 	done   chan struct{}
 }
 
+// firstVersion is a version whose streams need no records, and when a control VM last said so, on
+// the boot clock, which also runs while the process is suspended.
+type firstVersion struct {
+	software string
+	at       time.Duration
+}
+
 // queue holds the records that a control VM hasn't stored yet.
 type queue struct{ records []*pending }
 
@@ -87,7 +97,7 @@
 // NewClient returns a Client.
 func NewClient(o Options) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Client{o: o, ctx: ctx, cancel: cancel, queues: map[string]*queue{}, kept: origin.NewRegister(maxKept), epochs: map[string]string{}, first: map[string]string{}, done: make(chan struct{})}
+	return &Client{o: o, ctx: ctx, cancel: cancel, queues: map[string]*queue{}, kept: origin.NewRegister(maxKept), epochs: map[string]string{}, first: map[string]firstVersion{}, done: make(chan struct{})}
 }
 
 // Start implements kernel.Starter.
@@ -106,13 +116,16 @@
 // Done implements kernel.Stopper.
 func (c *Client) Done() <-chan struct{} { return c.done }
 
-// First returns the version of a service whose streams need no records, and false if it isn't
-// known yet.
+// First returns the version of a service whose streams need no records, and false if no control VM
+// has lately said which one that is.
 func (c *Client) First(service string) (software string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	software, ok = c.first[service]
-	return software, ok
+	f, ok := c.first[service]
+	if !ok || timer.SinceBoot()-f.at > firstMaxAge {
+		return "", false
+	}
+	return f.software, true
 }
 
 // Store sends a record to the control VMs. The channel is closed once a majority has stored it.
@@ -208,13 +221,14 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
 	defer cancel()
+	askedAt := timer.SinceBoot()
 	resp, err := client.RecordOrigins(ctx, r)
 	if err != nil {
 		klog.V(1).InfoS("Origins of streams not stored", "address", address, "records", len(batch), "cause", err.Error())
 		return batch
 	}
 	for _, v := range resp.GetVersions() {
-		c.learnFirst(v)
+		c.learnFirst(v, askedAt)
 	}
 	c.resend(address, resp.GetEpoch())
 	var left []*pending
@@ -241,13 +255,17 @@
 	}
 }
 
-func (c *Client) learnFirst(v *wire.SoftwareVersions) {
-	if len(v.GetActive()) == 0 {
+// learnFirst records what a control VM has said to a call that was made at a time.
+func (c *Client) learnFirst(v *wire.SoftwareVersions, askedAt time.Duration) {
+	if len(v.GetActive()) == 0 || v.GetFirstChanges() {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.first[v.GetService()] = v.GetFirst()
+	if c.first[v.GetService()].at > askedAt {
+		return
+	}
+	c.first[v.GetService()] = firstVersion{software: v.GetFirst(), at: askedAt}
 }
 
 // Find asks the control VMs for the version that began a stream of a service, which began within the
@@ -268,7 +286,7 @@
 func (c *Client) ask(ctx context.Context, r *wire.FindOriginRequest) origin.Finding {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	addresses := c.o.ControlVMs()
+	addresses, askedAt := c.o.ControlVMs(), timer.SinceBoot()
 	replies := make(chan *wire.FindOriginResponse, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -286,7 +304,7 @@
 			continue
 		}
 		if v := resp.GetVersions(); v != nil {
-			c.learnFirst(v)
+			c.learnFirst(v, askedAt)
 		}
 		answers = append(answers, decodeAnswer(resp))
 		f := origin.Judge(answers, false)
@@ -298,7 +316,7 @@
 }
 
 func decodeAnswer(r *wire.FindOriginResponse) origin.Answer {
-	a := origin.Answer{Complete: r.GetComplete(), Confirmed: r.GetConfirmed(), Voter: r.GetVoter(), Voters: int(r.GetVoters())}
+	a := origin.Answer{Complete: r.GetComplete(), Confirmed: r.GetConfirmed(), Voter: r.GetVoter(), Voters: int(r.GetVoters()), Revision: r.GetRevision()}
 	if v := r.GetVersions(); v != nil {
 		a.Versions = origin.ServiceVersions{First: v.GetFirst(), Active: v.GetActive()}
 	}
