discovery: Take no control VM for lost whose connection breaks

Cause: a watch that fails for any reason marks its control VM as unresponsive until the next attempt after 200 ms. When all connections are reset at the same moment, no control VM is left to collect stages.

Change: a watch that fails before its time is over is repeated at once; only the second failure counts. One that takes too long counts as before.

Result: TestBrokenConnectionIsNoLostControlVM failed before and passes.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -235,6 +235,7 @@
 	var leavers leaversExchange
 	var limits limitsExchange
 	var ramps rampsExchange
+	lost := false // the connection of the last watch broke
 	for w.ctx.Err() == nil {
 		if w.o.CatalogVersion != nil {
 			r.CatalogVersion = w.o.CatalogVersion()
@@ -252,14 +253,20 @@
 		r.HeardFormat = heard.format(startedAt, w.o.Table.heardInterval())
 		ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchTimeout)
 		resp, err := client.Watch(ctx, r)
+		timedOut := ctx.Err() != nil
 		cancel()
 		if err != nil {
+			if !lost && !timedOut {
+				lost = true // a connection that breaks says nothing about the control VM
+				continue
+			}
 			if w.handleFailure(address, vm, err) {
 				return
 			}
 			_ = w.o.Timers.Sleep(w.ctx, watchRetryDelay)
 			continue
 		}
+		lost = false
 		parts.receive(r, resp, w.o.Quarantine, w.o.Timers.Now())
 		leavers.receive(r, resp)
 		limits.receive(address, r, resp, w.o.Limits, startedAt, w.o.Timers.Now())
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -1,9 +1,14 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -190,3 +195,44 @@
 		}
 	}
 }
+
+// resetDirectory answers watches, and breaks off the connections of some.
+type resetDirectory struct {
+	wire.Directory
+	breaks atomic.Int32 // connections still to be broken off
+	asked  atomic.Int32
+}
+
+// Watch implements wire.Directory.
+func (d *resetDirectory) Watch(context.Context, *wire.WatchRequest) (*wire.WatchResponse, error) {
+	d.asked.Add(1)
+	if d.breaks.Add(-1) >= 0 {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(time.Millisecond)
+	return &wire.WatchResponse{Epoch: "e", CatalogVersion: 1}, nil
+}
+
+// Guards against a gateway whose connections are all reset at the same moment and that takes all
+// control VMs for lost, so that it refuses what needs a stage; and against one that takes a control VM
+// for sound which breaks off each watch.
+func TestBrokenConnectionIsNoLostControlVM(t *testing.T) {
+	d := &resetDirectory{}
+	srv := httptest.NewServer(wire.NewDirectoryServer(d))
+	t.Cleanup(srv.Close)
+	w := NewWatcher(WatcherOptions{
+		Timers: timer.NewService(), HTTP: srv.Client(), Process: "p", Table: NewTable(Options{HeartbeatTimeout: time.Minute}), Seeds: []string{strings.TrimPrefix(srv.URL, "http://")},
+	})
+	require.NoError(t, w.Start(t.Context()))
+	t.Cleanup(func() { require.NoError(t, w.Stop(context.Background())) })
+	require.Eventually(t, func() bool { return len(w.Collectors()) == 1 }, 5*time.Second, time.Millisecond)
+	available := w.AvailabilityContext(w.Collectors()[0])
+	for range 5 {
+		d.breaks.Store(1)
+		asked := d.asked.Load()
+		require.Eventually(t, func() bool { return d.asked.Load() > asked+2 }, 5*time.Second, time.Millisecond)
+	}
+	require.NoError(t, available.Err())
+	d.breaks.Store(1_000_000)
+	require.Eventually(t, func() bool { return len(w.Collectors()) == 0 }, 5*time.Second, time.Millisecond)
+}
