originlink: Don't wait for control VMs that know no records

While gateways run this release and control VMs an earlier one, each stream would begin 0.25 s late, and streams that are taken up would be refused.

Change: a control VM that doesn't know the call ends the wait; if only such ones answer, the version is taken from the targets, as without records.

Result: TestControlVMsOfAnEarlierReleaseDelayNothing.

--- a/internal/directory/origins.go
+++ b/internal/directory/origins.go
@@ -282,7 +282,7 @@
 	}
 	voter, voters, _ := s.d.membership()
 	resp.Voter, resp.Voters, resp.Epoch = voter, uint32(voters), s.d.o.Table.Epoch()
-	s.d.o.Metrics.Gauge("stream_origins", float64(s.d.o.Origins.Len()))
+	s.d.o.Metrics.Gauge("stored_stream_origins", float64(s.d.o.Origins.Len()))
 	return resp, nil
 }
 
--- a/internal/originlink/client.go
+++ b/internal/originlink/client.go
@@ -20,8 +20,11 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomline/cardamomline/internal/origin"
@@ -223,6 +226,12 @@
 	defer cancel()
 	askedAt := timer.SinceBoot()
 	resp, err := client.RecordOrigins(ctx, r)
+	if isUnknownCall(err) {
+		for _, p := range batch {
+			p.finish()
+		}
+		return nil
+	}
 	if err != nil {
 		klog.V(1).InfoS("Origins of streams not stored", "address", address, "records", len(batch), "cause", err.Error())
 		return batch
@@ -249,12 +258,32 @@
 	if voter {
 		p.votes++
 	}
-	if !p.isDone && 2*p.votes > voters {
+	if 2*p.votes > voters {
+		p.finishLocked()
+	}
+}
+
+// finish ends the wait for the record, because a control VM of an earlier release doesn't store any.
+func (p *pending) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.finishLocked()
+}
+
+// finishLocked closes the channel of the record; p.mu is held.
+func (p *pending) finishLocked() {
+	if !p.isDone {
 		p.isDone = true
 		close(p.stored)
 	}
 }
 
+// isUnknownCall reports whether a control VM doesn't know a call, because it runs an earlier release.
+func isUnknownCall(err error) bool {
+	var failed twirp.Error
+	return errors.As(err, &failed) && failed.Code() == twirp.BadRoute
+}
+
 // learnFirst records what a control VM has said to a call that was made at a time.
 func (c *Client) learnFirst(v *wire.SoftwareVersions, askedAt time.Duration) {
 	if len(v.GetActive()) == 0 || v.GetFirstChanges() {
@@ -288,9 +317,13 @@
 	defer cancel()
 	addresses, askedAt := c.o.ControlVMs(), timer.SinceBoot()
 	replies := make(chan *wire.FindOriginResponse, len(addresses))
+	var older atomic.Int32 // control VMs of an earlier release
 	for _, address := range addresses {
 		go func() {
 			resp, err := wire.NewDirectoryProtobufClient("http://"+address, c.o.HTTP).FindOrigin(ctx, r)
+			if isUnknownCall(err) {
+				older.Add(1)
+			}
 			if err != nil {
 				klog.V(1).InfoS("Origin of a stream not asked", "address", address, "cause", err.Error())
 			}
@@ -312,6 +345,9 @@
 			return f
 		}
 	}
+	if len(answers) == 0 && older.Load() > 0 {
+		return origin.Unrecorded{}
+	}
 	return origin.Judge(answers, true)
 }
 
--- a/internal/originlink/client_test.go
+++ b/internal/originlink/client_test.go
@@ -116,6 +116,17 @@
 	require.IsType(t, origin.Unknown{}, c.Find(ctx, 1, "s", time.Minute))
 }
 
+// Guards against streams that wait, or are refused, while the control VMs run an earlier release
+// that knows no records.
+func TestControlVMsOfAnEarlierReleaseDelayNothing(t *testing.T) {
+	srv := httptest.NewServer(wire.NewBatchingServer(nil))
+	t.Cleanup(srv.Close)
+	c := NewClient(Options{Timers: timer.NewService(), HTTP: http.DefaultClient, ControlVMs: func() []string { return []string{strings.TrimPrefix(srv.URL, "http://")} }})
+	t.Cleanup(func() { require.NoError(t, c.Stop(context.Background())) })
+	<-c.Store(origin.NewRecord(1, "s", "v1", 1, time.Minute))
+	require.Equal(t, origin.Unrecorded{}, c.Find(t.Context(), 1, "s", time.Minute))
+}
+
 // BenchmarkStore stores one record at a time at one control VM over loopback: the processor time of
 // both ends together, without a commit.
 func BenchmarkStore(b *testing.B) {
