gateway: Don't bind a stream to a process that has ended

Cause: the version is that of the record with which the target was chosen, and answers don't name it.

Change: when the first event of an attempt arrives and another process has been announced under the id since the choice, the attempt ends and the request goes elsewhere, on routes whose streams may be resumed.

What an announcement tells that is later than the first event stays unknown (docs/design/stream-versions.md).

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -62,7 +62,7 @@
 		return x.deliverWhole(pool, choice, resp, first, success)
 	}
 	w := x.watchEvents(ctx, cancel)
-	err := x.copyEvents(ctx, resp, w, func() {
+	err := x.copyEvents(ctx, resp, choice, w, func() {
 		now := x.g.o.Timers.Now()
 		choice = pool.Begun(choice, routing.Success{Latency: now.Sub(began), Expected: x.expectedFirst()}, now)
 	})
@@ -178,8 +178,8 @@
 // copyEvents passes on whole events as they arrive, and records the last one. A target may
 // stop in the middle of an event: the rest is passed on only if the framing of the answer
 // shows that it is complete. begun is called when the first event has arrived.
-func (x *exchange) copyEvents(ctx context.Context, resp *upstream.Response, w *eventWatch, begun func()) error {
-	first := true
+func (x *exchange) copyEvents(ctx context.Context, resp *upstream.Response, choice routing.Choice, w *eventWatch, begun func()) error {
+	first, checked := true, false
 	rc := http.NewResponseController(x.w)
 	var pending []byte
 	buf := make([]byte, copyBuffer)
@@ -187,6 +187,10 @@
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
 		if events := eventstream.Scan(pending); events.End() > 0 {
+			if !checked && x.route.Resumable() && x.g.hasRestarted(choice) {
+				return errRestarted
+			}
+			checked = true
 			if first && events.HasData() {
 				first = false
 				begun()
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomline/cardamomline/internal/catalog"
 	"github.com/cardamomline/cardamomline/internal/origin"
+	"github.com/cardamomline/cardamomline/internal/routing"
 	"github.com/cardamomline/cardamomline/internal/timer"
 	"github.com/cardamomline/cardamomline/internal/wire"
 )
@@ -35,6 +36,10 @@
 	storeFailedTime = 3 * time.Second
 )
 
+// errRestarted reports that a target has started again since it was chosen, so that another
+// software version may have written its events.
+var errRestarted = errors.New("the target has started again, maybe with another software version")
+
 // errNotStored reports that the software version of a stream wasn't stored in time.
 var errNotStored = errors.New("the software version of the stream was not stored in time")
 
@@ -244,6 +249,13 @@
 	}
 }
 
+// hasRestarted reports whether another process has announced itself under a target's id since the
+// target was chosen. The answer may be its own: it took the request before its announcement arrived.
+func (g *Gateway) hasRestarted(c routing.Choice) bool {
+	r, ok := g.o.Table.Target(c.Target)
+	return ok && r.GetBornMs() != bornMs(c)
+}
+
 // hasVersion reports whether a target of a service runs a software version and isn't leaving.
 func (g *Gateway) hasVersion(service, software string) bool {
 	for _, l := range g.o.Table.Live(service, g.o.Timers.Now()) {
