gateway: Don't hold back the stages of streams that are taken up

Cause: a caller with less time left than usual counts as one that comes back after a refusal, and its objective as missed. Stages of such requests wait behind all others while later stages are busy. A caller who takes up a stream has less time because it has the beginning.

Change: the objective of a take-up counts from its arrival, and its request as begun, like one that goes on within its answer.

Result: TestStagesOfTakenUpStreamsAreNotHeldBack failed before and passes.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -142,7 +142,7 @@
 	x.priority = rank(&catalog.Customer{}, route)
 	x.deadline = x.began.Add(route.Timeout())
 	x.timeoutFirst = true
-	if len(route.Stages()) > 0 {
+	if len(route.Stages()) > 0 && !x.isTakeUp() { // the caller of a stream has its first event
 		x.waited = x.g.patience.waited(route.Name(), r.ClientTimeout)
 	}
 	if r.ClientTimeout > 0 && r.ClientTimeout < route.Timeout() {
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -263,7 +263,7 @@
 		ObjectiveLeftMs: x.began.Add(x.route.Objective() - x.waited).Sub(now).Milliseconds(),
 		DeadlineLeftMs:  x.nextEventBy().Sub(now).Milliseconds(),
 		AfterMs:         uint32(x.expectedFirst().Milliseconds()),
-		Begun:           waits || len(handles) > 0 || x.started,
+		Begun:           waits || len(handles) > 0 || x.started || x.isTakeUp(),
 		WaitedMs:        uint32(x.waited.Milliseconds()),
 		Customer:        x.customer,
 	}
