gateway: Wait less for records while they can't be stored

While control VMs are out of reach, each new stream at a version that needs a record began 0.25 s late; after half a minute also those of a deployment with one version, because gateways ask again which version needs none.

Change: for 3 s after a record wasn't stored in time, first events wait for 0.05 s at most.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -24,9 +24,10 @@
 	originMargin = 30 * time.Second
 	// minOriginWindow is the least time before which a stream that is taken up can't have begun.
 	minOriginWindow = 30 * time.Second
-	// originStoreWait is how long the first events of a stream wait until its version is stored.
-	// Without a quorum, streams still begin.
-	originStoreWait = 250 * time.Millisecond
+	// originStoreWait is how long the first events of a stream wait until its version is stored, and
+	// failingStoreWait the same shortly after that has failed. Without a quorum, streams still begin.
+	originStoreWait  = 250 * time.Millisecond
+	failingStoreWait = 50 * time.Millisecond
 	// originFindWait and originFindShare limit how long a caller waits until the version is found
 	// that began its stream, the latter as a share of the caller's timeout.
 	originFindWait  = 800 * time.Millisecond
@@ -184,11 +185,14 @@
 	if x.stored == nil || x.started {
 		return nil
 	}
-	began := x.g.o.Timers.Now()
+	began, wait := x.g.o.Timers.Now(), originStoreWait
+	if x.g.isStoreFailing() {
+		wait = failingStoreWait
+	}
 	select {
 	case <-x.stored:
 		return nil
-	case <-x.g.o.Timers.After(originStoreWait):
+	case <-x.g.o.Timers.After(wait):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -207,7 +211,7 @@
 // unstoredVersion returns the version of a service that new streams are sent to while their version
 // can't be stored: the first one, which needs no record, unless most targets run other ones.
 func (g *Gateway) unstoredVersion(service string) (software string, ok bool) {
-	if g.o.Origins == nil || timer.SinceBoot()-time.Duration(g.storeFailed.Load()) > storeFailedTime && g.isFresh() || !g.isMixed(service) {
+	if g.o.Origins == nil || !g.isStoreFailing() && g.isFresh() || !g.isMixed(service) {
 		return "", false
 	}
 	first, known := g.o.Origins.First(service)
@@ -227,6 +231,11 @@
 	return first, 2*slots >= all && slots > 0
 }
 
+// isStoreFailing reports whether the version of a stream was not stored in time a short time ago.
+func (g *Gateway) isStoreFailing() bool {
+	return timer.SinceBoot()-time.Duration(g.storeFailed.Load()) <= storeFailedTime
+}
+
 // isMixed reports whether the targets of a service run several software versions.
 func (g *Gateway) isMixed(service string) bool {
 	g.mu.Lock()
