discovery: Let a test reset connections instead of ending handlers

Cause: the test ended a handler with a panic. The twirp server answers that with an error first, the client uses the connection again, and it ends then: two failures for one broken connection.

Change: the connection is closed before twirp sees the request. The checks are the same.

--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -196,29 +196,45 @@
 	}
 }
 
-// resetDirectory answers watches, and breaks off the connections of some.
+// resetDirectory answers watches, and resets the connections of some.
 type resetDirectory struct {
 	wire.Directory
-	breaks atomic.Int32 // connections still to be broken off
+	breaks atomic.Int32 // connections still to be reset
 	asked  atomic.Int32
 }
 
 // Watch implements wire.Directory.
 func (d *resetDirectory) Watch(context.Context, *wire.WatchRequest) (*wire.WatchResponse, error) {
-	d.asked.Add(1)
-	if d.breaks.Add(-1) >= 0 {
-		panic(http.ErrAbortHandler)
-	}
 	time.Sleep(time.Millisecond)
 	return &wire.WatchResponse{Epoch: "e", CatalogVersion: 1}, nil
 }
 
+// handler resets connections before twirp answers: it answers a panic, and the client would use the
+// connection again that ends with it.
+func (d *resetDirectory) handler(t *testing.T) http.Handler {
+	server := wire.NewDirectoryServer(d)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.asked.Add(1)
+		if d.breaks.Add(-1) < 0 {
+			server.ServeHTTP(w, r)
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			err = c.Close()
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against a gateway whose connections are all reset at the same moment and that takes all
 // control VMs for lost, so that it refuses what needs a stage; and against one that takes a control VM
 // for sound which breaks off each watch.
 func TestBrokenConnectionIsNoLostControlVM(t *testing.T) {
 	d := &resetDirectory{}
-	srv := httptest.NewServer(wire.NewDirectoryServer(d))
+	srv := httptest.NewServer(d.handler(t))
 	t.Cleanup(srv.Close)
 	w := NewWatcher(WatcherOptions{
 		Timers: timer.NewService(), HTTP: srv.Client(), Process: "p", Table: NewTable(Options{HeartbeatTimeout: time.Minute}), Seeds: []string{strings.TrimPrefix(srv.URL, "http://")},
