discovery: Repeat a watch at once only if its connection broke

A watcher asked a control VM that is stopping a second time at once, although that had answered that it stops.

Cause: repeats each watch that fails before its time is over.

Change: only a failure of the connection is repeated at once.

Result: TestBrokenConnectionIsNoLostControlVM passes as before.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -256,7 +258,8 @@
 		timedOut := ctx.Err() != nil
 		cancel()
 		if err != nil {
-			if !lost && !timedOut {
+			var broken *url.Error
+			if !lost && !timedOut && errors.As(err, &broken) {
 				lost = true // a connection that breaks says nothing about the control VM
 				continue
 			}
