listener: End a connection that nobody reads any more

A process that stops waited to the end of its stop, up to 7.5 s, for a connection whose next request arrived at a bad moment; its caller got no answer until then.

Cause: a close of an idle connection is ignored once if bytes have arrived on it, because the server is going to serve them. If the server ends with a connection by itself after a response, it is still marked as idle, and that close was ignored as well; nobody reads the connection afterwards.

Change: when the server reports a connection as closed, it is closed. Its caller may send the request again, since it wasn't read.

--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -173,6 +173,9 @@
 		dc.received.Store(false)
 	}
 	dc.idle.Store(s == http.StateIdle)
+	if s == http.StateClosed {
+		_ = dc.closeNow() // nobody reads it any more
+	}
 }
 
 // Read implements net.Conn.
@@ -191,6 +194,10 @@
 	if c.listener.stopping.Load() && c.idle.Load() && (c.received.Load() || c.hasBytes()) && c.kept.CompareAndSwap(false, true) {
 		return nil
 	}
+	return c.closeNow()
+}
+
+func (c *drainConn) closeNow() error {
 	err := net.ErrClosed
 	c.once.Do(func() {
 		err = c.Conn.Close()
--- a/internal/listener/drain_test.go
+++ b/internal/listener/drain_test.go
@@ -113,3 +113,31 @@
 		})
 	}
 }
+
+// Guards against a stop that waits to its end for a connection on which the next request has arrived
+// just when the server had ended with it: nobody reads it any more.
+func TestStopEndsWhileRequestsFollowOneAnother(t *testing.T) {
+	for n := range 300 {
+		s := New(Options{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+		require.NoError(t, s.Start(t.Context()))
+		c := dial(t, s.Address())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for r := bufio.NewReader(c); ; {
+				if _, err := http.ReadResponse(r, nil); err != nil {
+					return
+				}
+				if _, err := io.WriteString(c, getRequest); err != nil {
+					return
+				}
+			}
+		}()
+		time.Sleep(time.Duration(n%7) * 100 * time.Microsecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		err := s.Stop(ctx)
+		cancel()
+		require.NoError(t, err, "stop %d", n)
+		<-ended
+	}
+}
